--- /dev/null
+++ b/source/coordination/ring.hpp
@@ -0,0 +1,65 @@
+// A member's place on the ring is the digest of its id. Its watchers are the
+// next few members after it, so any two that see the same members name the
+// same watchers with no word between them. The relay tree is laid over the
+// same order: the registry is the root, and each node passes news to the few
+// whose places in the order follow from its own.
+#pragma once
+
+#include "protocol/digest.hpp"
+#include "protocol/messages.hpp"
+
+#include <algorithm>
+
+namespace banktide {
+
+inline constexpr std::size_t watcher_count = 3;
+inline constexpr std::size_t relay_fanout = 3;
+
+inline std::vector<std::string> ring_order(std::vector<std::string> ids) {
+  std::sort(ids.begin(), ids.end(), [](std::string const& a, std::string const& b) { return std::pair(digest_of(a), a) < std::pair(digest_of(b), b); });
+  return ids;
+}
+
+inline std::vector<std::string> watchers_of(std::string const& id, std::vector<std::string> const& order) {
+  std::vector<std::string> out;
+  auto const it = std::find(order.begin(), order.end(), id);
+  if (it == order.end()) return out;
+  std::size_t const at = static_cast<std::size_t>(it - order.begin());
+  for (std::size_t k = 1; k <= watcher_count && k < order.size(); ++k) out.push_back(order[(at + k) % order.size()]);
+  return out;
+}
+
+// `order` holds the nodes without the root; `from` empty means the root.
+inline std::vector<std::string> relays_below(std::string const& from, std::vector<std::string> const& order) {
+  std::size_t first = 0;
+  if (!from.empty()) {
+    auto const it = std::find(order.begin(), order.end(), from);
+    if (it == order.end()) return {};
+    first = (static_cast<std::size_t>(it - order.begin()) + 1) * relay_fanout;
+  }
+  std::vector<std::string> out;
+  for (std::size_t i = first; i < first + relay_fanout && i < order.size(); ++i) out.push_back(order[i]);
+  return out;
+}
+
+#ifdef TESTS_OF_RING
+TEST(Ring, the_relay_tree_reaches_every_node_once_and_each_has_its_watchers) {
+  for (std::size_t n = 1; n < 60; ++n) {
+    std::vector<std::string> ids;
+    for (std::size_t i = 0; i < n; ++i) ids.push_back("node-" + std::to_string(i));
+    std::vector<std::string> const order = ring_order(ids);
+    std::vector<std::string> reached = relays_below("", order);
+    for (std::size_t i = 0; i < reached.size(); ++i)
+      for (std::string const& r : relays_below(reached[i], order)) reached.push_back(r);
+    EXPECT_EQ(ring_order(reached), order);
+    EXPECT_EQ(reached.size(), n);
+    for (std::string const& id : ids) {
+      std::vector<std::string> const w = watchers_of(id, order);
+      EXPECT_EQ(w.size(), std::min(watcher_count, n - 1));
+      EXPECT_EQ(std::count(w.begin(), w.end(), id), 0);
+    }
+  }
+}
+#endif
+
+}  // namespace banktide
--- /dev/null
+++ b/source/programs/backend_main.cpp
@@ -0,0 +1,94 @@
+// banktide-backend: a stand-in backend for proof. It beats to the node on its
+// machine, answers calls, and writes a line to its record before and after each
+// run, so that what ran is known from outside the mesh.
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "programs/process.hpp"
+#include "transport/http_edge.hpp"
+
+using namespace banktide;
+
+namespace {
+
+std::string header(HttpRequest const& q, std::string const& name) {
+  for (Header const& h : q.headers)
+    if (h.name == name) return h.value;
+  return "-";
+}
+
+std::int64_t now_ms() { return as_ms(std::chrono::steady_clock::now().time_since_epoch()); }
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Settings s("banktide-backend");
+  s.text("service", "", "the service that it stands for");
+  s.text("instance", "", "its own name, new for each start");
+  s.text("address", "", "ip:port to listen at");
+  s.text("node", "", "ip:port of the node's local door");
+  s.text("record", "", "file for the record of runs");
+  s.number("work-ms", 5, 0, 60000, "how long a run takes");
+  s.number("beat-ms", 500, 10, 60000, "time between beats");
+  s.need_name("service");
+  s.need_name("instance");
+  s.need_address("address");
+  s.need_address("node");
+  if (std::optional<int> const code = s.read(argc, argv)) return *code;
+  start_logging(s.text("log-level"), "banktide-backend", s.text("instance"));
+  int const record = s.text("record").empty() ? -1 : ::open(s.text("record").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  Process process;
+  SocketWorld world;
+  std::string const service = s.text("service"), instance = s.text("instance"), node = s.text("node");
+  Duration const work = std::chrono::milliseconds(s.number("work-ms")), every = std::chrono::milliseconds(s.number("beat-ms"));
+  std::uint32_t running = 0;
+  bool leaving = false;
+  Instant told{};
+  auto const write = [&](std::string const& what, HttpRequest const& q) {
+    std::string const line = what + " " + std::to_string(now_ms()) + " " + header(q, "call-id") + " " + service + " " + instance + " " + header(q, "x-key") + " " + header(q, "banktide-epoch") + " " + q.method + "\n";
+    if (record >= 0 && ::write(record, line.data(), line.size()) < 0) log_warn("record_failed", {});
+  };
+  HttpListener listener(world.io(), s.text("address"), [&](HttpRequest q) -> Task<HttpReply> {
+    HttpReply reply;
+    reply.headers = {{"Content-Type", "application/json"}};
+    if (header(q, "banktide-service") != service || header(q, "banktide-instance") != instance) {
+      write("stranger", q);
+      reply.status = 421;
+      reply.headers.push_back({"banktide-not-run", "1"});
+      co_return reply;
+    }
+    ++running;
+    write("begin", q);
+    co_await sleep_for(world, work);
+    write("end", q);
+    --running;
+    reply.status = 200;
+    reply.body = Json{{"service", service}, {"instance", instance}, {"call", header(q, "call-id")}, {"target", q.target}, {"method", q.method}, {"digest", std::to_string(digest_of(q.body))}}.dump();
+    co_return reply;
+  });
+  Result<bool> const open = listener.open();
+  if (!open) {
+    log_warn("start_failed", {{"step", open.error().step}, {"reason", open.error().reason}});
+    return 1;
+  }
+  std::uint16_t const port = static_cast<std::uint16_t>(parse_address(s.text("address"))->port());
+  HttpCaller<SocketWorld> caller(world);
+  auto const keep_beating = [&]() -> Task<void> {
+    while (true) {
+      HttpRequest q{"POST", "/beat", {{"Content-Type", "application/json"}}, Json{{"service", service}, {"instance", instance}, {"port", port}, {"burden", running}, {"leaving", leaving}}.dump()};
+      Result<HttpReply> const r = co_await caller.run_at(node, std::move(q), world.now() + 1s);
+      if (!r || r->status != 200)
+        log_warn("beat_failed", {{"peer", node}, {"reason", r ? "status " + std::to_string(r->status) : r.error().reason}});
+      else if (leaving && told == Instant{})
+        told = world.now();
+      co_await sleep_for(world, leaving && told == Instant{} ? 20ms : every);
+    }
+  };
+  process.on_thread([&]() {
+    spawn(world, keep_beating());
+    return true;
+  });
+  log_info("started", {{"address", s.text("address")}});
+  process.until_told_to_go([&] { leaving = true; }, [&] { return told != Instant{} && world.now() - told > 2s && running == 0; }, [] {}, 6s);
+  std::_Exit(0);
+}
--- /dev/null
+++ b/source/programs/caller_main.cpp
@@ -0,0 +1,101 @@
+// banktide-caller: a stand-in caller for proof. It sends a mix of calls at
+// fixed rates to a list of nodes and writes one line per answer to its record,
+// and says nothing of its own about whether the mesh did right.
+#include "programs/process.hpp"
+#include "transport/http_edge.hpp"
+
+using namespace banktide;
+
+namespace {
+
+struct Line {
+  std::string name, method, path;
+  std::uint64_t rate = 0;
+  std::uint64_t keys = 0;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Settings s("banktide-caller");
+  s.list("node", "ip:port of a node's caller door; repeat");
+  s.list("mix", "name:METHOD:path:calls a second:keys (0: not keyed); repeat");
+  s.text("record", "", "file for the record of answers");
+  s.number("seconds", 10, 1, 86400, "how long to call");
+  s.number("seed", 1, 0, UINT64_MAX, "seed of keys and nodes");
+  s.need_addresses("node", 1);
+  if (std::optional<int> const code = s.read(argc, argv)) return *code;
+  start_logging(s.text("log-level"), "banktide-caller", "caller");
+  std::vector<Line> lines;
+  for (std::string const& m : s.list("mix")) {
+    std::vector<std::string> parts;
+    std::stringstream in(m);
+    for (std::string p; std::getline(in, p, ':');) parts.push_back(p);
+    if (parts.size() != 5) {
+      std::cerr << "banktide-caller: settings: mix: " << m << " has not five parts\n";
+      return 2;
+    }
+    lines.push_back(Line{parts[0], parts[1], parts[2], std::stoull(parts[3]), std::stoull(parts[4])});
+  }
+  Process process;
+  SocketWorld world;
+  std::ofstream record(s.text("record"), std::ios::app);
+  std::vector<std::string> const nodes = s.list("node");
+  std::mt19937_64 chance(s.number("seed"));
+  HttpCaller<SocketWorld> caller(world);
+  std::uint64_t last = 0, open = 0;
+  bool ended = false;
+  Instant const start = world.now(), end = start + std::chrono::seconds(s.number("seconds"));
+  auto const one = [&](Line const line, std::string const id, std::string const node, std::string const key) -> Task<void> {
+    ++open;
+    std::string const body = line.method == "POST" ? "{\"id\":\"" + id + "\"}" : "";
+    HttpRequest q{line.method, line.path + "/" + id, {{"call-id", id}}, body};
+    if (!body.empty()) q.headers.push_back({"Content-Type", "application/json"});
+    if (line.keys > 0) q.headers.push_back({"x-key", key});
+    Instant const from = world.now();
+    Result<HttpReply> const r = co_await caller.run_at(node, q, from + 4s);
+    std::string outcome = r ? "none" : r.error().proof == Proof::not_run ? "unsent"
+                                                                         : "lost",
+                reason = r ? "" : r.error().reason;
+    bool retry_after = false, right = false;
+    if (r) {
+      for (Header const& h : r->headers) {
+        if (h.name == "banktide-outcome") outcome = h.value;
+        if (h.name == "Retry-After") retry_after = true;
+      }
+      if (r->status == 200) {
+        Json const j = Json::parse(r->body, nullptr, false);
+        right = j.is_object() && j.value("call", "") == id && j.value("target", "") == q.target && j.value("digest", "") == std::to_string(digest_of(body));
+      } else {
+        Json const j = Json::parse(r->body, nullptr, false);
+        if (j.is_object()) reason = j.value("step", "") + "/" + j.value("peer", "") + "/" + j.value("error", "");
+      }
+    }
+    for (char& c : reason)
+      if (c == ' ' || c == '\n') c = '_';
+    record << as_ms(from.time_since_epoch()) << " " << id << " " << line.name << " " << line.method << " " << (key.empty() ? "-" : key) << " " << (r ? r->status : 0) << " " << outcome << " " << (right ? "right" : "-") << " " << (retry_after ? "retry-after" : "-") << " " << std::chrono::duration_cast<std::chrono::microseconds>(world.now() - from).count() << " " << node << " " << (reason.empty() ? "-" : reason) << "\n";
+    --open;
+  };
+  auto const keep_calling = [&](Line const l) -> Task<void> {
+    Duration const gap = std::chrono::nanoseconds(1000000000ull / std::max<std::uint64_t>(l.rate, 1));
+    typename SocketWorld::Alarm alarm(world);
+    for (Instant next = start + std::chrono::nanoseconds(chance() % static_cast<std::uint64_t>(gap.count())); next < end; next += gap) {
+      co_await alarm.wait(next);
+      std::string const id = l.name + "-" + std::to_string(s.number("seed")) + "-" + std::to_string(++last);
+      std::string const key = l.keys > 0 ? "k" + std::to_string(chance() % l.keys) : "";
+      spawn(world, one(l, id, nodes[chance() % nodes.size()], key));
+    }
+    ended = true;
+  };
+  process.on_thread([&]() {
+    for (Line const& line : lines) spawn(world, keep_calling(line));
+    return true;
+  });
+  bool over = false;
+  while (!over) {
+    std::this_thread::sleep_for(50ms);
+    over = process.on_thread([&]() { return ended && world.now() > end && open == 0; });
+  }
+  record.flush();
+  std::_Exit(record.good() ? 0 : 1);
+}
--- /dev/null
+++ b/source/programs/process.hpp
@@ -0,0 +1,63 @@
+// What every program shares: the pool of one thread, the signals, and a main
+// that only sets up and waits.
+#pragma once
+
+#include "programs/settings.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <future>
+
+namespace banktide {
+
+class Process {
+ public:
+  Process() {
+    std::signal(SIGPIPE, SIG_IGN);
+    crossplat::threadpool::initialize_with_threads(1);
+  }
+
+  // Runs a set-up step on the pool's thread and waits for it.
+  template <class F>
+  auto on_thread(F f) {
+    std::promise<decltype(f())> p;
+    asio::post(crossplat::threadpool::shared_instance().service(), [&]() { p.set_value(f()); });
+    return p.get_future().get();
+  }
+
+  // Waits for SIGTERM or SIGINT; `leave` runs on the thread, then `idle` is
+  // asked until it says yes or the patience is over.
+  template <class Leave, class Idle, class Reload>
+  void until_told_to_go(Leave leave, Idle idle, Reload reload, Duration const patience) {
+    asio::io_context& io = crossplat::threadpool::shared_instance().service();
+    std::promise<void> over;
+    asio::signal_set signals(io);
+    on_thread([&]() {
+      for (int const s : {SIGTERM, SIGINT, SIGHUP}) signals.add(s);
+      asio::co_spawn(
+          io,
+          [&]() -> Task<void> {
+            while (true) {
+              int const got = co_await signals.async_wait(asio::use_awaitable);
+              if (got != SIGHUP) break;
+              reload();
+            }
+            log_info("leaving", {});
+            leave();
+            asio::steady_timer timer(io);
+            Instant const end = std::chrono::steady_clock::now() + patience;
+            while (std::chrono::steady_clock::now() < end && !idle()) {
+              timer.expires_after(20ms);
+              co_await timer.async_wait(asio::use_awaitable);
+            }
+            log_info("gone", {{"idle", idle() ? "yes" : "no"}});
+            over.set_value();
+          },
+          asio::detached);
+      return true;
+    });
+    over.get_future().get();
+  }
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/source/programs/proxy_main.cpp
@@ -0,0 +1,66 @@
+// banktide-proxy: the node on every application machine; a gateway by setting.
+#include "programs/process.hpp"
+#include "programs/proxy.hpp"
+#include "transport/http_edge.hpp"
+
+using namespace banktide;
+
+int main(int argc, char** argv) {
+  Settings s("banktide-proxy");
+  s.text("id", "", "name of this node");
+  s.text("cell", "", "the cell that it stands in");
+  s.text("address", "", "ip:port for other processes");
+  s.text("caller", "", "ip:port for callers (HTTP)");
+  s.text("local", "", "ip:port for this machine's backends and platform (HTTP)");
+  s.flag("gateway", "also take calls from other cells");
+  s.list("seed", "ip:port of another process; repeat for three");
+  s.number("beat-expiry-ms", 3000, 200, 60000, "a backend silent for longer is not called");
+  s.number("backend-limit", 128, 1, 100000, "calls in flight at one backend");
+  s.number("slice-limit", 32, 1, 100000, "calls in flight for one key slice");
+  s.need_name("id");
+  s.need_name("cell");
+  s.need_address("address");
+  s.need_address("caller");
+  s.need_address("local");
+  s.need_addresses("seed", 1);
+  if (std::optional<int> const code = s.read(argc, argv)) return *code;
+  start_logging(s.text("log-level"), "banktide-proxy", s.text("id"));
+  Process process;
+  SocketWorld world;
+  Desk desk;
+  Result<Address> const bound = world.listen(s.text("address"));
+  if (!bound) {
+    log_warn("start_failed", {{"step", bound.error().step}, {"peer", bound.error().peer}, {"reason", bound.error().reason}});
+    return 1;
+  }
+  using Edge = HttpCaller<SocketWorld>;
+  Edge edge(world);
+  ProxySettings settings{s.text("id"), s.text("cell"), *bound, s.flag("gateway"), s.list("seed")};
+  settings.beat_expiry = std::chrono::milliseconds(s.number("beat-expiry-ms"));
+  settings.backend_limit = static_cast<std::uint32_t>(s.number("backend-limit"));
+  settings.slice_limit = static_cast<std::uint32_t>(s.number("slice-limit"));
+  Proxy<SocketWorld, Edge> proxy(world, edge, settings);
+  HttpListener callers(world.io(), s.text("caller"), [&](HttpRequest q) { return proxy.call(std::move(q)); });
+  HttpListener local(world.io(), s.text("local"), [&](HttpRequest q) -> Task<HttpReply> { co_return proxy.platform(q); });
+  process.on_thread([&]() {
+    world.serve(desk);
+    proxy.start(desk);
+    return true;
+  });
+  for (HttpListener* const l : {&local, &callers}) {
+    Result<bool> const open = l->open();
+    if (!open) {
+      log_warn("start_failed", {{"step", open.error().step}, {"peer", open.error().peer}, {"reason", open.error().reason}});
+      return 1;
+    }
+  }
+  log_info("started", {{"address", *bound}, {"caller", s.text("caller")}, {"local", s.text("local")}, {"gateway", s.flag("gateway") ? "yes" : "no"}});
+  Instant left{};
+  process.until_told_to_go(
+      [&] {
+        left = world.now();
+        proxy.leave();
+      },
+      [&] { return proxy.idle() && world.now() - left > 2500ms; }, [] { log_info("reload", {{"changed", "nothing yet"}}); }, 5500ms);
+  std::_Exit(0);
+}
--- /dev/null
+++ b/source/programs/registry.hpp
@@ -0,0 +1,505 @@
+// The control plane of one cell: its members, their beats and the news that
+// goes down the relay tree; the outside calls of operators; the coordinating
+// side of the register; and one vote on the leases of key slices. Everything
+// here but the register is memory: a registry that starts again takes its cell
+// from the nodes, and publishes nothing of it until they had time to join.
+#pragma once
+
+#include "coordination/lease_voter.hpp"
+#include "coordination/register_client.hpp"
+#include "coordination/ring.hpp"
+#include "state/cell_view.hpp"
+#include "state/journal.hpp"
+#include "state/layout.hpp"
+
+#include <map>
+
+namespace banktide {
+
+struct RegistrySettings {
+  std::string id;
+  std::string cell;
+  Address address;
+  std::vector<Address> seeds;
+  std::vector<Address> voters;
+};
+
+struct Noted {
+  std::int64_t at_ms = 0;
+  std::string what, step, peer, reason;
+};
+
+inline HttpReply json_reply(std::uint16_t const status, Json const& j) {
+  HttpReply r;
+  r.status = status;
+  r.headers.push_back({"Content-Type", "application/json"});
+  r.body = j.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+  return r;
+}
+
+inline std::string header_of(HttpRequest const& q, std::string_view const name) {
+  for (Header const& h : q.headers)
+    if (h.name.size() == name.size() && std::equal(h.name.begin(), h.name.end(), name.begin(), [](char a, char b) { return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b)); })) return h.value;
+  return "";
+}
+
+inline char const* standing_name(Standing const s) {
+  constexpr char const* names[] = {"fit", "suspected", "leaving", "dead"};
+  return names[static_cast<std::size_t>(s) & 3];
+}
+inline char const* role_name(Role const r) {
+  constexpr char const* names[] = {"node", "gateway", "registry"};
+  return names[std::min<std::size_t>(static_cast<std::size_t>(r), 2)];
+}
+
+inline Json view_json(CellView const& v) {
+  Json j = Json::object();
+  j["members"] = Json::array();
+  j["backends"] = Json::array();
+  j["cells"] = Json::array();
+  for (auto const& [id, m] : v.members) j["members"].push_back({{"id", m.id}, {"cell", m.cell}, {"address", m.address}, {"role", role_name(m.role)}, {"incarnation", m.incarnation}, {"standing", standing_name(m.standing)}});
+  for (auto const& [key, b] : v.backends) j["backends"].push_back({{"service", b.service}, {"instance", b.instance}, {"node", b.node}, {"port", b.port}, {"burden", b.burden}, {"standing", standing_name(b.standing)}});
+  for (auto const& [name, c] : v.cells) {
+    Json gateways = Json::array();
+    for (Member const& g : c.gateways) gateways.push_back({{"id", g.id}, {"address", g.address}});
+    j["cells"].push_back({{"cell", c.cell}, {"gateways", gateways}, {"offers", c.offers}});
+  }
+  return j;
+}
+
+template <Surroundings W>
+class Registry {
+ public:
+  Registry(W& w, RegistrySettings s) : w_(w), s_(std::move(s)), register_(w, s_.voters), lease_(w), epoch_(w.chance()() | 1), started_(w.now()) {
+    Member self{s_.id, s_.cell, s_.address, Role::registry, 1, Standing::fit};
+    publish_member(self);
+  }
+
+  void start(Desk& desk) {
+    desk.on<Join>([this](Join q) { return join(std::move(q)); });
+    desk.on<Follow>([this](Follow q) { return follow(q); });
+    desk.on<LayoutsAsk>([this](LayoutsAsk q) { return layouts(q); });
+    desk.on<Meet>([this](Meet q) { return meet(std::move(q)); });
+    desk.on<Beat>([this](Beat q) { return beat(std::move(q)); });
+    desk.on<Suspect>([this](Suspect q) { return suspect(std::move(q)); });
+    desk.on<CellTold>([this](CellTold q) { return cell_told(std::move(q)); });
+    desk.on<Chosen>([this](Chosen q) { return chosen(std::move(q)); });
+    desk.on<LeaseAsk>([this](LeaseAsk q) { return lease(std::move(q)); });
+    learn({RegistryEntry{s_.cell, s_.address}});
+    spawn(w_, keep_meeting());
+    spawn(w_, keep_reading());
+    spawn(w_, keep_pulsing());
+    spawn(w_, keep_watching());
+  }
+
+  bool ready() const { return vouched_ && warm() && !leaving_; }
+  void leave() { leaving_ = true; }
+  CellView const& view() const { return view_; }
+  Held const& held(Register const r) const { return held_[static_cast<std::size_t>(r)]; }
+
+  // The operator's interface.
+  Task<HttpReply> operate(HttpRequest q) {
+    std::string const path = q.target.substr(0, q.target.find('?'));
+    if (path == "/live") co_return json_reply(200, {{"live", true}});
+    if (path == "/ready") co_return json_reply(ready() ? 200 : 503, {{"ready", ready()}, {"vouched", vouched_}, {"warm", warm()}, {"leaving", leaving_}});
+    if (path == "/fleet" && q.method == "GET") co_return json_reply(200, fleet());
+    if (path == "/mishaps" && q.method == "GET") co_return json_reply(200, mishaps());
+    for (Register const r : all_registers) {
+      if (path != "/" + register_name(r)) continue;
+      if (q.method == "GET") co_return co_await get(r);
+      if (q.method == "PUT") co_return co_await put(r, std::move(q));
+      HttpReply no = json_reply(405, {{"error", "use GET or PUT"}});
+      no.headers.push_back({"Allow", "GET, PUT"});
+      co_return no;
+    }
+    co_return json_reply(404, {{"error", "no such resource"}, {"path", path}});
+  }
+
+ private:
+  static constexpr Duration warm_up = 1500ms;
+  static constexpr Duration pulse_every = 150ms;
+  static constexpr Duration suspect_after = 1200ms;
+  static constexpr Duration dead_after = 2500ms;
+
+  bool warm() const { return w_.now() - started_ >= warm_up; }
+  Position position() const { return Position{epoch_, journal_.last()}; }
+
+  // ---- operator calls
+
+  static std::string quoted(Revision const r) { return "\"" + std::to_string(r) + "\""; }
+
+  Task<HttpReply> get(Register const r) {
+    Result<Held> h = co_await register_.read(r, held(r), w_.now() + 2s);
+    if (!h) co_return not_vouched(h.error());
+    take(r, *h);
+    if (h->revision == 0) co_return json_reply(404, {{"error", "nothing was ever put"}, {"revision", 0}});
+    HttpReply reply;
+    reply.status = 200;
+    reply.headers = {{"Content-Type", "application/json"}, {"ETag", quoted(h->revision)}, {"banktide-revision", std::to_string(h->revision)}};
+    reply.body = h->bytes;
+    co_return reply;
+  }
+
+  HttpReply not_vouched(Mishap const& m) {
+    note("register", m);
+    HttpReply reply = json_reply(503, {{"error", "no majority vouches for a reading"}, {"step", m.step}, {"peer", m.peer}, {"reason", m.reason}});
+    reply.headers.push_back({"Retry-After", "1"});
+    return reply;
+  }
+
+  Task<HttpReply> put(Register const r, HttpRequest q) {
+    Result<Held> routing = Held{};
+    if (r == Register::routing) {
+      Result<Layout> const l = Layout::read(q.body);
+      if (!l) co_return bad_revision(l.error());
+    } else {
+      routing = co_await register_.read(Register::routing, held(Register::routing), w_.now() + 2s);
+      if (!routing) co_return not_vouched(routing.error());
+      if (routing->revision == 0) co_return bad_revision(Mishap{"check_references", "", "there is no routing revision yet", Proof::not_run});
+      take(Register::routing, *routing);
+      Result<Layout> const l = Layout::read(routing->bytes);
+      Result<Catalogue> const c = l ? Catalogue::read(q.body, *l) : Result<Catalogue>(tl::unexpected<Mishap>(l.error()));
+      if (!c) co_return bad_revision(c.error());
+    }
+    std::string const match = header_of(q, "If-Match");
+    std::optional<Revision> expected;
+    if (!match.empty()) {
+      std::string digits = match.size() > 2 && match.front() == '"' && match.back() == '"' ? match.substr(1, match.size() - 2) : match;
+      if (digits.empty() || digits.size() > 19 || digits.find_first_not_of("0123456789") != std::string::npos) co_return json_reply(400, {{"error", "If-Match must be a revision"}, {"step", "check_if_match"}});
+      expected = std::stoull(digits);
+    }
+    std::string request = header_of(q, "banktide-request");
+    if (request.size() > 128) co_return json_reply(400, {{"error", "banktide-request is over 128 bytes"}, {"step", "check_request"}});
+    if (request.empty()) request = "auto-" + std::to_string(w_.chance()()) + std::to_string(w_.chance()());
+    Revision newest = 0;
+    Result<Held> done = co_await register_.change(r, request, w_.now() + 5s, [&](Held const& now) -> Result<Held> {
+      newest = now.revision;
+      if (expected && *expected != now.revision) return mishap("check_if_match", "", "the newest revision is " + std::to_string(now.revision), Proof::not_run);
+      Held next = now;
+      next.revision = now.revision + 1;
+      next.bytes = q.body;
+      next.digest = digest_of(q.body);
+      return next;
+    });
+    if (!done && done.error().step == "check_if_match" && done.error().proof == Proof::not_run) co_return json_reply(412, {{"error", done.error().reason}, {"step", "check_if_match"}, {"revision", newest}});
+    if (!done) {
+      note("put_" + register_name(r), done.error());
+      bool const nothing = done.error().proof == Proof::not_run;
+      HttpReply reply = json_reply(nothing ? 503 : 504, {{"error", nothing ? "not taken: no majority" : "outcome unknown: ask with GET, or repeat with the same banktide-request"}, {"outcome", nothing ? "not-taken" : "unknown"}, {"request", request}, {"step", done.error().step}, {"peer", done.error().peer}, {"reason", done.error().reason}});
+      reply.headers.push_back({"Retry-After", "1"});
+      co_return reply;
+    }
+    take(r, *done);
+    for (RegistryEntry const& e : directory_)
+      if (e.address != s_.address) tell(w_, e.address, Chosen{r, *done});
+    Revision mine = done->revision;
+    for (auto const& [id, revision] : done->requests)
+      if (id == request) mine = revision;
+    log_info("revision_acknowledged", {{"register", register_name(r)}, {"revision", std::to_string(mine)}, {"request", request}});
+    HttpReply reply = json_reply(200, {{"register", register_name(r)}, {"revision", mine}, {"request", request}});
+    reply.headers.push_back({"ETag", quoted(mine)});
+    co_return reply;
+  }
+
+  HttpReply bad_revision(Mishap const& m) {
+    note("bad_revision", m);
+    return json_reply(m.step == "check_size" ? 413 : m.step == "parse_json" ? 400 : 422, {{"error", m.reason}, {"step", m.step}, {"pointer", m.peer}});
+  }
+
+  Json fleet() const {
+    Json j = view_json(view_);
+    j["cell"] = s_.cell;
+    j["registry"] = s_.id;
+    j["epoch"] = epoch_;
+    j["position"] = journal_.last();
+    j["routing"] = held(Register::routing).revision;
+    j["catalogue"] = held(Register::catalogue).revision;
+    j["vouched"] = vouched_;
+    Json registries = Json::array();
+    for (RegistryEntry const& e : directory_) registries.push_back({{"cell", e.cell}, {"address", e.address}});
+    j["registries"] = registries;
+    return j;
+  }
+
+  Json mishaps() const {
+    Json j = Json::array();
+    std::optional<std::vector<Noted>> const all = noted_.since(noted_.trimmed());
+    for (Noted const& n : *all) j.push_back({{"at_ms", n.at_ms}, {"what", n.what}, {"step", n.step}, {"peer", n.peer}, {"reason", n.reason}});
+    return Json{{"mishaps", j}, {"trimmed", noted_.trimmed()}};
+  }
+
+  void note(std::string const& what, Mishap const& m) {
+    noted_.append(Noted{as_ms(w_.now() - started_), what, m.step, m.peer, m.reason});
+    log_warn(what, {{"step", m.step}, {"peer", m.peer}, {"reason", m.reason}});
+  }
+
+  // ---- layouts
+
+  void take(Register const r, Held const& h) {
+    Held& mine = held_[static_cast<std::size_t>(r)];
+    if (h.revision <= mine.revision) return;
+    mine = h;
+    log_info("revision_known", {{"register", register_name(r)}, {"revision", std::to_string(h.revision)}});
+    News n = pulse();
+    n.layouts.emplace_back(r, mine);
+    send_down(n);
+  }
+
+  Task<Told> chosen(Chosen q) {
+    if (static_cast<std::uint8_t>(q.reg) < 2) take(q.reg, q.held);
+    co_return Told{};
+  }
+
+  Task<LayoutsReply> layouts(LayoutsAsk q) {
+    if (q.fresh || !vouched_) co_await read_all(500ms);
+    LayoutsReply reply;
+    reply.known = vouched_;
+    reply.routing = held(Register::routing).revision;
+    reply.catalogue = held(Register::catalogue).revision;
+    if (reply.routing > q.routing) reply.newer.emplace_back(Register::routing, held(Register::routing));
+    if (reply.catalogue > q.catalogue) reply.newer.emplace_back(Register::catalogue, held(Register::catalogue));
+    co_return reply;
+  }
+
+  Task<void> read_all(Duration const patience) {
+    bool all = true;
+    for (Register const r : all_registers) {
+      Result<Held> h = co_await register_.read(r, held(r), w_.now() + patience);
+      if (h) take(r, *h);
+      all = all && h.has_value();
+    }
+    if (all != vouched_) log_info("reading", {{"vouched", all ? "yes" : "no"}});
+    vouched_ = all;
+  }
+
+  Task<void> keep_reading() {
+    while (true) {
+      co_await read_all(1s);
+      co_await sleep_for(w_, 250ms);
+    }
+  }
+
+  // ---- other registries
+
+  void learn(std::vector<RegistryEntry> const& entries) {
+    for (RegistryEntry const& e : entries)
+      if (directory_.size() < 256 && std::find(directory_.begin(), directory_.end(), e) == directory_.end()) directory_.push_back(e);
+  }
+
+  Task<MeetReply> meet(Meet q) {
+    learn(q.registries);
+    co_return MeetReply{directory_, static_cast<std::uint32_t>(s_.voters.size())};
+  }
+
+  Task<void> keep_meeting() {
+    while (true) {
+      std::vector<Address> peers = s_.seeds;
+      for (RegistryEntry const& e : directory_)
+        if (e.address != s_.address && std::find(peers.begin(), peers.end(), e.address) == peers.end()) peers.push_back(e.address);
+      auto const replies = co_await ask_all<Meet>(w_, peers, Meet{directory_}, w_.now() + 500ms, [](auto const&) { return false; });
+      for (auto const& [i, r] : replies)
+        if (r) learn(r->registries);
+      co_await sleep_for(w_, directory_.size() < 2 ? 200ms : 1000ms);
+    }
+  }
+
+  Task<Told> cell_told(CellTold q) {
+    auto const it = view_.cells.find(q.entry.cell);
+    if (q.entry.cell != s_.cell && (it == view_.cells.end() || !(it->second == q.entry))) publish(Change{0, std::nullopt, std::nullopt, q.entry});
+    co_return Told{};
+  }
+
+  CellEntry own_entry() const {
+    CellEntry e;
+    e.cell = s_.cell;
+    for (auto const& [id, m] : view_.members)
+      if (m.role == Role::gateway && m.standing == Standing::fit) e.gateways.push_back(m);
+    std::set<std::string> offers;
+    for (auto const& [key, b] : view_.backends)
+      if (b.standing == Standing::fit && view_.usable_node(b.node)) offers.insert(b.service);
+    e.offers.assign(offers.begin(), offers.end());
+    return e;
+  }
+
+  // ---- news of the cell
+
+  void publish(Change c) {
+    c.seq = journal_.last() + 1;
+    journal_.append(c);
+    view_.fold(c);
+    if (warm()) unsent_.push_back(std::move(c));
+    if (unsent_.size() == 1 && !flushing_) {
+      flushing_ = true;
+      spawn(w_, flush_soon());
+    }
+  }
+  void publish_member(Member const& m) { publish(Change{0, m, std::nullopt, std::nullopt}); }
+
+  // Changes of one moment go in one piece of news.
+  Task<void> flush_soon() {
+    co_await sleep_for(w_, 2ms);
+    flushing_ = false;
+    News n = pulse();
+    n.changes = std::move(unsent_);
+    unsent_.clear();
+    send_down(n);
+  }
+
+  News pulse() {
+    News n;
+    n.at = position();
+    n.pulse = ++pulse_;
+    n.routing = held(Register::routing).revision;
+    n.catalogue = held(Register::catalogue).revision;
+    return n;
+  }
+
+  std::vector<std::string> nodes() const {
+    std::vector<std::string> ids;
+    for (auto const& [id, m] : view_.members)
+      if (m.role != Role::registry) ids.push_back(id);
+    return ring_order(ids);
+  }
+
+  void send_down(News const& n) {
+    if (!warm()) return;
+    for (std::string const& id : relays_below("", nodes())) tell(w_, view_.members.at(id).address, n);
+  }
+
+  Task<void> keep_pulsing() {
+    std::uint64_t round = 0;
+    while (true) {
+      co_await sleep_for(w_, pulse_every);
+      if (unsent_.empty()) send_down(pulse());
+      if (warm() && ++round % 2 == 0)
+        for (RegistryEntry const& e : directory_)
+          if (e.cell != s_.cell) tell(w_, e.address, CellTold{own_entry()});
+    }
+  }
+
+  Task<FollowReply> follow(Follow q) {
+    FollowReply reply;
+    reply.known = warm();
+    if (!reply.known) co_return reply;
+    reply.at = position();
+    std::optional<std::vector<Change>> changes;
+    if (q.have.epoch == epoch_) changes = journal_.since(q.have.seq);
+    if (changes) reply.changes = std::move(*changes);
+    else reply.snapshot = view_.snapshot(position());
+    co_return reply;
+  }
+
+  // ---- members
+
+  Task<JoinReply> join(Join q) {
+    JoinReply reply;
+    reply.epoch = epoch_;
+    if (q.self.cell != s_.cell || q.self.id.empty() || q.self.id == s_.id || q.backends.size() > 1000) co_return reply;
+    auto const it = view_.members.find(q.self.id);
+    if (it != view_.members.end() && q.self.standing == Standing::fit && it->second.standing == Standing::suspected && q.self.incarnation <= it->second.incarnation) {
+      reply.incarnation = it->second.incarnation + 1;  // refute with this
+      co_return reply;
+    }
+    heard_[q.self.id] = w_.now();
+    if (it == view_.members.end() || !(it->second == q.self)) {
+      log_info("member", {{"id", q.self.id}, {"standing", standing_name(q.self.standing)}, {"incarnation", std::to_string(q.self.incarnation)}});
+      publish_member(q.self);
+    }
+    std::set<std::pair<std::string, std::string>> named;
+    for (BackendRecord& b : q.backends) {
+      b.node = q.self.id;
+      named.insert({b.service, b.instance});
+      auto const at = view_.backends.find({b.service, b.instance});
+      if (at == view_.backends.end() || !(at->second == b)) publish(Change{0, std::nullopt, b, std::nullopt});
+    }
+    std::vector<BackendRecord> gone;
+    for (auto const& [key, b] : view_.backends)
+      if (b.node == q.self.id && !named.contains(key)) gone.push_back(b);
+    for (BackendRecord& b : gone) {
+      b.standing = Standing::dead;
+      publish(Change{0, std::nullopt, b, std::nullopt});
+    }
+    reply.taken = true;
+    reply.incarnation = q.self.incarnation;
+    co_return reply;
+  }
+
+  std::vector<std::string> ring() const {
+    std::vector<std::string> ids;
+    for (auto const& [id, m] : view_.members) ids.push_back(id);
+    return ring_order(ids);
+  }
+
+  Task<Told> beat(Beat q) {
+    heard_[q.id] = w_.now();
+    co_return Told{};
+  }
+
+  Task<Told> suspect(Suspect q) {
+    auto const it = view_.members.find(q.id);
+    if (it != view_.members.end() && it->second.incarnation == q.incarnation && it->second.standing == Standing::fit && it->second.role != Role::registry) {
+      Member m = it->second;
+      m.standing = Standing::suspected;
+      suspected_[m.id] = w_.now();
+      log_info("member", {{"id", m.id}, {"standing", "suspected"}, {"by", q.by}});
+      publish_member(m);
+    }
+    co_return Told{};
+  }
+
+  Task<void> keep_watching() {
+    Instant last = w_.now();
+    while (true) {
+      co_await sleep_for(w_, 200ms);
+      Instant const now = w_.now();
+      bool const overslept = now - last > 800ms;  // we were frozen: nobody else was silent
+      last = now;
+      std::vector<std::string> const order = ring();
+      for (std::string const& id : watchers_of(s_.id, order)) tell(w_, view_.members.at(id).address, Beat{s_.id, s_.address, 1, warm() ? position() : Position{}});
+      std::vector<Member> dead;
+      for (auto const& [id, m] : view_.members) {
+        if (m.role == Role::registry) continue;
+        std::vector<std::string> const w = watchers_of(id, order);
+        if (std::find(w.begin(), w.end(), s_.id) == w.end() || overslept) heard_.try_emplace(id, now);
+        if (overslept) heard_[id] = now;
+        bool const watched = std::find(w.begin(), w.end(), s_.id) != w.end();
+        if (!watched) {
+          heard_[id] = std::max(heard_[id], now - suspect_after / 2);
+        } else if (heard_.try_emplace(id, now).first->second + suspect_after < now && m.standing == Standing::fit) {
+          spawn(w_, [](Registry& self, Suspect q) -> Task<void> { co_await self.suspect(std::move(q)); }(*this, Suspect{id, m.incarnation, s_.id}));
+        }
+        if (m.standing == Standing::suspected && now - suspected_[id] > dead_after) dead.push_back(m);
+        if (m.standing == Standing::leaving && now - heard_[id] > suspect_after && watched) dead.push_back(m);
+      }
+      for (Member& m : dead) {
+        m.standing = Standing::dead;
+        log_info("member", {{"id", m.id}, {"standing", "dead"}});
+        publish_member(m);
+        heard_.erase(m.id);
+        suspected_.erase(m.id);
+      }
+    }
+  }
+
+  Task<LeaseReply> lease(LeaseAsk q) { co_return lease_.ask(q); }
+
+  W& w_;
+  RegistrySettings const s_;
+  RegisterClient<W> register_;
+  LeaseVoter<W> lease_;
+  std::uint64_t const epoch_;
+  Instant const started_;
+  Journal<Change> journal_{4096};
+  Journal<Noted> noted_{256};
+  CellView view_;
+  std::array<Held, 2> held_;
+  bool vouched_ = false;
+  bool leaving_ = false;
+  bool flushing_ = false;
+  std::uint64_t pulse_ = 0;
+  std::vector<Change> unsent_;
+  std::vector<RegistryEntry> directory_;
+  std::map<std::string, Instant> heard_, suspected_;
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/source/programs/registry_main.cpp
@@ -0,0 +1,47 @@
+// banktide-registry: the control plane of a cell, and the door for operators.
+#include "programs/process.hpp"
+#include "programs/registry.hpp"
+#include "transport/http_edge.hpp"
+
+using namespace banktide;
+
+int main(int argc, char** argv) {
+  Settings s("banktide-registry");
+  s.text("id", "", "name of this registry");
+  s.text("cell", "", "the cell that it serves");
+  s.text("address", "", "ip:port for other processes");
+  s.text("operator", "", "ip:port for operators and the platform (HTTP)");
+  s.list("seed", "ip:port of another process; repeat for three");
+  s.list("voter", "ip:port of a store; repeat for every voter");
+  s.need_name("id");
+  s.need_name("cell");
+  s.need_address("address");
+  s.need_address("operator");
+  s.need_addresses("seed", 1);
+  s.need_addresses("voter", 1);
+  if (std::optional<int> const code = s.read(argc, argv)) return *code;
+  start_logging(s.text("log-level"), "banktide-registry", s.text("id"));
+  Process process;
+  SocketWorld world;
+  Desk desk;
+  Result<Address> const bound = world.listen(s.text("address"));
+  if (!bound) {
+    log_warn("start_failed", {{"step", bound.error().step}, {"peer", bound.error().peer}, {"reason", bound.error().reason}});
+    return 1;
+  }
+  Registry<SocketWorld> registry(world, RegistrySettings{s.text("id"), s.text("cell"), *bound, s.list("seed"), s.list("voter")});
+  HttpListener operators(world.io(), s.text("operator"), [&](HttpRequest q) { return registry.operate(std::move(q)); });
+  process.on_thread([&]() {
+    world.serve(desk);
+    registry.start(desk);
+    return true;
+  });
+  Result<bool> const open = operators.open();
+  if (!open) {
+    log_warn("start_failed", {{"step", open.error().step}, {"peer", open.error().peer}, {"reason", open.error().reason}});
+    return 1;
+  }
+  log_info("started", {{"address", *bound}, {"operator", s.text("operator")}});
+  process.until_told_to_go([&] { registry.leave(); }, [] { return true; }, [] { log_info("reload", {{"changed", "nothing: every setting of a registry needs a restart"}}); }, 1s);
+  std::_Exit(0);
+}
--- /dev/null
+++ b/source/programs/settings.hpp
@@ -0,0 +1,141 @@
+// Settings of a process: one JSON file and flags of the same names, flags win.
+// All errors are told at once. `--check` only checks.
+#pragma once
+
+#include "state/layout.hpp"
+#include "transport/socket_world.hpp"
+
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace banktide {
+
+namespace po = boost::program_options;
+
+class Settings {
+ public:
+  explicit Settings(std::string const& program) : program_(program), options_(program + " options") {
+    options_.add_options()("help", "print this and exit")("version", "print the version and exit")("check", "check the settings and exit")("settings", po::value<std::string>(), "JSON file with the same names as these flags");
+    text("log-level", "INFO", "TRACE, DEBUG, INFO, WARN, ERROR or OFF");
+  }
+
+  void text(std::string const& name, std::string const& standard, std::string const& what) { options_.add_options()(name.c_str(), standard.empty() ? po::value<std::string>() : po::value<std::string>()->default_value(standard), what.c_str()); }
+  void list(std::string const& name, std::string const& what) { options_.add_options()(name.c_str(), po::value<std::vector<std::string>>()->composing(), what.c_str()); }
+  void number(std::string const& name, std::uint64_t const standard, std::uint64_t const least, std::uint64_t const most, std::string const& what) {
+    options_.add_options()(name.c_str(), po::value<std::uint64_t>()->default_value(standard), what.c_str());
+    ranges_[name] = {least, most};
+  }
+  void flag(std::string const& name, std::string const& what) { options_.add_options()(name.c_str(), po::value<bool>()->default_value(false)->implicit_value(true), what.c_str()); }
+
+  // Reads; an exit code if the program should end now.
+  std::optional<int> read(int const argc, char const* const* const argv) {
+    std::vector<std::string> errors;
+    try {
+      po::store(po::command_line_parser(argc, argv).options(options_).run(), values_);
+    } catch (po::error const& e) {
+      errors.push_back(e.what());
+    }
+    if (values_.count("help")) {
+      std::cout << options_ << "\n";
+      return 0;
+    }
+    if (values_.count("version")) {
+      std::cout << program_ << " " << BANKTIDE_VERSION << "\n";
+      return 0;
+    }
+    if (values_.count("settings")) read_file(values_["settings"].as<std::string>(), errors);
+    po::notify(values_);
+    for (auto const& [name, range] : ranges_)
+      if (values_.count(name) && (number(name) < range.first || number(name) > range.second)) errors.push_back(name + ": must be " + std::to_string(range.first) + ".." + std::to_string(range.second));
+    if (log4cplus::getLogLevelManager().fromString(text("log-level")) == log4cplus::NOT_SET_LOG_LEVEL) errors.push_back("log-level: no such level");
+    for (std::function<void(std::vector<std::string>&)> const& check : checks_) check(errors);
+    for (std::string const& e : errors) std::cerr << program_ << ": settings: " << e << "\n";
+    if (!errors.empty()) return 2;
+    if (values_.count("check")) {
+      std::cout << program_ << ": settings are good\n";
+      return 0;
+    }
+    return std::nullopt;
+  }
+
+  void check(std::function<void(std::vector<std::string>&)> f) { checks_.push_back(std::move(f)); }
+  void need_name(std::string const& name) {
+    checks_.push_back([this, name](std::vector<std::string>& errors) {
+      std::string const v = text(name);
+      bool good = !v.empty() && v.size() <= 63;
+      for (char const c : v) good = good && (std::islower(static_cast<unsigned char>(c)) || std::isdigit(static_cast<unsigned char>(c)) || c == '-' || c == '.' || c == '_');
+      if (!good) errors.push_back(name + ": needed, 1..63 of a-z 0-9 . _ -");
+    });
+  }
+  void need_address(std::string const& name) {
+    checks_.push_back([this, name](std::vector<std::string>& errors) {
+      if (!parse_address(text(name))) errors.push_back(name + ": needed, as ip:port");
+    });
+  }
+  void need_addresses(std::string const& name, std::size_t const least) {
+    checks_.push_back([this, name, least](std::vector<std::string>& errors) {
+      std::vector<std::string> const all = list(name);
+      if (all.size() < least) errors.push_back(name + ": at least " + std::to_string(least) + " needed");
+      for (std::string const& a : all)
+        if (!parse_address(a)) errors.push_back(name + ": " + a + " is not ip:port");
+    });
+  }
+
+  std::string text(std::string const& name) const { return values_.count(name) ? values_[name].as<std::string>() : ""; }
+  std::uint64_t number(std::string const& name) const { return values_[name].as<std::uint64_t>(); }
+  bool flag(std::string const& name) const { return values_[name].as<bool>(); }
+  std::vector<std::string> list(std::string const& name) const { return values_.count(name) ? values_[name].as<std::vector<std::string>>() : std::vector<std::string>{}; }
+
+ private:
+  void read_file(std::string const& file, std::vector<std::string>& errors) {
+    std::ifstream in(file);
+    if (!in) {
+      errors.push_back("settings: can't read " + file);
+      return;
+    }
+    std::stringstream all;
+    all << in.rdbuf();
+    Result<Json> const j = parse_json(all.str());
+    if (!j || !j->is_object()) {
+      errors.push_back(file + ": " + (j ? "not an object" : j.error().reason));
+      return;
+    }
+    po::parsed_options parsed(&options_);
+    for (auto const& [name, v] : j->items()) {
+      po::option_description const* const known = options_.find_nothrow(name, false);
+      bool const scalar = v.is_string() || v.is_number_unsigned() || v.is_boolean();
+      bool strings = v.is_array();
+      if (v.is_array())
+        for (Json const& e : v) strings = strings && e.is_string();
+      if (known == nullptr || name == "settings" || name == "help" || name == "check" || name == "version") {
+        errors.push_back(file + ": no setting is named " + name);
+        continue;
+      }
+      if (!scalar && !strings) {
+        errors.push_back(file + ": " + name + ": must be a string, a number, true or false, or a list of strings");
+        continue;
+      }
+      if (values_.count(name) && !values_[name].defaulted()) continue;
+      po::option o;
+      o.string_key = name;
+      if (v.is_array()) o.value = v.get<std::vector<std::string>>();
+      else o.value = {v.is_string() ? v.get<std::string>() : v.dump()};
+      parsed.options.push_back(std::move(o));
+    }
+    try {
+      po::store(parsed, values_);
+    } catch (po::error const& e) {
+      errors.push_back(file + ": " + e.what());
+    }
+  }
+
+  std::string const program_;
+  po::options_description options_;
+  po::variables_map values_;
+  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> ranges_;
+  std::vector<std::function<void(std::vector<std::string>&)>> checks_;
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/source/state/cell_view.hpp
@@ -0,0 +1,79 @@
+// What is known of one cell, folded from changes in order: its members, its
+// backends, and the other cells by their gateways and offers only.
+#pragma once
+
+#include "protocol/messages.hpp"
+
+#include <map>
+#include <string>
+
+namespace banktide {
+
+class CellView {
+ public:
+  std::map<std::string, Member> members;
+  std::map<std::pair<std::string, std::string>, BackendRecord> backends;
+  std::map<std::string, CellEntry> cells;
+
+  void fold(Change const& c) {
+    if (c.member) {
+      if (c.member->standing == Standing::dead) {
+        members.erase(c.member->id);
+        std::erase_if(backends, [&](auto const& b) { return b.second.node == c.member->id; });
+      } else {
+        members[c.member->id] = *c.member;
+      }
+    }
+    if (c.backend) {
+      std::pair<std::string, std::string> const key{c.backend->service, c.backend->instance};
+      if (c.backend->standing == Standing::dead) backends.erase(key);
+      else backends[key] = *c.backend;
+    }
+    if (c.cell) cells[c.cell->cell] = *c.cell;
+  }
+
+  void replace(Snapshot const& s) {
+    members.clear();
+    backends.clear();
+    cells.clear();
+    for (Member const& m : s.members) members[m.id] = m;
+    for (BackendRecord const& b : s.backends) backends[{b.service, b.instance}] = b;
+    for (CellEntry const& c : s.cells) cells[c.cell] = c;
+  }
+
+  Snapshot snapshot(Position const at) const {
+    Snapshot s;
+    s.at = at;
+    for (auto const& [id, m] : members) s.members.push_back(m);
+    for (auto const& [key, b] : backends) s.backends.push_back(b);
+    for (auto const& [name, c] : cells) s.cells.push_back(c);
+    return s;
+  }
+
+  bool usable_node(std::string const& id) const {
+    auto const it = members.find(id);
+    return it != members.end() && it->second.standing == Standing::fit;
+  }
+};
+
+#ifdef TESTS_OF_CELL_VIEW
+TEST(CellView, folding_changes_and_taking_a_snapshot_come_to_the_same) {
+  std::uint64_t x = 7;
+  auto const r = [&](std::uint64_t n) { return (x = x * 6364136223846793005ull + 1442695040888963407ull, (x >> 33) % n); };
+  CellView a;
+  for (int i = 0; i < 3000; ++i) {
+    Change c;
+    if (r(3) == 0) c.member = Member{"n" + std::to_string(r(5)), "a", "", Role::node, r(9), static_cast<Standing>(r(4))};
+    else c.backend = BackendRecord{"s", "i" + std::to_string(r(9)), "n" + std::to_string(r(5)), 1, 0, static_cast<Standing>(r(4))};
+    a.fold(c);
+    CellView b;
+    b.replace(a.snapshot({}));
+    ASSERT_EQ(a.members, b.members);
+    ASSERT_EQ(a.backends, b.backends);
+  }
+  a.fold(Change{0, Member{"n1", "a", "", Role::node, 1, Standing::dead}, std::nullopt, std::nullopt});
+  for (auto const& [key, b] : a.backends) EXPECT_NE(b.node, "n1");
+}
+#endif
+
+}  // namespace banktide
--- /dev/null
+++ b/source/state/journal.hpp
@@ -0,0 +1,56 @@
+// Events in the order they fell, numbered from 1, bounded: a view folds each
+// event as it is appended, so the oldest can be trimmed. A reader asks from a
+// position and is told when what it wanted has been trimmed.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace banktide {
+
+template <class E>
+class Journal {
+ public:
+  explicit Journal(std::size_t const limit) : limit_(limit) {}
+
+  std::uint64_t append(E e) {
+    events_.push_back(std::move(e));
+    if (events_.size() > limit_) {
+      events_.pop_front();
+      ++trimmed_;
+    }
+    return last();
+  }
+  std::uint64_t last() const { return trimmed_ + events_.size(); }
+  std::uint64_t trimmed() const { return trimmed_; }
+
+  // Events after `seen`, at most `most`; none if some of them are trimmed.
+  std::optional<std::vector<E>> since(std::uint64_t const seen, std::size_t const most = static_cast<std::size_t>(-1)) const {
+    if (seen < trimmed_ || seen > last()) return std::nullopt;
+    std::vector<E> out;
+    for (std::size_t i = static_cast<std::size_t>(seen - trimmed_); i < events_.size() && out.size() < most; ++i) out.push_back(events_[i]);
+    return out;
+  }
+
+ private:
+  std::size_t const limit_;
+  std::uint64_t trimmed_ = 0;
+  std::deque<E> events_;
+};
+
+#ifdef TESTS_OF_JOURNAL
+TEST(Journal, a_reader_gets_all_in_order_or_is_told_of_the_gap) {
+  Journal<int> j(10);
+  for (int i = 1; i <= 25; ++i) EXPECT_EQ(j.append(i), static_cast<std::uint64_t>(i));
+  EXPECT_FALSE(j.since(14));
+  EXPECT_FALSE(j.since(26));
+  EXPECT_EQ(j.since(22)->front(), 23);
+  EXPECT_EQ(j.since(15)->size(), 10u);
+  EXPECT_EQ(j.since(15, 3)->back(), 18);
+  EXPECT_TRUE(j.since(25)->empty());
+}
+#endif
+
+}  // namespace banktide
--- /dev/null
+++ b/source/state/retry_budget.hpp
@@ -0,0 +1,79 @@
+// Extra tries against first tries in a sliding window: a fifth of the first
+// tries of the last ten seconds, plus a margin so small that its sum over all
+// nodes stays small. Everything after a call's first try counts, failovers too.
+#pragma once
+
+#include "transport/result.hpp"
+
+#include <array>
+
+namespace banktide {
+
+class RetryBudget {
+ public:
+  static constexpr std::size_t slots = 100;
+  static constexpr std::uint64_t margin = 1;
+
+  void first(Instant const now) {
+    turn(now);
+    ++firsts_[at_];
+    ++first_sum_;
+  }
+  bool extra(Instant const now) {
+    turn(now);
+    if (extra_sum_ + 1 > first_sum_ / 5 + margin) return false;
+    ++extras_[at_];
+    ++extra_sum_;
+    return true;
+  }
+  std::uint64_t firsts() const { return first_sum_; }
+  std::uint64_t extras() const { return extra_sum_; }
+
+ private:
+  void turn(Instant const now) {
+    std::int64_t const tick = as_ms(now.time_since_epoch()) / 100;
+    for (std::size_t steps = 0; tick_ < tick && steps < slots; ++tick_, ++steps) {
+      at_ = (at_ + 1) % slots;
+      first_sum_ -= firsts_[at_];
+      extra_sum_ -= extras_[at_];
+      firsts_[at_] = extras_[at_] = 0;
+    }
+    tick_ = std::max(tick_, tick);
+  }
+
+  std::array<std::uint64_t, slots> firsts_{};
+  std::array<std::uint64_t, slots> extras_{};
+  std::uint64_t first_sum_ = 0, extra_sum_ = 0;
+  std::size_t at_ = 0;
+  std::int64_t tick_ = 0;
+};
+
+}  // namespace banktide
+
+#ifdef TESTS_OF_RETRY_BUDGET
+#include <deque>
+#include <random>
+namespace banktide {
+TEST(RetryBudget, agrees_with_a_list_of_every_try_and_never_passes_the_share) {
+  RetryBudget b;
+  std::deque<std::pair<std::int64_t, bool>> model;  // tick, extra
+  std::mt19937_64 r(3);
+  std::int64_t ms = 1000;
+  for (int i = 0; i < 50000; ++i) {
+    ms += static_cast<std::int64_t>(r() % 40) * (r() % 500 == 0 ? 1000 : 1);
+    while (!model.empty() && model.front().first <= ms / 100 - 100) model.pop_front();
+    std::uint64_t firsts = 0, extras = 0;
+    for (auto const& [t, e] : model) (e ? extras : firsts) += 1;
+    Instant const now{std::chrono::milliseconds(ms)};
+    if (r() % 3 != 0) {
+      b.first(now);
+      model.emplace_back(ms / 100, false);
+    } else {
+      bool const may = extras + 1 <= firsts / 5 + RetryBudget::margin;
+      ASSERT_EQ(b.extra(now), may);
+      if (may) model.emplace_back(ms / 100, true);
+    }
+  }
+}
+}  // namespace banktide
+#endif
--- /dev/null
+++ b/source/state/sqlite_disk.hpp
@@ -0,0 +1,91 @@
+// The voter's disk: one row in SQLite, synced in full before `keep` returns.
+// The blob is the record as cereal packs it, with its own digest, so that a
+// torn or foreign row is a start-up error and never a vote.
+#pragma once
+
+#include "coordination/acceptor.hpp"
+#include "protocol/digest.hpp"
+
+#include <sqlite3.h>
+
+namespace banktide {
+
+class SqliteDisk {
+ public:
+  static Result<std::unique_ptr<SqliteDisk>> open(std::string const& file) {
+    std::unique_ptr<SqliteDisk> d(new SqliteDisk());
+    if (sqlite3_open(file.c_str(), &d->db_) != SQLITE_OK) return mishap("open_disk", file, sqlite3_errmsg(d->db_));
+    for (char const* sql : {"PRAGMA locking_mode=EXCLUSIVE", "PRAGMA journal_mode=WAL", "PRAGMA synchronous=FULL", "CREATE TABLE IF NOT EXISTS voter(one INTEGER PRIMARY KEY CHECK(one=1), record BLOB NOT NULL, digest INTEGER NOT NULL)", "BEGIN IMMEDIATE", "COMMIT"})
+      if (sqlite3_exec(d->db_, sql, nullptr, nullptr, nullptr) != SQLITE_OK) return mishap("open_disk", file, sqlite3_errmsg(d->db_));
+    return d;
+  }
+  ~SqliteDisk() { sqlite3_close(db_); }
+  SqliteDisk(SqliteDisk const&) = delete;
+
+  Result<VoterRecord> load() {
+    sqlite3_stmt* s = nullptr;
+    if (sqlite3_prepare_v2(db_, "SELECT record, digest FROM voter", -1, &s, nullptr) != SQLITE_OK) return mishap("load_disk", "", sqlite3_errmsg(db_));
+    int const rc = sqlite3_step(s);
+    Result<VoterRecord> out = VoterRecord{};
+    if (rc == SQLITE_ROW) {
+      Bytes const raw(static_cast<char const*>(sqlite3_column_blob(s, 0)), static_cast<std::size_t>(sqlite3_column_bytes(s, 0)));
+      if (digest_of(raw) != static_cast<std::uint64_t>(sqlite3_column_int64(s, 1))) out = mishap("load_disk", "", "digest differs");
+      else out = unpack<VoterRecord>(raw);
+    } else if (rc != SQLITE_DONE) {
+      out = mishap("load_disk", "", sqlite3_errmsg(db_));
+    }
+    sqlite3_finalize(s);
+    return out;
+  }
+
+  Task<Result<bool>> keep(VoterRecord const& r) {
+    Bytes const raw = pack(r);
+    sqlite3_stmt* s = nullptr;
+    if (sqlite3_prepare_v2(db_, "INSERT OR REPLACE INTO voter VALUES(1, ?, ?)", -1, &s, nullptr) != SQLITE_OK) co_return mishap("keep_disk", "", sqlite3_errmsg(db_));
+    sqlite3_bind_blob64(s, 1, raw.data(), raw.size(), SQLITE_STATIC);
+    sqlite3_bind_int64(s, 2, static_cast<sqlite3_int64>(digest_of(raw)));
+    int const rc = sqlite3_step(s);
+    sqlite3_finalize(s);
+    if (rc != SQLITE_DONE) co_return mishap("keep_disk", "", sqlite3_errmsg(db_));
+    co_return true;
+  }
+
+ private:
+  SqliteDisk() = default;
+  sqlite3* db_ = nullptr;
+};
+
+}  // namespace banktide
+
+#ifdef TESTS_OF_SQLITE_DISK
+#include <filesystem>
+namespace banktide {
+TEST(SqliteDisk, a_record_is_there_after_reopening_and_a_spoilt_one_is_refused) {
+  std::filesystem::path const dir = std::filesystem::temp_directory_path() / ("banktide-disk-" + std::to_string(::getpid()));
+  std::filesystem::create_directories(dir);
+  std::string const file = dir / "voter.db";
+  VoterRecord r;
+  r.phase = Phase::voting;
+  r.slots[1].held.bytes = std::string("a\0b", 3);
+  asio::io_context io;
+  {
+    std::unique_ptr<SqliteDisk> d = std::move(*SqliteDisk::open(file));
+    EXPECT_EQ(d->load()->phase, Phase::blank);
+    bool kept = false;
+    asio::co_spawn(io, d->keep(r), [&](std::exception_ptr, Result<bool> ok) { kept = ok.has_value(); });
+    io.run();
+    EXPECT_TRUE(kept);
+  }
+  {
+    std::unique_ptr<SqliteDisk> d = std::move(*SqliteDisk::open(file));
+    EXPECT_EQ(d->load()->slots, r.slots);
+  }
+  sqlite3* db = nullptr;
+  sqlite3_open(file.c_str(), &db);
+  sqlite3_exec(db, "UPDATE voter SET record = x'00'", nullptr, nullptr, nullptr);
+  sqlite3_close(db);
+  EXPECT_FALSE((*SqliteDisk::open(file))->load());
+  std::filesystem::remove_all(dir);
+}
+}  // namespace banktide
+#endif
--- /dev/null
+++ b/source/transport/result.hpp
@@ -0,0 +1,49 @@
+// What every step hands back: a value, or a mishap that says at which step and
+// with which peer it arose and what is proved about the call. `not_run` is a
+// proof that nothing reached a backend and nothing will; `unknown` is
+// everything else. Proofs are only ever weakened on the way up, never guessed.
+#pragma once
+
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace banktide {
+
+namespace asio = boost::asio;
+
+using Instant = std::chrono::steady_clock::time_point;
+using Duration = std::chrono::steady_clock::duration;
+using namespace std::chrono_literals;
+
+inline std::int64_t as_ms(Duration const d) { return std::chrono::duration_cast<std::chrono::milliseconds>(d).count(); }
+
+enum class Proof : std::uint8_t { not_run, unknown };
+
+struct Mishap {
+  std::string step;
+  std::string peer;
+  std::string reason;
+  Proof proof = Proof::unknown;
+};
+
+template <class T>
+using Result = tl::expected<T, Mishap>;
+
+template <class T>
+using Task = asio::awaitable<T>;
+
+inline tl::unexpected<Mishap> mishap(std::string step, std::string peer, std::string reason, Proof const proof = Proof::unknown) {
+  return tl::unexpected<Mishap>(Mishap{std::move(step), std::move(peer), std::move(reason), proof});
+}
+
+}  // namespace banktide
--- /dev/null
+++ b/source/transport/surroundings.hpp
@@ -0,0 +1,172 @@
+// The policies that everything above the transport is written against: a clock
+// (now, alarms), a source of chance and a peer transport (ask, tell, serve).
+// The real set is sockets on the one asio thread; the simulated one is virtual
+// time. Nothing in coordination, state or the programs knows which it has.
+#pragma once
+
+#include "protocol/archive.hpp"
+#include "transport/log.hpp"
+#include "transport/result.hpp"
+
+#include <array>
+#include <concepts>
+#include <deque>
+#include <exception>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+
+namespace banktide {
+
+using Address = std::string;
+using PeerHandler = std::function<Task<Result<Bytes>>(Bytes)>;
+
+// Handlers of peer messages by kind. A payload that does not decode is a
+// mishap; the transport answers it by closing the connection.
+struct Desk {
+  std::array<PeerHandler, 256> handlers;
+
+  template <class Q, class F>
+  void on(F f) {
+    handlers[Q::kind] = [f](Bytes raw) -> Task<Result<Bytes>> {
+      Result<Q> q = unpack<Q>(raw);
+      if (!q) co_return tl::unexpected<Mishap>(q.error());
+      typename Q::Reply reply = co_await f(std::move(*q));
+      co_return pack(reply);
+    };
+  }
+};
+
+template <class W>
+concept Clock = requires(W& w, Instant t, typename W::Alarm& a) {
+  { w.now() } -> std::same_as<Instant>;
+  { w.chance() } -> std::same_as<std::mt19937_64&>;
+  { a.wait(t) } -> std::same_as<Task<bool>>;
+  a.wake();
+} && std::constructible_from<typename W::Alarm, W&>;
+
+template <class W>
+concept PeerTransport = requires(W& w, Address const& peer, std::uint8_t kind, Bytes b, Instant t, Desk& d) {
+  { w.ask_raw(peer, kind, b, t) } -> std::same_as<Task<Result<Bytes>>>;
+  w.tell_raw(peer, kind, b);
+  w.serve(d);
+};
+
+template <class W>
+concept Surroundings = Clock<W> && PeerTransport<W> && requires(W& w) { w.executor(); };
+
+template <class W>
+void spawn(W& w, Task<void> task) {
+  asio::co_spawn(w.executor(), std::move(task), [](std::exception_ptr e) {
+    if (!e) return;
+    try {
+      std::rethrow_exception(e);
+    } catch (std::exception const& x) {
+      log_warn("task_ended", {{"reason", x.what()}});
+    }
+  });
+}
+
+template <Clock W>
+Task<void> sleep_for(W& w, Duration d) {
+  typename W::Alarm alarm(w);
+  co_await alarm.wait(w.now() + d);
+}
+
+template <class Q, PeerTransport W>
+Task<Result<typename Q::Reply>> ask(W& w, Address peer, Q q, Instant deadline) {
+  Result<Bytes> raw = co_await w.ask_raw(peer, Q::kind, pack(q), deadline);
+  if (!raw) co_return tl::unexpected<Mishap>(raw.error());
+  Result<typename Q::Reply> reply = unpack<typename Q::Reply>(*raw);
+  if (!reply) reply.error().peer = peer;
+  co_return reply;
+}
+
+template <class Q, PeerTransport W>
+void tell(W& w, Address const& peer, Q const& q) {
+  w.tell_raw(peer, Q::kind, pack(q));
+}
+
+// One value, given once, awaited once, with a deadline. (W is a Clock; it is not
+// constrained here, as a world's own parts hold these before it is complete.)
+template <class W, class T>
+class OneShot {
+ public:
+  explicit OneShot(W& w) : alarm_(w) {}
+  void give(T v) {
+    if (value_) return;
+    value_.emplace(std::move(v));
+    alarm_.wake();
+  }
+  bool given() const { return value_.has_value(); }
+  Task<std::optional<T>> wait(Instant deadline) {
+    if (!value_) co_await alarm_.wait(deadline);
+    co_return value_;
+  }
+
+ private:
+  typename W::Alarm alarm_;
+  std::optional<T> value_;
+};
+
+// One at a time, in the order of asking.
+template <class W>
+class Turn {
+ public:
+  explicit Turn(W& w) : w_(w) {}
+  std::size_t waiting() const { return waiting_.size(); }
+  Task<void> enter() {
+    if (!busy_) {
+      busy_ = true;
+      co_return;
+    }
+    std::shared_ptr<OneShot<W, bool>> mine = std::make_shared<OneShot<W, bool>>(w_);
+    waiting_.push_back(mine);
+    while (!mine->given()) co_await mine->wait(w_.now() + 3600s);
+  }
+  void leave() {
+    if (waiting_.empty()) {
+      busy_ = false;
+      return;
+    }
+    std::shared_ptr<OneShot<W, bool>> next = waiting_.front();
+    waiting_.pop_front();
+    next->give(true);
+  }
+
+ private:
+  W& w_;
+  bool busy_ = false;
+  std::deque<std::shared_ptr<OneShot<W, bool>>> waiting_;
+};
+
+// Asks every peer at once and returns as soon as `enough` says so, or when all
+// have answered, or at the deadline. Late answers go nowhere.
+template <class Q, Surroundings W, class Enough>
+Task<std::vector<std::pair<std::size_t, Result<typename Q::Reply>>>> ask_all(W& w, std::vector<Address> peers, Q q, Instant deadline, Enough enough) {
+  using Replies = std::vector<std::pair<std::size_t, Result<typename Q::Reply>>>;
+  struct Shared {
+    explicit Shared(W& world) : done(world) {}
+    Replies replies;
+    OneShot<W, bool> done;
+    Enough* enough = nullptr;
+    bool closed = false;
+  };
+  std::shared_ptr<Shared> shared = std::make_shared<Shared>(w);
+  shared->enough = &enough;
+  std::size_t const n = peers.size();
+  for (std::size_t i = 0; i < n; ++i) {
+    spawn(w, [](W& world, std::shared_ptr<Shared> s, Address peer, Q question, std::size_t at, std::size_t all, Instant until) -> Task<void> {
+      Result<typename Q::Reply> r = co_await ask(world, peer, std::move(question), until);
+      if (s->closed) co_return;
+      s->replies.emplace_back(at, std::move(r));
+      if (s->replies.size() == all || (*s->enough)(s->replies)) s->done.give(true);
+    }(w, shared, peers[i], q, i, n, deadline));
+  }
+  if (n > 0) co_await shared->done.wait(deadline);
+  shared->closed = true;
+  co_return std::move(shared->replies);
+}
+
+}  // namespace banktide
