--- a/source/coordination/acceptor.hpp
+++ b/source/coordination/acceptor.hpp
@@ -179,7 +179,8 @@
       return true;
     });
     if (!began) co_return;
-    auto const replies = co_await ask_all<Found>(w_, others, Found{Phase::prepared, id}, w_.now() + 2s, [](auto const&) { return false; });
+    Found const prepared{Phase::prepared, id}, open{Phase::voting, id};
+    auto const replies = co_await ask_all<Found>(w_, others, prepared, w_.now() + 2s, [](auto const&) { return false; });
     std::size_t ready = 0;
     for (auto const& [i, r] : replies) ready += r && r->phase == Phase::prepared && r->founding == id;
     if (ready != others.size()) co_return;
@@ -189,13 +190,14 @@
     });
     if (!opened) co_return;
     log_info("founded", {{"founding", std::to_string(id)}});
-    co_await ask_all<Found>(w_, others, Found{Phase::voting, id}, w_.now() + 2s, [](auto const&) { return false; });
+    co_await ask_all<Found>(w_, others, open, w_.now() + 2s, [](auto const&) { return false; });
   }
 
   Task<void> rejoin(std::vector<Address> others) {
     std::uint64_t const nonce = w_.chance()();
     VoterRecord next;
-    auto const whose = co_await ask_all<Found>(w_, others, Found{}, w_.now() + 1s, [](auto const&) { return false; });
+    Found const question{};
+    auto const whose = co_await ask_all<Found>(w_, others, question, w_.now() + 1s, [](auto const&) { return false; });
     if (whose.size() != others.size()) co_return;
     for (auto const& [i, r] : whose) {
       if (!r || r->phase != Phase::voting) co_return;
@@ -206,7 +208,8 @@
       Held held;
       for (int attempt = 0;; ++attempt) {
         if (attempt == 20) co_return;
-        auto const got = co_await ask_all<Prepare>(w_, others, Prepare{reg, ballot}, w_.now() + 1s, [](auto const&) { return false; });
+        Prepare const asked{reg, ballot};
+        auto const got = co_await ask_all<Prepare>(w_, others, asked, w_.now() + 1s, [](auto const&) { return false; });
         std::size_t promised = 0;
         Ballot best, top;
         held = Held{};
@@ -220,7 +223,8 @@
           }
         }
         if (promised == others.size()) {
-          auto const taken = co_await ask_all<Accept>(w_, others, Accept{reg, ballot, held}, w_.now() + 1s, [](auto const&) { return false; });
+          Accept const question{reg, ballot, held};
+          auto const taken = co_await ask_all<Accept>(w_, others, question, w_.now() + 1s, [](auto const&) { return false; });
           std::size_t accepted = 0;
           for (auto const& [i, r] : taken) accepted += r && r->accepted;
           if (accepted == others.size()) break;
--- a/source/coordination/register_client.hpp
+++ b/source/coordination/register_client.hpp
@@ -30,7 +30,8 @@
     for (std::uint64_t attempt = 0; w_.now() < deadline; ++attempt) {
       if (attempt > 0) co_await sleep_for(w_, std::chrono::milliseconds(2 + w_.chance()() % (20ull << std::min<std::uint64_t>(attempt, 4))));
       Ballot const ballot{++round_, nonce_};
-      auto const prepared = co_await ask_all<Prepare>(w_, voters_, Prepare{reg, ballot}, std::min(deadline, w_.now() + 600ms), [this](auto const& replies) { return count(replies, &PrepareReply::promised) >= majority(); });
+      Prepare const first{reg, ballot};
+      auto const prepared = co_await ask_all<Prepare>(w_, voters_, first, std::min(deadline, w_.now() + 600ms), [this](auto const& replies) { return count(replies, &PrepareReply::promised) >= majority(); });
       Ballot best;
       Held held;
       for (auto const& [i, r] : prepared) {
@@ -59,7 +60,8 @@
         }
       }
       offered = true;
-      auto const accepted = co_await ask_all<Accept>(w_, voters_, Accept{reg, ballot, held}, std::min(deadline, w_.now() + 600ms), [this](auto const& replies) { return count(replies, &AcceptReply::accepted) >= majority(); });
+      Accept const second{reg, ballot, held};
+      auto const accepted = co_await ask_all<Accept>(w_, voters_, second, std::min(deadline, w_.now() + 600ms), [this](auto const& replies) { return count(replies, &AcceptReply::accepted) >= majority(); });
       for (auto const& [i, r] : accepted)
         if (r) round_ = std::max(round_, r->promised.round);
       if (count(accepted, &AcceptReply::accepted) >= majority()) co_return held;
@@ -70,7 +72,8 @@
 
   // The newest chosen value, vouched for by a majority as of this call.
   Task<Result<Held>> read(Register const reg, Held const known, Instant const deadline) {
-    auto const replies = co_await ask_all<Peek>(w_, voters_, Peek{reg, known.revision}, std::min(deadline, w_.now() + 600ms), [this](auto const& r) { return agreeing(r).second >= majority(); });
+    Peek const question{reg, known.revision};
+    auto const replies = co_await ask_all<Peek>(w_, voters_, question, std::min(deadline, w_.now() + 600ms), [this](auto const& r) { return agreeing(r).second >= majority(); });
     auto const [at, n] = agreeing(replies);
     if (n >= majority()) {
       PeekReply const& r = *replies[at].second;
--- /dev/null
+++ b/source/programs/fleet_report.hpp
@@ -0,0 +1,159 @@
+// What a run of the fleet comes to, read from outside the mesh: the callers'
+// and backends' records, and the moments at which nodes say that a revision is
+// in force.
+#pragma once
+
+#include "state/layout.hpp"
+
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <ostream>
+#include <sstream>
+
+namespace banktide {
+
+struct Acknowledged {
+  std::string what;
+  Revision revision = 0;
+  std::int64_t at_ms = 0;
+  std::string bytes;
+};
+
+class FleetReport {
+ public:
+  FleetReport(std::filesystem::path const& folder, std::vector<Acknowledged> const& acks, std::uint64_t const extras, std::string const& readback) : extras_(extras) {
+    read_runs(folder / "runs.txt");
+    read_calls(folder / "calls.txt");
+    read_logs(folder, acks);
+    Acknowledged newest;
+    for (Acknowledged const& a : acks)
+      if (a.what == "routing" && a.revision > newest.revision) newest = a;
+    if (readback != newest.bytes) broken_.push_back("the routing read back is not the newest acknowledged");
+  }
+
+  bool broken() const { return !broken_.empty(); }
+
+  void print(std::ostream& out) const {
+    for (auto const& [name, by] : outcomes_) {
+      out << name << ":";
+      for (auto const& [what, n] : by) out << " " << what << "=" << n;
+      out << "\n";
+    }
+    out << "calls " << calls_ << ", extra tries " << extras_ << " (" << (calls_ ? 100.0 * static_cast<double>(extras_) / static_cast<double>(calls_) : 0.0) << " %), runs " << runs_ << ", strangers " << strangers_ << "\n";
+    out << "latency us: " << spread(latency_) << "\n";
+    out << "acknowledged to in force on every running node, ms: " << spread(propagation_) << "\n";
+    for (auto const& [why, n] : reasons_) out << "  " << n << " x " << why << "\n";
+    for (std::string const& b : broken_) out << "BROKEN: " << b << "\n";
+    if (broken_.empty()) out << "no rule broken\n";
+  }
+
+ private:
+  struct Run {
+    std::int64_t begin = 0, end = -1;
+    std::string instance;
+  };
+
+  static std::string spread(std::vector<std::int64_t> v) {
+    if (v.empty()) return "none";
+    std::sort(v.begin(), v.end());
+    return "min " + std::to_string(v.front()) + " median " + std::to_string(v[v.size() / 2]) + " p99 " + std::to_string(v[v.size() * 99 / 100]) + " max " + std::to_string(v.back()) + " of " + std::to_string(v.size());
+  }
+
+  void read_runs(std::filesystem::path const& file) {
+    std::ifstream in(file);
+    std::map<std::string, std::vector<Run>> by_key;
+    std::map<std::string, Run*> unused;
+    std::map<std::pair<std::string, std::string>, std::pair<std::string, std::size_t>> open;
+    for (std::string line; std::getline(in, line);) {
+      std::istringstream f(line);
+      std::string what, id, service, instance, key, epoch, method;
+      std::int64_t at = 0;
+      f >> what >> at >> id >> service >> instance >> key >> epoch >> method;
+      if (what == "stranger") ++strangers_;
+      std::string const k = service + "/" + key;
+      if (what == "begin") {
+        ++runs_;
+        ++ran_[id];
+        if (method == "POST" && ran_[id] > 1) broken_.push_back("call " + id + " ran more than once");
+        if (key != "-") {
+          by_key[k].push_back(Run{at, -1, instance});
+          open[{id, instance}] = {k, by_key[k].size() - 1};
+        }
+      }
+      if (what == "end" && key != "-") {
+        auto const it = open.find({id, instance});
+        if (it != open.end()) by_key[it->second.first][it->second.second].end = at;
+      }
+    }
+    for (auto const& [key, runs] : by_key)
+      for (std::size_t i = 0; i < runs.size(); ++i)
+        for (std::size_t j = i + 1; j < runs.size(); ++j)
+          if (runs[i].instance != runs[j].instance && runs[i].end >= 0 && runs[j].end >= 0 && runs[i].begin < runs[j].end && runs[j].begin < runs[i].end) broken_.push_back("two backends at once on " + key + ": " + runs[i].instance + " and " + runs[j].instance);
+  }
+
+  void read_calls(std::filesystem::path const& file) {
+    std::ifstream in(file);
+    for (std::string line; std::getline(in, line);) {
+      std::istringstream f(line);
+      std::string at, id, name, method, key, outcome, right, retry, node, reason;
+      int status = 0;
+      std::int64_t us = 0;
+      f >> at >> id >> name >> method >> key >> status >> outcome >> right >> retry >> us >> node >> reason;
+      ++calls_;
+      ++outcomes_[name][outcome + "/" + std::to_string(status)];
+      if (status == 200) latency_.push_back(us);
+      if (status != 200) ++reasons_[outcome + " " + std::to_string(status) + " " + strip_digits(reason)];
+      if (status == 200 && right != "right") broken_.push_back("call " + id + " got a wrong answer");
+      if (outcome == "not-run" && ran_.contains(id)) broken_.push_back("call " + id + " was said not run and ran");
+      if (outcome == "unsent" && ran_.contains(id)) broken_.push_back("call " + id + " was never sent and ran");
+      if (status == 200 && !ran_.contains(id)) broken_.push_back("call " + id + " was answered and never ran");
+      if (status >= 500 && retry != "retry-after") broken_.push_back("call " + id + " was given up with no Retry-After");
+    }
+  }
+
+  static std::string strip_digits(std::string s) {
+    for (char& c : s)
+      if (c >= '0' && c <= '9') c = '#';
+    return s;
+  }
+
+  // When each revision, or a newer one, came into force at each node; a node
+  // that was not running all along counts from its own start.
+  void read_logs(std::filesystem::path const& folder, std::vector<Acknowledged> const& acks) {
+    for (std::filesystem::directory_entry const& e : std::filesystem::directory_iterator(folder)) {
+      std::string const name = e.path().filename().string();
+      if (!name.starts_with("node-") || e.path().extension() != ".log") continue;
+      std::ifstream in(e.path());
+      std::vector<std::pair<std::int64_t, Revision>> forced;
+      for (std::string line; std::getline(in, line);) {
+        if (line.find("event=in_force") == std::string::npos) continue;
+        forced.emplace_back(number(line, " at_ms="), number(line, " routing="));
+      }
+      for (std::size_t i = 1; i < forced.size(); ++i)
+        if (forced[i].second < forced[i - 1].second) broken_.push_back(name + " slipped back from routing " + std::to_string(forced[i - 1].second));
+      for (Acknowledged const& a : acks) {
+        if (a.what != "routing") continue;
+        for (auto const& [at, revision] : forced) {
+          if (revision < a.revision) continue;
+          propagation_.push_back(std::max<std::int64_t>(0, at - a.at_ms));
+          break;
+        }
+      }
+    }
+  }
+
+  static std::int64_t number(std::string const& line, std::string const& name) {
+    std::size_t const at = line.find(name);
+    return at == std::string::npos ? 0 : std::stoll(line.substr(at + name.size()));
+  }
+
+  std::uint64_t const extras_;
+  std::uint64_t calls_ = 0, runs_ = 0, strangers_ = 0;
+  std::map<std::string, std::map<std::string, std::uint64_t>> outcomes_;
+  std::map<std::string, std::uint64_t> ran_, reasons_;
+  std::vector<std::int64_t> latency_, propagation_;
+  std::vector<std::string> broken_;
+};
+
+}  // namespace banktide
--- a/source/programs/proxy.hpp
+++ b/source/programs/proxy.hpp
@@ -522,7 +522,8 @@
 
   Task<void> keep_meeting() {
     while (true) {
-      auto const replies = co_await ask_all<Meet>(w_, s_.seeds, Meet{directory_}, w_.now() + 500ms, [](auto const&) { return false; });
+      Meet const question{directory_};
+      auto const replies = co_await ask_all<Meet>(w_, s_.seeds, question, w_.now() + 500ms, [](auto const&) { return false; });
       for (auto const& [i, r] : replies)
         if (r) {
           learn(r->registries);
@@ -590,7 +591,7 @@
       next->catalogue_revision = catalogue.revision;
     }
     rules_ = next;
-    log_info("in_force", {{"routing", std::to_string(routing.revision)}, {"catalogue", std::to_string(catalogue.revision)}});
+    log_info("in_force", {{"routing", std::to_string(routing.revision)}, {"catalogue", std::to_string(catalogue.revision)}, {"at_ms", std::to_string(as_ms(w_.now().time_since_epoch()))}});
   }
 
   Task<Told> news(News q) {
@@ -635,7 +636,8 @@
   }
 
   Task<bool> catch_up(Address const from) {
-    Result<FollowReply> r = co_await ask(w_, from, Follow{at_}, w_.now() + 400ms);
+    Follow const question{at_};
+    Result<FollowReply> r = co_await ask(w_, from, question, w_.now() + 400ms);
     if (!r || !r->known) co_return false;
     if (r->snapshot) {
       view_.replace(*r->snapshot);
@@ -650,7 +652,8 @@
 
   // Layouts from any registry that vouches for them.
   Task<bool> catch_up_layouts(Address const from, bool const fresh) {
-    Result<LayoutsReply> r = co_await ask(w_, from, LayoutsAsk{held_[0].revision, held_[1].revision, fresh}, w_.now() + 1200ms);
+    LayoutsAsk const question{held_[0].revision, held_[1].revision, fresh};
+    Result<LayoutsReply> r = co_await ask(w_, from, question, w_.now() + 1200ms);
     if (!r || !r->known) co_return false;
     take_layouts(r->newer);
     if (fresh) fresh_ = true;
@@ -684,7 +687,8 @@
   // A node that starts while its registry is gone knows no cell mates; it can
   // still cross by what another cell's registry knows.
   Task<void> borrow_view(Address const from) {
-    Result<FollowReply> const r = co_await ask(w_, from, Follow{}, w_.now() + 400ms);
+    Follow const question{};
+    Result<FollowReply> const r = co_await ask(w_, from, question, w_.now() + 400ms);
     if (!r || !r->known || !r->snapshot || viewed_) co_return;
     for (CellEntry const& c : r->snapshot->cells)
       if (c.cell != s_.cell) view_.cells[c.cell] = c;
--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -296,7 +296,8 @@
       std::vector<Address> peers = s_.seeds;
       for (RegistryEntry const& e : directory_)
         if (e.address != s_.address && std::find(peers.begin(), peers.end(), e.address) == peers.end()) peers.push_back(e.address);
-      auto const replies = co_await ask_all<Meet>(w_, peers, Meet{directory_}, w_.now() + 500ms, [](auto const&) { return false; });
+      Meet const question{directory_};
+      auto const replies = co_await ask_all<Meet>(w_, peers, question, w_.now() + 500ms, [](auto const&) { return false; });
       for (auto const& [i, r] : replies)
         if (r) learn(r->registries);
       co_await sleep_for(w_, directory_.size() < 2 ? 200ms : 1000ms);
--- a/source/transport/surroundings.hpp
+++ b/source/transport/surroundings.hpp
@@ -17,6 +17,9 @@
 #include <optional>
 #include <random>
 
+// GCC 12 destroys an aggregate twice when it is made inside the expression of a
+// co_await, so questions are named before they are asked.
+
 namespace banktide {
 
 using Address = std::string;
