--- a/source/programs/proxy.hpp
+++ b/source/programs/proxy.hpp
@@ -275,6 +275,7 @@
         maybe_ran = true;
         if (!repeatable) break;
       }
+      if (r.step == "lease") break;  // nobody else may have the slice either
     }
     if (maybe_ran) last.proof = Proof::unknown;
     co_return dropped(chart, id, rules, carry.service, maybe_ran ? 504 : 503, last);
