--- /dev/null
+++ b/source/simulation/sim_world.hpp
@@ -0,0 +1,352 @@
+// The simulated surroundings: virtual time in one queue, machines with
+// processes on them, links that delay, cut and hold back, disks that stall and
+// machines that lose power. Everything is drawn from one seed, so a run replays
+// exactly. The coordination and state code above it is the real one.
+#pragma once
+
+#include "coordination/acceptor.hpp"
+#include "transport/surroundings.hpp"
+
+#include <map>
+#include <queue>
+#include <set>
+
+namespace banktide {
+
+class Sim {
+ public:
+  explicit Sim(std::uint64_t const seed) : chance(seed) {}
+
+  asio::io_context io;
+  std::mt19937_64 chance;
+  Instant now{std::chrono::hours(1)};
+
+  void at(Instant const t, std::function<void()> f) { queue_.push(Entry{std::max(t, now), ++seq_, std::move(f)}); }
+  void after(Duration const d, std::function<void()> f) { at(now + d, std::move(f)); }
+
+  void run_until(Instant const end) {
+    settle();
+    while (!queue_.empty() && queue_.top().at <= end) {
+      Entry e = queue_.top();
+      queue_.pop();
+      now = e.at;
+      e.f();
+      settle();
+    }
+    now = std::max(now, end);
+  }
+
+  void settle() {
+    io.restart();
+    io.poll();
+  }
+
+  void clear() {
+    queue_ = {};
+    settle();
+  }
+
+  // Cuts are one-way, by machine.
+  void cut(std::string const& from, std::string const& to) { cuts_.insert({from, to}); }
+  void heal() { cuts_.clear(); }
+  void heal(std::string const& m) {
+    std::erase_if(cuts_, [&](auto const& c) { return c.first == m || c.second == m; });
+  }
+  bool open(std::string const& from, std::string const& to) const { return !cuts_.contains({from, to}); }
+  bool cut_off(std::string const& m) const {
+    return std::any_of(cuts_.begin(), cuts_.end(), [&](auto const& c) { return c.first == m || c.second == m; });
+  }
+  Duration delay() { return std::chrono::microseconds(100 + chance() % 400 + (chance() % 50 == 0 ? chance() % 5000 : 0)); }
+
+ private:
+  struct Entry {
+    Instant at;
+    std::uint64_t seq;
+    std::function<void()> f;
+    bool operator<(Entry const& o) const { return std::pair(at, seq) > std::pair(o.at, o.seq); }
+  };
+  std::priority_queue<Entry> queue_;
+  std::uint64_t seq_ = 0;
+  std::set<std::pair<std::string, std::string>> cuts_;
+};
+
+class SimNet;
+
+// One run of a process on a machine.
+class SimProcess : public std::enable_shared_from_this<SimProcess> {
+ public:
+  struct Pending {
+    std::function<void(bool)> handler;
+    std::uint64_t wait = 0;
+    bool woken = false;
+  };
+
+  class Alarm {
+   public:
+    explicit Alarm(SimProcess& p) : p_(p), s_(std::make_shared<Pending>()) { p_.pending_.insert(s_.get()); }
+    Alarm(Alarm const&) = delete;
+    ~Alarm() { p_.pending_.erase(s_.get()); }
+
+    Task<bool> wait(Instant const until) {
+      if (s_->woken) {
+        s_->woken = false;
+        co_return false;
+      }
+      std::uint64_t const mine = ++s_->wait;
+      bool const ran_out = co_await asio::async_initiate<asio::use_awaitable_t<> const, void(bool)>(
+          [](auto handler, SimProcess* p, std::shared_ptr<Pending> s, Instant t, std::uint64_t n) {
+            auto kept = std::make_shared<decltype(handler)>(std::move(handler));
+            s->handler = [kept](bool const v) { std::move (*kept)(v); };
+            std::weak_ptr<Pending> weak = s;
+            std::weak_ptr<SimProcess> self = p->weak_from_this();
+            p->sim.at(t, [weak, self, n] {
+              std::shared_ptr<SimProcess> const alive = self.lock();
+              if (alive) alive->run([weak, n] {
+                if (std::shared_ptr<Pending> const st = weak.lock()) fire(st, n, true);
+              });
+            });
+          },
+          asio::use_awaitable, &p_, s_, until, mine);
+      s_->woken = false;
+      co_return ran_out;
+    }
+    void wake() {
+      s_->woken = true;
+      if (!s_->handler) return;
+      std::weak_ptr<Pending> weak = s_;
+      std::uint64_t const n = s_->wait;
+      asio::post(p_.sim.io, [weak, n] {
+        if (std::shared_ptr<Pending> const st = weak.lock()) fire(st, n, false);
+      });
+    }
+
+   private:
+    static void fire(std::shared_ptr<Pending> const& s, std::uint64_t const n, bool const v) {
+      if (s->wait != n || !s->handler) return;
+      std::function<void(bool)> const h = std::move(s->handler);
+      s->handler = nullptr;
+      h(v && !s->woken);
+    }
+    SimProcess& p_;
+    std::shared_ptr<Pending> s_;
+  };
+
+  SimProcess(Sim& s, SimNet& n, std::string m, Address a, std::uint64_t const incarnation) : sim(s), net(n), machine(std::move(m)), address(std::move(a)), run_number(incarnation), chance_(s.chance()) {}
+  ~SimProcess() { kill(); }
+
+  Instant now() const { return sim.now; }
+  std::mt19937_64& chance() { return chance_; }
+  asio::io_context::executor_type executor() { return sim.io.get_executor(); }
+
+  Task<Result<Bytes>> ask_raw(Address const peer, std::uint8_t const kind, Bytes payload, Instant const deadline);
+  void tell_raw(Address const& peer, std::uint8_t const kind, Bytes payload);
+  void serve(Desk& d) { desk = &d; }
+
+  // Runs now, later if frozen, never if dead.
+  void run(std::function<void()> f) {
+    if (!alive) return;
+    if (frozen) held_.push_back(std::move(f));
+    else f();
+  }
+  void freeze() { frozen = true; }
+  void thaw() {
+    frozen = false;
+    std::vector<std::function<void()>> held;
+    held.swap(held_);
+    for (std::function<void()>& f : held) f();
+  }
+  void kill() {
+    alive = false;
+    held_.clear();
+    std::set<Pending*> pending;
+    pending.swap(pending_);
+    std::vector<std::function<void(bool)>> drop;
+    for (Pending* const p : pending) {
+      drop.push_back(std::move(p->handler));
+      p->handler = nullptr;
+    }
+  }
+
+  Sim& sim;
+  SimNet& net;
+  std::string const machine;
+  Address const address;
+  std::uint64_t const run_number;
+  Desk* desk = nullptr;
+  bool alive = true, frozen = false;
+  std::map<Address, std::uint64_t> connected;  // peer and the run it was
+
+ private:
+  std::mt19937_64 chance_;
+  std::set<Pending*> pending_;
+  std::vector<std::function<void()>> held_;
+};
+
+// Who listens where, and how a message gets there.
+class SimNet {
+ public:
+  explicit SimNet(Sim& s) : sim(s) {}
+  Sim& sim;
+  std::map<Address, std::shared_ptr<SimProcess>> at;
+  std::map<Address, std::string> machine_of;
+  std::set<std::string> dark;  // machines without power
+
+  struct Exchange {
+    std::shared_ptr<SimProcess> from;
+    Address peer;
+    std::uint8_t kind = 0;
+    Bytes payload;
+    std::function<void(Result<Bytes>)> done;  // none: one-way
+    bool sent = false, withdrawn = false;
+  };
+
+  void begin(std::shared_ptr<Exchange> const& x, Duration const wait) {
+    sim.after(wait, [this, x] {
+      if (!x->from->alive || x->withdrawn) return;
+      auto const target = at.find(x->peer);
+      std::string const machine = machine_of[x->peer];
+      bool const reach = sim.open(x->from->machine, machine) && sim.open(machine, x->from->machine);
+      bool const up = target != at.end() && target->second->alive;
+      auto const known = x->from->connected.find(x->peer);
+      bool const joined = up && known != x->from->connected.end() && known->second == target->second->run_number;
+      if (joined) {
+        x->sent = true;
+        deliver(x, target->second, sim.now + 3s);
+        return;
+      }
+      x->from->connected.erase(x->peer);
+      if (!reach || dark.contains(machine) || (up && target->second->frozen && sim.chance() % 2 == 0)) {
+        fail(x, 500ms, "connect", "timed out", Proof::not_run);
+      } else if (!up) {
+        fail(x, sim.delay(), "connect", "refused", Proof::not_run);
+      } else {
+        x->from->connected[x->peer] = target->second->run_number;
+        x->sent = true;
+        deliver(x, target->second, sim.now + 3s);
+      }
+    });
+  }
+
+ private:
+  void fail(std::shared_ptr<Exchange> const& x, Duration const wait, std::string const step, std::string const reason, Proof const proof) {
+    sim.after(wait, [x, step, reason, proof] {
+      x->from->run([x, step, reason, proof] {
+        if (x->done) x->done(mishap(step, x->peer, reason, proof));
+      });
+    });
+  }
+
+  // What is on its way waits out a cut for a while and then arrives late.
+  void deliver(std::shared_ptr<Exchange> const& x, std::shared_ptr<SimProcess> const target, Instant const give_up) {
+    sim.after(sim.delay(), [this, x, target, give_up] {
+      if (!target->alive) {
+        x->from->connected.erase(x->peer);
+        if (!dark.contains(target->machine)) fail(x, sim.delay(), "wait_for_reply", "connection lost", Proof::unknown);
+        return;
+      }
+      if (!sim.open(x->from->machine, target->machine)) {
+        if (sim.now < give_up) deliver(x, target, give_up);
+        return;
+      }
+      target->run([this, x, target] {
+        if (target->desk == nullptr || !target->desk->handlers[x->kind]) return;
+        spawn(*target, handle(x, target));
+      });
+    });
+  }
+
+  Task<void> handle(std::shared_ptr<Exchange> x, std::shared_ptr<SimProcess> target) {
+    Result<Bytes> reply = co_await target->desk->handlers[x->kind](x->payload);
+    if (x->done) back(x, target, std::make_shared<Result<Bytes>>(std::move(reply)), sim.now + 3s);
+  }
+
+  void back(std::shared_ptr<Exchange> const& x, std::shared_ptr<SimProcess> const target, std::shared_ptr<Result<Bytes>> const reply, Instant const give_up) {
+    sim.after(sim.delay(), [this, x, target, reply, give_up] {
+      if (!sim.open(target->machine, x->from->machine)) {
+        if (sim.now < give_up) back(x, target, reply, give_up);
+        return;
+      }
+      x->from->run([x, reply] { x->done(*reply); });
+    });
+  }
+};
+
+inline Task<Result<Bytes>> SimProcess::ask_raw(Address const peer, std::uint8_t const kind, Bytes payload, Instant const deadline) {
+  std::shared_ptr<OneShot<SimProcess, Result<Bytes>>> shot = std::make_shared<OneShot<SimProcess, Result<Bytes>>>(*this);
+  std::shared_ptr<SimNet::Exchange> x = std::make_shared<SimNet::Exchange>();
+  x->from = shared_from_this();
+  x->peer = peer;
+  x->kind = kind;
+  x->payload = std::move(payload);
+  std::weak_ptr<OneShot<SimProcess, Result<Bytes>>> weak = shot;
+  x->done = [weak](Result<Bytes> r) {
+    if (std::shared_ptr<OneShot<SimProcess, Result<Bytes>>> const s = weak.lock()) s->give(std::move(r));
+  };
+  net.begin(x, 0us);
+  std::optional<Result<Bytes>> got = co_await shot->wait(deadline);
+  x->withdrawn = true;
+  if (got) co_return std::move(*got);
+  if (!x->sent) co_return mishap("wait_to_send", peer, "deadline", Proof::not_run);
+  co_return mishap("wait_for_reply", peer, "deadline", Proof::unknown);
+}
+
+inline void SimProcess::tell_raw(Address const& peer, std::uint8_t const kind, Bytes payload) {
+  std::shared_ptr<SimNet::Exchange> x = std::make_shared<SimNet::Exchange>();
+  x->from = shared_from_this();
+  x->peer = peer;
+  x->kind = kind;
+  x->payload = std::move(payload);
+  net.begin(x, 0us);
+}
+
+static_assert(Surroundings<SimProcess>);
+
+// A disk outlives the processes that use it. Power lost during a sync leaves
+// the old record or the new one.
+struct SimDisk {
+  VoterRecord durable;
+  Instant stalled_until{};
+  SimProcess* process = nullptr;
+
+  Result<VoterRecord> load() { return durable; }
+  Task<Result<bool>> keep(VoterRecord const& r) {
+    SimProcess* const mine = process;
+    VoterRecord const next = r;
+    Duration wait = std::chrono::microseconds(200 + mine->chance()() % 2000);
+    if (stalled_until > mine->now()) wait += stalled_until - mine->now();
+    bool const early = mine->chance()() % 2 == 0;
+    if (early) {
+      co_await sleep_for(*mine, wait / 2);
+      durable = next;
+      co_await sleep_for(*mine, wait / 2);
+    } else {
+      co_await sleep_for(*mine, wait);
+      durable = next;
+    }
+    co_return true;
+  }
+};
+
+#ifdef TESTS_OF_SIM_WORLD
+TEST(SimWorld, an_alarm_rings_at_its_time_is_woken_early_and_dies_with_its_process) {
+  Sim sim(1);
+  SimNet net(sim);
+  std::shared_ptr<SimProcess> p = std::make_shared<SimProcess>(sim, net, "m", "a:1", 1);
+  std::vector<std::pair<std::int64_t, bool>> seen;
+  SimProcess::Alarm alarm(*p);
+  Instant const start = sim.now;
+  auto const sleeper = [&]() -> Task<void> {
+    while (true) {
+      bool const ran_out = co_await alarm.wait(p->now() + 100ms);
+      seen.emplace_back(as_ms(p->now() - start), ran_out);
+    }
+  };
+  spawn(*p, sleeper());
+  sim.at(start + 250ms, [&] { alarm.wake(); });
+  sim.at(start + 420ms, [&] { p->kill(); });
+  sim.run_until(start + 2s);
+  EXPECT_EQ(seen, (std::vector<std::pair<std::int64_t, bool>>{{100, true}, {200, true}, {250, false}, {350, true}}));
+}
+#endif
+
+}  // namespace banktide
