--- a/source/programs/process.hpp
+++ b/source/programs/process.hpp
@@ -14,7 +14,7 @@
  public:
   Process() {
     std::signal(SIGPIPE, SIG_IGN);
-    crossplat::threadpool::initialize_with_threads(1);
+    start_pool();
   }
 
   // Runs a set-up step on the pool's thread and waits for it.
--- a/source/programs/proxy.hpp
+++ b/source/programs/proxy.hpp
@@ -457,7 +457,7 @@
     auto const after = local_.find(key);
     if (after != local_.end()) {
       if (after->second.in_flight > 0) --after->second.in_flight;
-      if (!reply && reply.error().proof == Proof::not_run) after->second.refused = true;
+      if (!reply && reply.error().step == "connect") after->second.refused = true;
     }
     if (!reply) co_return CarryReply{unknown ? Outcome::unknown : Outcome::not_run, {}, reply.error().step, s_.id, reply.error().reason};
     bool const marked = std::any_of(reply->headers.begin(), reply->headers.end(), [](Header const& h) { return h.name == "banktide-not-run"; });
--- a/source/transport/http_edge.hpp
+++ b/source/transport/http_edge.hpp
@@ -34,6 +34,16 @@
   co_return t.get();
 }
 
+// Whether the library sends this target as it stands. It reads a leading "//" as
+// a host, for one, and would then call another path.
+inline bool carries(std::string const& target) {
+  try {
+    return web::uri_builder(web::uri("http://127.0.0.1:1")).append(web::uri(target)).to_uri().resource().to_string() == target;
+  } catch (web::uri_exception const&) {
+    return false;
+  }
+}
+
 class HttpListener {
  public:
   using Handler = std::function<Task<HttpReply>(HttpRequest)>;
@@ -74,7 +84,11 @@
     request.target = q.request_uri().to_string();
     for (auto const& [name, value] : q.headers()) request.headers.push_back({name, value});
     HttpReply reply;
-    if (q.headers().content_length() > body_limit) {
+    if (!carries(request.target)) {
+      reply.status = 400;
+      reply.headers = {{"banktide-outcome", "not-run"}, {"Connection", "close"}};
+      reply.body = "this target can't be carried as it stands\n";
+    } else if (q.headers().content_length() > body_limit) {
       reply.status = 413;
       reply.headers = {{"banktide-outcome", "not-run"}, {"Connection", "close"}};
     } else {
@@ -117,7 +131,7 @@
     web::http::http_request request(q.method);
     for (Header const& h : q.headers) request.headers().add(h.name, h.value);
     request.headers().remove("Connection");
-    request.headers().add("Connection", "close");
+    if (!carries(q.target)) co_return mishap("target", peer, "can't be carried as it stands", Proof::not_run);
     if (!q.body.empty()) {
       std::string const type = request.headers().content_type();
       request.set_body(std::vector<unsigned char>(q.body.begin(), q.body.end()));
@@ -181,3 +195,123 @@
 };
 
 }  // namespace banktide
+
+#ifdef TESTS_OF_HTTP_EDGE
+#include "transport/socket_world.hpp"
+
+#include <future>
+
+namespace banktide {
+
+// A backend that answers with the given bytes, whatever it was asked, and
+// counts the connections made to it.
+class CrookedBackend {
+ public:
+  CrookedBackend(asio::io_context& io, std::string bytes) : acceptor_(io, {asio::ip::address_v4::loopback(), 0}), bytes_(std::move(bytes)) { asio::co_spawn(io, serve(), asio::detached); }
+  std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+  std::size_t connections = 0;
+  std::string asked;
+
+ private:
+  bool whole() const {
+    std::size_t const end = asked.find("\r\n\r\n"), at = asked.find("Content-Length:");
+    return end != std::string::npos && (at == std::string::npos || asked.size() >= end + 4 + std::stoul(asked.substr(at + 15)));
+  }
+  Task<void> serve() {
+    while (true) {
+      asio::ip::tcp::socket s = co_await acceptor_.async_accept(asio::use_awaitable);
+      ++connections;
+      char raw[65536];
+      boost::system::error_code ec;
+      asked.clear();
+      while (!ec && !whole()) {
+        std::size_t const n = co_await s.async_read_some(asio::buffer(raw), asio::redirect_error(asio::use_awaitable, ec));
+        asked.append(raw, n);
+      }
+      co_await asio::async_write(s, asio::buffer(bytes_), asio::redirect_error(asio::use_awaitable, ec));
+      s.shutdown(asio::ip::tcp::socket::shutdown_both, ec);
+    }
+  }
+  asio::ip::tcp::acceptor acceptor_;
+  std::string const bytes_;
+};
+
+template <class F>
+auto on_pool(F f) {
+  start_pool();
+  std::promise<decltype(f())> p;
+  asio::post(crossplat::threadpool::shared_instance().service(), [&]() { p.set_value(f()); });
+  return p.get_future().get();
+}
+
+inline Result<HttpReply> call_port(SocketWorld& w, std::uint16_t const port, HttpRequest q) {
+  HttpCaller<SocketWorld> caller(w);
+  std::promise<Result<HttpReply>> p;
+  on_pool([&]() {
+    asio::co_spawn(w.executor(), caller.run(port, std::move(q), w.now() + 20s), [&](std::exception_ptr e, Result<HttpReply> r) { p.set_value(e ? Result<HttpReply>(mishap("test", "", "exception")) : std::move(r)); });
+    return true;
+  });
+  return p.get_future().get();
+}
+
+TEST(HttpEdge, only_a_whole_reply_is_an_answer_and_nothing_is_sent_twice) {
+  start_pool();
+  SocketWorld w;
+  struct Trap {
+    std::string bytes;
+    bool good;
+  };
+  for (Trap const& t : {
+           Trap{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", true},
+           Trap{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", true},
+           Trap{"HTTP/1.1 204 No Content\r\n\r\n", true},
+           Trap{"HTTP/1.1 302 Found\r\nLocation: http://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n", true},
+           Trap{"HTTP/1.1 200 OK\r\n\r\nhello", false},
+           Trap{"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhello", false},
+           Trap{"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nhello", false},
+           Trap{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 3\r\n\r\nhello", false},
+           Trap{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", false},
+           Trap{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", false},
+           Trap{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n", false},
+           Trap{"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\nhello", false},
+           Trap{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", false},
+           Trap{std::string("\0\1garbage\r\n\r\n", 13), false},
+           Trap{"", false},
+       }) {
+    CrookedBackend* const b = on_pool([&]() { return new CrookedBackend(w.io(), t.bytes); });
+    Result<HttpReply> const r = call_port(w, b->port(), HttpRequest{"POST", "/pay/1", {}, "x"});
+    EXPECT_EQ(r.has_value(), t.good) << t.bytes << (r ? "" : r.error().reason);
+    EXPECT_TRUE(r || r.error().proof == Proof::unknown) << t.bytes;
+    EXPECT_EQ(b->connections, 1u) << t.bytes;
+  }
+}
+
+TEST(HttpEdge, a_refused_connection_is_proof_that_nothing_ran) {
+  start_pool();
+  SocketWorld w;
+  std::uint16_t const port = on_pool([&]() { return asio::ip::tcp::acceptor(w.io(), {asio::ip::address_v4::loopback(), 0}).local_endpoint().port(); });
+  Result<HttpReply> const r = call_port(w, port, HttpRequest{"POST", "/", {}, "x"});
+  ASSERT_FALSE(r);
+  EXPECT_EQ(r.error().proof, Proof::not_run);
+  EXPECT_EQ(r.error().step, "connect");
+}
+
+TEST(HttpEdge, method_path_query_headers_and_body_go_as_they_came) {
+  start_pool();
+  SocketWorld w;
+  CrookedBackend* const b = on_pool([&]() { return new CrookedBackend(w.io(), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); });
+  for (std::string const bad : {"//a/../b", "x", "/a b"}) {
+    Result<HttpReply> const r = call_port(w, b->port(), HttpRequest{"POST", bad, {}, ""});
+    EXPECT_TRUE(!r && r.error().proof == Proof::not_run) << bad;
+  }
+  EXPECT_EQ(b->connections, 0u);
+  HttpRequest const q{"PURGE", "/a/../b%2Fc%20d?x=1&y=%41&&", {{"x-odd", "a  b"}, {"Content-Type", "text/odd"}}, std::string("b\0dy", 4)};
+  ASSERT_TRUE(call_port(w, b->port(), q));
+  EXPECT_TRUE(b->asked.starts_with("PURGE /a/../b%2Fc%20d?x=1&y=%41&& HTTP/1.1\r\n")) << b->asked;
+  EXPECT_NE(b->asked.find("x-odd:a  b\r\n"), std::string::npos);
+  EXPECT_NE(b->asked.find("Content-Type:text/odd\r\n"), std::string::npos);
+  EXPECT_TRUE(b->asked.ends_with(std::string("\r\n\r\nb\0dy", 8)));
+}
+
+}  // namespace banktide
+#endif
--- a/source/transport/socket_world.hpp
+++ b/source/transport/socket_world.hpp
@@ -65,6 +65,12 @@
   return asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(std::stoul(port)));
 }
 
+// The library's pool, with the one thread that carries everything.
+inline void start_pool() {
+  static bool const started = (crossplat::threadpool::initialize_with_threads(1), true);
+  (void)started;
+}
+
 class SocketWorld {
  public:
   class Alarm {
@@ -385,3 +391,61 @@
 static_assert(Surroundings<SocketWorld>);
 
 }  // namespace banktide
+
+#ifdef TESTS_OF_SOCKET_WORLD
+#include <future>
+namespace banktide {
+
+struct Echo {
+  static constexpr std::uint8_t kind = 200;
+  struct Reply {
+    std::string text;
+    template <class A>
+    void serialize(A& ar) {
+      ar(text);
+    }
+  };
+  std::string text;
+  template <class A>
+  void serialize(A& ar) {
+    ar(text);
+  }
+};
+
+TEST(SocketWorld, answers_come_back_refusals_are_proof_and_a_bad_frame_only_costs_its_connection) {
+  start_pool();
+  SocketWorld w;
+  Desk desk;
+  desk.on<Echo>([](Echo q) -> Task<Echo::Reply> { co_return Echo::Reply{q.text + "!"}; });
+  Address const here = *w.listen("127.0.0.1:0");
+  std::promise<void> over;
+  auto const script = [&]() -> Task<void> {
+    w.serve(desk);
+    Echo const hello{"hello"};
+    Result<Echo::Reply> const r = co_await ask(w, here, hello, w.now() + 20s);
+    EXPECT_TRUE(r && r->text == "hello!");
+    Result<Echo::Reply> const refused = co_await ask(w, Address("127.0.0.1:1"), hello, w.now() + 20s);
+    EXPECT_TRUE(!refused && refused.error().proof == Proof::not_run);
+    std::mt19937_64 chance(5);
+    for (int i = 0; i < 50; ++i) {
+      asio::ip::tcp::socket s(w.io());
+      co_await s.async_connect(*parse_address(here), asio::use_awaitable);
+      std::string junk(1 + chance() % 60, '\0');
+      for (char& c : junk) c = static_cast<char>(chance());
+      if (i % 2 == 0) FrameHead{static_cast<std::uint32_t>(chance() % 8), wire_number, Sort::ask, 200, 1}.write((junk.resize(40), junk.data()));
+      co_await asio::async_write(s, asio::buffer(junk), asio::use_awaitable);
+      boost::system::error_code ec;
+      s.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+      char end[64];
+      while (!ec) co_await s.async_read_some(asio::buffer(end), asio::redirect_error(asio::use_awaitable, ec));
+    }
+    Result<Echo::Reply> const again = co_await ask(w, here, hello, w.now() + 20s);
+    EXPECT_TRUE(again && again->text == "hello!");
+    over.set_value();
+  };
+  asio::post(w.io(), [&]() { spawn(w, script()); });
+  over.get_future().get();
+}
+
+}  // namespace banktide
+#endif
