--- a/source/programs/proxy.hpp
+++ b/source/programs/proxy.hpp
@@ -30,6 +30,7 @@
 template <class B>
 concept BackendEdge = requires(B& b, std::uint16_t port, HttpRequest q, Instant t) {
   { b.run(port, q, t) } -> std::same_as<Task<Result<HttpReply>>>;
+  { b.listens(port) } -> std::same_as<Task<bool>>;
 };
 
 struct Rules {
@@ -64,6 +65,7 @@
     spawn(w_, keep_fresh());
     spawn(w_, keep_beating());
     spawn(w_, keep_leases());
+    spawn(w_, keep_probing());
   }
 
   bool ready() const { return fresh_ && viewed_ && !leaving_; }
@@ -751,6 +753,29 @@
       if (l.refused) touch();
   }
 
+  // A port at which nobody listens has lost its backend: nothing goes there
+  // until an instance beats from it again, so that whoever comes to the address
+  // next is not called in the old one's name.
+  Task<void> keep_probing() {
+    while (true) {
+      co_await sleep_for(w_, 100ms);
+      std::vector<std::pair<std::string, std::string>> keys;
+      for (auto const& [key, l] : local_)
+        if (!l.refused) keys.push_back(key);
+      for (std::pair<std::string, std::string> const& key : keys) {
+        auto it = local_.find(key);
+        if (it == local_.end()) continue;
+        Instant const beaten = it->second.beaten;
+        bool const listens = co_await edge_.listens(it->second.record.port);
+        it = local_.find(key);
+        if (listens || it == local_.end() || it->second.refused || it->second.beaten != beaten) continue;
+        it->second.refused = true;
+        log_info("backend_refuses", {{"service", key.first}, {"instance", key.second}});
+        touch();
+      }
+    }
+  }
+
   // ---- leases
 
   Task<void> keep_leases() {
--- a/source/simulation/sim_fleet.hpp
+++ b/source/simulation/sim_fleet.hpp
@@ -24,8 +24,14 @@
 struct SimEdge {
   using Done = std::function<void(Result<HttpReply>)>;
   std::function<void(std::uint16_t, HttpRequest, Instant, Done)> serve;
+  std::function<bool(std::uint16_t)> taken;
   SimProcess* process = nullptr;
 
+  Task<bool> listens(std::uint16_t const port) {
+    co_await sleep_for(*process, 200us);
+    co_return taken(port);
+  }
+
   Task<Result<HttpReply>> run(std::uint16_t const port, HttpRequest q, Instant const deadline) {
     using Shot = OneShot<SimProcess, Result<HttpReply>>;
     std::shared_ptr<Shot> shot = std::make_shared<Shot>(*process);
@@ -116,6 +122,7 @@
     std::size_t node = 0;
     std::uint16_t port = 0;
     bool alive = true, leaving = false, frozen = false;
+    bool naive = false;  // runs whatever comes, without a look at whom it is for
     std::uint64_t life = 0;
   };
 
@@ -208,6 +215,7 @@
     n.edge = std::make_shared<SimEdge>();
     n.edge->process = n.process.get();
     n.edge->serve = [this, i](std::uint16_t const port, HttpRequest q, Instant const deadline, SimEdge::Done done) { serve(i, port, std::move(q), deadline, std::move(done)); };
+    n.edge->taken = [this, i](std::uint16_t const port) { return std::any_of(backends_.begin(), backends_.end(), [&](Backend const& b) { return b.node == i && b.port == port && b.alive; }); };
     ProxySettings s{n.id, n.cell, n.address, n.gateway, {registry_addresses_[0], registry_addresses_[1], registry_addresses_[2]}};
     n.proxy = std::make_shared<Proxy<SimProcess, SimEdge>>(*n.process, *n.edge, s);
     n.desk = std::make_shared<Desk>();
@@ -224,7 +232,7 @@
 
   // ---- backends
 
-  std::size_t add_backend(std::string const& service, std::size_t const node) {
+  std::size_t add_backend(std::string const& service, std::size_t const node, Duration const first_beat = 0s) {
     Backend b;
     b.service = service;
     b.instance = service + "-" + std::to_string(++instances_);
@@ -233,7 +241,9 @@
     b.life = ++runs_;
     backends_.push_back(b);
     std::size_t const at = backends_.size() - 1;
-    keep_beating(at, b.life);
+    std::uint64_t const life = b.life;
+    if (first_beat == 0s) keep_beating(at, life);
+    else sim_.after(first_beat, [this, at, life] { keep_beating(at, life); });
     return at;
   }
 
@@ -259,7 +269,8 @@
   void run_backend(std::size_t const i, HttpRequest const& q, Instant const deadline, std::function<void(Result<HttpReply>)> const& done) {
     Backend& b = backends_[i];
     if (b.frozen) return;  // silence until the deadline
-    if (header_of(q, "banktide-service") != b.service || header_of(q, "banktide-instance") != b.instance) {
+    bool const right = header_of(q, "banktide-service") == b.service && header_of(q, "banktide-instance") == b.instance;
+    if (!right && !b.naive) {
       HttpReply no;
       no.status = 421;
       no.headers = {{"banktide-not-run", "1"}};
@@ -455,7 +466,7 @@
   void keep_failing(Instant const end) {
     if (sim_.now >= end) return;
     mishaps_on_ = true;
-    static std::vector<std::string> const kinds{"kill_node", "kill_herd", "roll_node", "freeze_node", "kill_registry", "freeze_registry", "power_core", "lose_disk", "stall_disk", "cut_core", "cut_core_one", "cut_cell", "isolate_one_way", "isolate", "kill_backend", "replace_backend", "reuse_port", "drain_backend", "freeze_backend", "hot_key", "bad_revision"};
+    static std::vector<std::string> const kinds{"kill_node", "kill_herd", "roll_node", "freeze_node", "kill_registry", "freeze_registry", "power_core", "lose_disk", "stall_disk", "cut_core", "cut_core_one", "cut_cell", "isolate_one_way", "isolate", "kill_backend", "replace_backend", "reuse_port", "reuse_port_naive", "drain_backend", "freeze_backend", "hot_key", "bad_revision"};
     std::vector<std::string> mine;
     for (std::string const& k : kinds)
       if (wanted(k)) mine.push_back(k);
@@ -548,6 +559,18 @@
       backends_[fresh].port = port;
       add_backend(service, at);
     }
+    if (kind == "reuse_port_naive" && b.alive) {
+      std::uint16_t const port = b.port;
+      std::size_t const at = b.node;
+      std::string const service = b.service;
+      kill_backend(backend);
+      add_backend(service, at);
+      sim_.after(400ms, [this, service, port, at] {
+        std::size_t const fresh = add_backend(service == "orders" || service == "deposits" ? service_of(d_.name == "kibble" ? "/browse" : "/rates") : service_of(d_.name == "kibble" ? "/pay" : "/deposits"), at, 700ms);
+        backends_[fresh].port = port;
+        backends_[fresh].naive = true;
+      });
+    }
     if (kind == "freeze_backend" && b.alive) {
       b.frozen = true;
       sim_.after(for_a_while, [this, backend] { backends_[backend].frozen = false; });
@@ -722,6 +745,10 @@
   for (std::uint64_t const seed : {100, 101, 102}) EXPECT_EQ(broken_by("kibble", seed, {"cut_core_one"}), "");
 }
 
+TEST(SimFleet, nothing_reaches_another_service_that_took_over_a_dead_backends_address) {
+  for (std::uint64_t const seed : {300, 301}) EXPECT_EQ(broken_by("kibble", seed, {"reuse_port_naive"}), "");
+}
+
 TEST(SimFleet, no_rule_breaks_under_all_mishaps) {
   for (std::uint64_t seed = 1; seed <= 4; ++seed) EXPECT_EQ(broken_by("kibble", seed, {}), "");
   for (std::uint64_t seed = 5; seed <= 8; ++seed) EXPECT_EQ(broken_by("nilewise", seed, {}), "");
--- a/source/transport/http_edge.hpp
+++ b/source/transport/http_edge.hpp
@@ -9,6 +9,9 @@
 #include "protocol/messages.hpp"
 #include "transport/surroundings.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cpprest/http_client.h>
 #include <cpprest/http_listener.h>
 #include <pplx/threadpool.h>
@@ -122,6 +125,18 @@
 
   Task<Result<HttpReply>> run(std::uint16_t const port, HttpRequest q, Instant const deadline) { return run_at(host_ + ":" + std::to_string(port), std::move(q), deadline); }
 
+  // Whether anybody takes connections at the port; only a refusal says no.
+  Task<bool> listens(std::uint16_t const port) {
+    std::shared_ptr<asio::ip::tcp::socket> s = std::make_shared<asio::ip::tcp::socket>(w_.executor());
+    boost::system::error_code ec;
+    asio::steady_timer limit(w_.executor(), w_.now() + 300ms);
+    limit.async_wait([s](boost::system::error_code const& e) {
+      if (!e) s->close();
+    });
+    co_await s->async_connect({asio::ip::make_address(host_), port}, asio::redirect_error(asio::use_awaitable, ec));
+    co_return ec != asio::error::connection_refused;
+  }
+
   Task<Result<HttpReply>> run_at(Address const peer, HttpRequest q, Instant const deadline) {
     Duration const left = deadline - w_.now();
     if (left <= 1ms) co_return mishap("connect", peer, "deadline", Proof::not_run);
