--- a/source/transport/http_edge.hpp
+++ b/source/transport/http_edge.hpp
@@ -259,6 +259,15 @@
   return p.get_future().get();
 }
 
+// They stay for the whole test run, as the pool does.
+inline CrookedBackend* crooked(SocketWorld& w, std::string const& bytes) {
+  static std::vector<CrookedBackend*>* const all = new std::vector<CrookedBackend*>();
+  return on_pool([&]() {
+    all->push_back(new CrookedBackend(w.io(), bytes));
+    return all->back();
+  });
+}
+
 inline Result<HttpReply> call_port(SocketWorld& w, std::uint16_t const port, HttpRequest q) {
   HttpCaller<SocketWorld> caller(w);
   std::promise<Result<HttpReply>> p;
@@ -293,7 +302,7 @@
            Trap{std::string("\0\1garbage\r\n\r\n", 13), false},
            Trap{"", false},
        }) {
-    CrookedBackend* const b = on_pool([&]() { return new CrookedBackend(w.io(), t.bytes); });
+    CrookedBackend* const b = crooked(w, t.bytes);
     Result<HttpReply> const r = call_port(w, b->port(), HttpRequest{"POST", "/pay/1", {}, "x"});
     EXPECT_EQ(r.has_value(), t.good) << t.bytes << (r ? "" : r.error().reason);
     EXPECT_TRUE(r || r.error().proof == Proof::unknown) << t.bytes;
@@ -314,7 +323,7 @@
 TEST(HttpEdge, method_path_query_headers_and_body_go_as_they_came) {
   start_pool();
   SocketWorld w;
-  CrookedBackend* const b = on_pool([&]() { return new CrookedBackend(w.io(), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); });
+  CrookedBackend* const b = crooked(w, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
   for (std::string const bad : {"//a/../b", "x", "/a b"}) {
     Result<HttpReply> const r = call_port(w, b->port(), HttpRequest{"POST", bad, {}, ""});
     EXPECT_TRUE(!r && r.error().proof == Proof::not_run) << bad;
