--- a/source/simulation/sim_world.hpp
+++ b/source/simulation/sim_world.hpp
@@ -83,9 +83,9 @@
 
   class Alarm {
    public:
-    explicit Alarm(SimProcess& p) : p_(p), s_(std::make_shared<Pending>()) { p_.pending_.insert(s_.get()); }
+    explicit Alarm(SimProcess& p) : p_(p), s_(std::make_shared<Pending>()), id_(++p.last_alarm_) { p_.pending_[id_] = s_.get(); }
     Alarm(Alarm const&) = delete;
-    ~Alarm() { p_.pending_.erase(s_.get()); }
+    ~Alarm() { p_.pending_.erase(id_); }
 
     Task<bool> wait(Instant const until) {
       if (s_->woken) {
@@ -129,6 +129,7 @@
     }
     SimProcess& p_;
     std::shared_ptr<Pending> s_;
+    std::uint64_t const id_;
   };
 
   SimProcess(Sim& s, SimNet& n, std::string m, Address a, std::uint64_t const incarnation) : sim(s), net(n), machine(std::move(m)), address(std::move(a)), run_number(incarnation), chance_(s.chance()) {}
@@ -158,10 +159,10 @@
   void kill() {
     alive = false;
     held_.clear();
-    std::set<Pending*> pending;
+    std::map<std::uint64_t, Pending*> pending;  // in order of making, so that a run replays
     pending.swap(pending_);
     std::vector<std::function<void(bool)>> drop;
-    for (Pending* const p : pending) {
+    for (auto const& [id, p] : pending) {
       drop.push_back(std::move(p->handler));
       p->handler = nullptr;
     }
@@ -178,7 +179,8 @@
 
  private:
   std::mt19937_64 chance_;
-  std::set<Pending*> pending_;
+  std::map<std::uint64_t, Pending*> pending_;
+  std::uint64_t last_alarm_ = 0;
   std::vector<std::function<void()>> held_;
 };
 
