--- a/source/simulation/sim_fleet.hpp
+++ b/source/simulation/sim_fleet.hpp
@@ -675,8 +675,8 @@
   SimNet net_;
   Deployment const d_;
   History history_;
-  std::vector<std::shared_ptr<void>> remains_;
   std::vector<std::shared_ptr<SimProcess>> grave_;
+  std::vector<std::shared_ptr<void>> remains_;  // after the grave: they go first, and touch it
   std::shared_ptr<SimProcess> driver_;
   std::vector<Address> voter_addresses_, registry_addresses_;
   std::vector<Voter> voters_;
