--- a/source/coordination/acceptor.hpp
+++ b/source/coordination/acceptor.hpp
@@ -1,13 +1,15 @@
 // One voter of the register. It answers only from what its disk has kept: a
 // promise or an acceptance is synced before it is said. A blank disk never
 // votes: a founding needs every configured voter blank, and a voter that lost
-// its disk later votes again only after all the others have completed a round
-// at a new ballot, which it then holds.
+// its disk later votes again only after enough of the others have completed a
+// round at a new ballot, which it then holds.
 #pragma once
 
 #include "protocol/messages.hpp"
 #include "transport/surroundings.hpp"
 
+#include <map>
+
 namespace banktide {
 
 struct VoterRecord {
@@ -47,6 +49,7 @@
 
   // Runs until this voter votes.
   Task<void> settle() {
+    if (broken_on_purpose("votes_blank") && record_.phase == Phase::blank && own_ != 0) record_.phase = Phase::voting;
     while (record_.phase != Phase::voting) {
       std::vector<Address> const others = other_voters();
       Found question{Phase::blank, record_.founding};
@@ -193,16 +196,23 @@
     co_await ask_all<Found>(w_, others, open, w_.now() + 2s, [](auto const&) { return false; });
   }
 
+  // How many of the others must complete a round for a voter that has lost its
+  // disk: so many that with any majority that it was part of they have one in
+  // common, and that with it they are a majority again.
+  std::size_t enough_others() const {
+    std::size_t const n = voters_.size(), majority = n / 2 + 1;
+    return std::max(n - majority + 1, majority - 1);
+  }
+
   Task<void> rejoin(std::vector<Address> others) {
     std::uint64_t const nonce = w_.chance()();
     VoterRecord next;
     Found const question{};
     auto const whose = co_await ask_all<Found>(w_, others, question, w_.now() + 1s, [](auto const&) { return false; });
-    if (whose.size() != others.size()) co_return;
-    for (auto const& [i, r] : whose) {
-      if (!r || r->phase != Phase::voting) co_return;
-      next.founding = r->founding;
-    }
+    std::map<std::uint64_t, std::size_t> foundings;
+    for (auto const& [i, r] : whose)
+      if (r && r->phase == Phase::voting && ++foundings[r->founding] >= enough_others()) next.founding = r->founding;
+    if (next.founding == 0) co_return;
     for (Register const reg : all_registers) {
       Ballot ballot{1, nonce};
       Held held;
@@ -222,12 +232,12 @@
             held = r->slot.held;
           }
         }
-        if (promised == others.size()) {
+        if (promised >= enough_others()) {
           Accept const question{reg, ballot, held};
           auto const taken = co_await ask_all<Accept>(w_, others, question, w_.now() + 1s, [](auto const&) { return false; });
           std::size_t accepted = 0;
           for (auto const& [i, r] : taken) accepted += r && r->accepted;
-          if (accepted == others.size()) break;
+          if (accepted >= enough_others()) break;
         }
         ballot.round = std::max(ballot.round, top.round) + 1;
         co_await sleep_for(w_, std::chrono::milliseconds(5 + w_.chance()() % 50));
--- a/source/coordination/lease_voter.hpp
+++ b/source/coordination/lease_voter.hpp
@@ -1,6 +1,9 @@
 // One registry's vote on who may act on which key slice. Memory only: after a
 // start it abstains for one whole term, so that no grant it has forgotten can
-// still be in force. Epochs rise with every change of holder.
+// still be in force, and until it has a floor for epochs from the register, so
+// that they rise even when every registry has forgotten them. Epochs rise with
+// every change of holder. Slices of one service under another mapping of its
+// keys are granted only when no grant of the former mapping is left.
 #pragma once
 
 #include "protocol/messages.hpp"
@@ -11,45 +14,143 @@
 namespace banktide {
 
 inline constexpr Duration lease_term = 4s;
+// The holder stops this much earlier, as clocks differ in speed.
+inline constexpr Duration lease_margin = 200ms;
 
 template <Clock W>
 class LeaseVoter {
  public:
   explicit LeaseVoter(W& w) : w_(w), from_(w.now() + lease_term) {}
 
+  void set_floor(std::uint64_t const epoch) { floor_ = epoch; }
+  bool floored() const { return floor_ > 0; }
+
   LeaseReply ask(LeaseAsk const& q) {
     Instant const now = w_.now();
     LeaseReply reply;
     for (SliceClaim const& c : q.release) {
-      auto const it = grants_.find({c.service, c.slice});
-      if (it != grants_.end() && it->second.holder == q.holder) it->second.until = now;
+      auto const it = grants_.find(c.slice);
+      if (it != grants_.end() && it->second.holder == q.holder && it->second.epoch == c.epoch) it->second.until = now;
     }
-    if (now < from_ || q.want.size() > 4096) return reply;
+    if (now < from_ || !floored() || q.want.size() > 4096) return reply;
     reply.voting = true;
     for (SliceClaim const& c : q.want) {
-      Grant& g = grants_[{c.service, c.slice}];
+      Grant& g = grants_[c.slice];
       bool const free = g.until <= now || g.holder == q.holder;
-      bool const ok = free && c.epoch >= g.epoch;
+      bool const newer = g.holder == q.holder ? c.epoch >= g.epoch : c.epoch > g.epoch;
+      std::uint64_t const least = std::max(floor_, top_elsewhere(c.slice));
+      bool const ok = broken_on_purpose("lease_to_all") || (free && newer && c.epoch > least && !other_mapping(c.slice, now));
       if (ok) {
         g.holder = q.holder;
         g.epoch = c.epoch;
         g.until = now + lease_term;
+        Mapping& m = mappings_[{c.slice.service, c.slice.mapping}];
+        m.last = std::max(m.last, g.until);
+        m.top = std::max(m.top, g.epoch);
       }
       reply.granted.push_back(ok);
-      reply.epochs.push_back(g.epoch);
+      reply.epochs.push_back(std::max(g.epoch, least));
     }
     return reply;
   }
 
- private:
   struct Grant {
     std::string holder;
     std::uint64_t epoch = 0;
     Instant until{};
   };
+  std::map<Slice, Grant> const& grants() const { return grants_; }
+
+ private:
+  bool other_mapping(Slice const& s, Instant const now) {
+    for (auto it = mappings_.lower_bound({s.service, 0}); it != mappings_.end() && it->first.first == s.service; ++it) {
+      if (it->first.second == s.mapping || it->second.last <= now) continue;
+      for (auto g = grants_.lower_bound(Slice{s.service, it->first.second, 0}); g != grants_.end() && g->first.service == s.service && g->first.mapping == it->first.second; ++g)
+        if (g->second.until > now) return true;
+      it->second.last = now;
+    }
+    return false;
+  }
+
+  std::uint64_t top_elsewhere(Slice const& s) const {
+    std::uint64_t top = 0;
+    for (auto it = mappings_.lower_bound({s.service, 0}); it != mappings_.end() && it->first.first == s.service; ++it)
+      if (it->first.second != s.mapping) top = std::max(top, it->second.top);
+    return top;
+  }
+
   W& w_;
   Instant const from_;
-  std::map<std::pair<std::string, std::uint32_t>, Grant> grants_;
+  std::uint64_t floor_ = 0;
+  std::map<Slice, Grant> grants_;
+  struct Mapping {
+    Instant last{};         // latest end of its grants
+    std::uint64_t top = 0;  // greatest epoch granted
+  };
+  std::map<std::pair<std::string, std::uint64_t>, Mapping> mappings_;
 };
 
 }  // namespace banktide
+
+#ifdef TESTS_OF_LEASE_VOTER
+#include "simulation/sim_world.hpp"
+
+namespace banktide {
+
+struct LeaseVoterTest : testing::Test {
+  Sim sim{1};
+  SimNet net{sim};
+  std::shared_ptr<SimProcess> p = std::make_shared<SimProcess>(sim, net, "m", "a:1", 1);
+  LeaseVoter<SimProcess> v{*p};
+  bool grants(std::string const& holder, Slice const& s, std::uint64_t const epoch) {
+    LeaseReply const r = v.ask(LeaseAsk{holder, {SliceClaim{s, epoch}}, {}});
+    return r.voting && r.granted[0];
+  }
+  void release(std::string const& holder, Slice const& s, std::uint64_t const epoch) { v.ask(LeaseAsk{holder, {}, {SliceClaim{s, epoch}}}); }
+};
+
+TEST_F(LeaseVoterTest, abstains_for_a_term_and_until_epochs_have_a_floor) {
+  Slice const s{"till", 1, 3};
+  v.set_floor(100);
+  EXPECT_FALSE(grants("a", s, 101));
+  sim.run_until(sim.now + lease_term);
+  EXPECT_FALSE(grants("a", s, 100));
+  EXPECT_TRUE(grants("a", s, 101));
+  LeaseVoter<SimProcess> blank(*p);
+  sim.run_until(sim.now + lease_term);
+  EXPECT_FALSE(blank.ask(LeaseAsk{"a", {SliceClaim{s, 5}}, {}}).voting);
+}
+
+TEST_F(LeaseVoterTest, a_new_holder_needs_a_greater_epoch_and_a_free_slice) {
+  Slice const s{"till", 1, 3};
+  v.set_floor(1);
+  sim.run_until(sim.now + lease_term);
+  EXPECT_TRUE(grants("a", s, 5));
+  EXPECT_TRUE(grants("a", s, 5));
+  EXPECT_FALSE(grants("b", s, 6));
+  release("b", s, 5);
+  EXPECT_FALSE(grants("b", s, 6));
+  release("a", s, 4);  // late news of a lease that it has taken anew since
+  EXPECT_FALSE(grants("b", s, 6));
+  release("a", s, 5);
+  EXPECT_FALSE(grants("b", s, 5));
+  EXPECT_TRUE(grants("b", s, 6));
+}
+
+TEST_F(LeaseVoterTest, another_mapping_waits_for_every_lease_of_the_former) {
+  v.set_floor(1);
+  sim.run_until(sim.now + lease_term);
+  EXPECT_TRUE(grants("a", Slice{"till", 32, 3}, 2));
+  EXPECT_TRUE(grants("b", Slice{"till", 32, 4}, 2));
+  EXPECT_FALSE(grants("c", Slice{"till", 64, 9}, 2));
+  EXPECT_TRUE(grants("c", Slice{"rates", 64, 9}, 2));
+  release("a", Slice{"till", 32, 3}, 2);
+  EXPECT_FALSE(grants("c", Slice{"till", 64, 9}, 2));
+  sim.run_until(sim.now + lease_term);
+  EXPECT_FALSE(grants("c", Slice{"till", 64, 9}, 2));  // epochs rise over mappings too
+  EXPECT_TRUE(grants("c", Slice{"till", 64, 9}, 3));
+  EXPECT_FALSE(grants("b", Slice{"till", 32, 4}, 4));
+}
+
+}  // namespace banktide
+#endif
--- a/source/coordination/register_client.hpp
+++ b/source/coordination/register_client.hpp
@@ -10,6 +10,7 @@
 #include "transport/surroundings.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace banktide {
 
@@ -24,7 +25,7 @@
   // is handed on untouched). A mishap of a round is `unknown` once any voter
   // may hold the new value.
   template <class F>
-  Task<Result<Held>> change(Register const reg, std::string request, Instant const deadline, F step) {
+  Task<Result<Held>> change(Register const reg, std::string request, Instant const deadline, F step, std::uint64_t* const round = nullptr) {
     bool offered = false;
     std::string last = "no majority";
     for (std::uint64_t attempt = 0; w_.now() < deadline; ++attempt) {
@@ -64,7 +65,10 @@
       auto const accepted = co_await ask_all<Accept>(w_, voters_, second, std::min(deadline, w_.now() + 600ms), [this](auto const& replies) { return count(replies, &AcceptReply::accepted) >= majority(); });
       for (auto const& [i, r] : accepted)
         if (r) round_ = std::max(round_, r->promised.round);
-      if (count(accepted, &AcceptReply::accepted) >= majority()) co_return held;
+      if (count(accepted, &AcceptReply::accepted) >= majority()) {
+        if (round != nullptr) *round = ballot.round;
+        co_return held;
+      }
       last = "accept had no majority";
     }
     co_return mishap("register", register_name(reg), last, offered ? Proof::unknown : Proof::not_run);
@@ -82,6 +86,23 @@
     co_return co_await change(reg, "", deadline, [](Held const& h) -> Result<Held> { return h; });
   }
 
+  // A number greater than every one that this has given before, to anyone.
+  Task<Result<std::uint64_t>> rise(Register const reg, Instant const deadline) {
+    Peek const question{reg, std::numeric_limits<Revision>::max()};
+    auto const replies = co_await ask_all<Peek>(w_, voters_, question, std::min(deadline, w_.now() + 600ms), [](auto const&) { return false; });
+    std::size_t heard = 0;
+    for (auto const& [i, r] : replies) {
+      if (!r || !r->voting) continue;
+      ++heard;
+      round_ = std::max(round_, r->accepted.round);
+    }
+    if (heard < majority()) co_return mishap("register", register_name(reg), "no majority", Proof::not_run);
+    std::uint64_t round = 0;
+    Result<Held> const done = co_await change(reg, "", deadline, [](Held const& h) -> Result<Held> { return h; }, &round);
+    if (!done) co_return tl::unexpected<Mishap>(done.error());
+    co_return round;
+  }
+
   std::size_t majority() const { return voters_.size() / 2 + 1; }
 
  private:
--- a/source/coordination/slice_leases.hpp
+++ b/source/coordination/slice_leases.hpp
@@ -14,8 +14,6 @@
 template <Surroundings W>
 class SliceLeases {
  public:
-  using Slice = std::pair<std::string, std::uint32_t>;
-
   explicit SliceLeases(W& w) : w_(w) {}
 
   struct Lease {
@@ -30,10 +28,11 @@
   // Admits a call for the slice, if the lease outlasts the deadline.
   Result<std::uint64_t> admit(Slice const& s, std::string const& instance, Instant const deadline) {
     auto const it = held_.find(s);
-    if (it == held_.end() || it->second.instance != instance) return mishap("lease", s.first, "slice " + std::to_string(s.second) + " is not held here", Proof::not_run);
+    if (broken_on_purpose("no_lease")) return std::uint64_t{1};
+    if (it == held_.end() || it->second.instance != instance) return mishap("lease", s.service, "slice " + std::to_string(s.slice) + " is not held here", Proof::not_run);
     Lease& l = it->second;
-    if (!l.wanted) return mishap("lease", s.first, "slice " + std::to_string(s.second) + " is moving", Proof::not_run);
-    if (deadline >= l.until) return mishap("lease", s.first, "lease ends before the call's deadline", Proof::not_run);
+    if (!l.wanted) return mishap("lease", s.service, "slice " + std::to_string(s.slice) + " is moving", Proof::not_run);
+    if (deadline >= l.until) return mishap("lease", s.service, "lease ends before the call's deadline", Proof::not_run);
     ++l.in_flight;
     return l.epoch;
   }
@@ -56,9 +55,9 @@
       Lease& l = it->second;
       auto const want = wanted.find(it->first);
       l.wanted = want != wanted.end() && want->second == l.instance;
-      bool const idle = l.in_flight == 0 && l.busy_until <= start;
+      bool const idle = (l.in_flight == 0 && l.busy_until <= start) || broken_on_purpose("release_busy");
       if (!l.wanted && (idle || l.until <= start)) {
-        q.release.push_back(SliceClaim{it->first.first, it->first.second, l.epoch});
+        q.release.push_back(SliceClaim{it->first, l.epoch});
         it = held_.erase(it);
         continue;
       }
@@ -66,15 +65,15 @@
         it = held_.erase(it);
         continue;
       }
-      q.want.push_back(SliceClaim{it->first.first, it->first.second, l.epoch});
+      q.want.push_back(SliceClaim{it->first, l.epoch});
       ++it;
     }
     std::vector<std::string> instances;
-    for (SliceClaim const& c : q.want) instances.push_back(held_.at({c.service, c.slice}).instance);
+    for (SliceClaim const& c : q.want) instances.push_back(held_.at(c.slice).instance);
     std::size_t const renewed = q.want.size();
     for (auto const& [slice, instance] : wanted) {
       if (held_.contains(slice)) continue;
-      q.want.push_back(SliceClaim{slice.first, slice.second, seen_epochs_[slice] + 1});
+      q.want.push_back(SliceClaim{slice, seen_epochs_[slice] + 1});
       instances.push_back(instance);
     }
     if (q.want.empty() && q.release.empty()) co_return;
@@ -82,7 +81,7 @@
     LeaseAsk undo;
     undo.holder = holder;
     for (std::size_t i = 0; i < q.want.size(); ++i) {
-      Slice const slice{q.want[i].service, q.want[i].slice};
+      Slice const slice = q.want[i].slice;
       std::size_t granted = 0;
       for (auto const& [at, r] : replies) {
         if (!r || !r->voting || r->granted.size() != q.want.size() || r->epochs.size() != q.want.size()) continue;
@@ -94,9 +93,9 @@
         Lease& l = held_[slice];
         if (i >= renewed) {
           l = Lease{instances[i], q.want[i].epoch, {}, 0, {}, true};
-          log_info("lease_held", {{"service", slice.first}, {"slice", std::to_string(slice.second)}, {"instance", instances[i]}, {"epoch", std::to_string(l.epoch)}});
+          log_info("lease_held", {{"service", slice.service}, {"slice", std::to_string(slice.slice)}, {"instance", instances[i]}, {"epoch", std::to_string(l.epoch)}});
         }
-        l.until = start + lease_term;
+        l.until = start + lease_term - lease_margin;
       } else if (i >= renewed && granted > 0) {
         undo.release.push_back(q.want[i]);
       }
--- a/source/programs/proxy.hpp
+++ b/source/programs/proxy.hpp
@@ -7,8 +7,10 @@
 
 #include "coordination/ring.hpp"
 #include "coordination/slice_leases.hpp"
+#include "coordination/transit.hpp"
 #include "protocol/call.hpp"
 #include "programs/registry.hpp"
+#include "state/decisions.hpp"
 #include "state/pick.hpp"
 #include "state/retry_budget.hpp"
 
@@ -40,18 +42,10 @@
   Revision catalogue_revision = 0;
 };
 
-// One decision or one step of a call, as the journal holds it.
-struct CallEvent {
-  std::int64_t at_ms = 0;
-  std::uint64_t call = 0;
-  std::string state, decision, service, reason, step, peer;
-  Revision routing = 0;
-};
-
 template <Surroundings W, BackendEdge B>
 class Proxy {
  public:
-  Proxy(W& w, B& backends, ProxySettings s) : w_(w), edge_(backends), s_(std::move(s)), leases_(w), holder_(s_.id + "#" + std::to_string(w.chance()())), started_(w.now()) {}
+  Proxy(W& w, B& backends, ProxySettings s) : w_(w), edge_(backends), s_(std::move(s)), leases_(w), life_(w.chance()()), holder_(s_.id + "#" + std::to_string(life_)), started_(w.now()), tick_(w.now()), journal_(s_.id, life_) {}
 
   void start(Desk& desk) {
     desk.on<Meet>([this](Meet q) { return meet(std::move(q)); });
@@ -60,6 +54,8 @@
     desk.on<Beat>([this](Beat q) { return beaten(std::move(q)); });
     desk.on<Drain>([this](Drain q) { return drain(std::move(q)); });
     desk.on<Carry>([this](Carry q) { return carried(std::move(q)); });
+    desk.on<DecisionsAsk>([this](DecisionsAsk q) -> Task<DecisionsReply> { co_return journal_.since(q); });
+    desk.on<StateAsk>([this](StateAsk) -> Task<StateReply> { co_return StateReply{state().dump()}; });
     spawn(w_, keep_meeting());
     spawn(w_, keep_joined());
     spawn(w_, keep_fresh());
@@ -69,7 +65,7 @@
   }
 
   bool ready() const { return fresh_ && viewed_ && !leaving_; }
-  bool idle() const { return calls_in_flight_ == 0 && carried_in_flight_ == 0; }
+  bool idle() const { return (calls_in_flight_ == 0 && carried_in_flight_ == 0) || broken_on_purpose("leaves_at_once"); }
   void leave() {
     leaving_ = true;
     left_at_ = w_.now();
@@ -81,7 +77,6 @@
   CellView const& view() const { return view_; }
   Rules const& rules() const { return *rules_; }
   RetryBudget const& budget() const { return budget_; }
-  Journal<CallEvent> const& journal() const { return journal_; }
   std::size_t extra_tries() const { return extra_tries_; }
 
   // ---- the caller's edge
@@ -111,7 +106,8 @@
       if (asked.size() > 5 || asked.find_first_not_of("0123456789") != std::string::npos || std::stoul(asked) < 1) co_return dropped(chart, id, *rules, service.name, 400, Mishap{"find_deadline", s_.id, "banktide-timeout-ms must be 1..99999", Proof::not_run});
       patience = std::min<Duration>(patience, std::chrono::milliseconds(std::stoul(asked)));
     }
-    Choice const choice = choose_cells(rules->layout, rules->catalogue, s_.cell, s, carry.slice);
+    Choice const choice = choose(*rules, s, carry.slice);
+    if (broken_on_purpose("drops_all")) co_return dropped(chart, id, *rules, service.name, 503, Mishap{"decide", s_.id, "", Proof::not_run});
     if (!choice.dropped.empty()) co_return dropped(chart, id, *rules, service.name, 503, Mishap{"decide", s_.id, choice.dropped, Proof::not_run});
     bool const repeatable = service.may_repeat(q.method);
     carry.request = std::move(q);
@@ -198,8 +194,12 @@
     j["budget"] = {{"firsts", budget_.firsts()}, {"extras", budget_.extras()}};
     j["calls"] = {{"taken", last_call_}, {"in_flight", calls_in_flight_}, {"carried_in_flight", carried_in_flight_}, {"extra_tries", extra_tries_}};
     Json leases = Json::array();
-    for (auto const& [slice, l] : leases_.held()) leases.push_back({{"service", slice.first}, {"slice", slice.second}, {"instance", l.instance}, {"epoch", l.epoch}, {"in_flight", l.in_flight}});
+    for (auto const& [slice, l] : leases_.held()) leases.push_back({{"service", slice.service}, {"mapping", slice.mapping}, {"slice", slice.slice}, {"wanted", l.wanted}, {"ends_in_ms", as_ms(l.until - w_.now())}, {"instance", l.instance}, {"epoch", l.epoch}, {"in_flight", l.in_flight}});
     j["leases"] = leases;
+    Json local = Json::array();
+    for (auto const& [key, l] : local_) local.push_back({{"service", key.first}, {"instance", key.second}, {"port", l.record.port}, {"burden", l.record.burden}, {"in_flight", l.in_flight}, {"standing", l.refused ? "refusing" : w_.now() - l.beaten > s_.beat_expiry ? "silent" : standing_name(l.record.standing)}});
+    j["local"] = local;
+    j["mishaps"] = noted_.last();
     return j;
   }
 
@@ -212,6 +212,7 @@
     Instant beaten{};
     std::uint32_t in_flight = 0;
     bool refused = false;  // connections were refused since its last beat
+    bool probing = false;
   };
 
   struct Target {
@@ -226,22 +227,36 @@
   HttpReply dropped(CallChart& chart, std::uint64_t const id, Rules const& rules, std::string const& service, std::uint16_t const status, Mishap const& m) {
     chart.step(CallState::dropped);
     bool const unknown = m.proof == Proof::unknown;
-    record(id, chart, "drop", service, m, rules.routing);
+    record(id, chart, "drop", service, m, rules);
     HttpReply reply = json_reply(status, {{"error", m.reason}, {"outcome", unknown ? "unknown" : "not-run"}, {"step", m.step}, {"peer", m.peer}});
     reply.headers.push_back({"banktide-outcome", unknown ? "unknown" : "not-run"});
-    if (status >= 500 || status == 429) reply.headers.push_back({"Retry-After", "1"});
+    if ((status >= 500 || status == 429) && !broken_on_purpose("no_retry_after")) reply.headers.push_back({"Retry-After", "1"});
     return reply;
   }
 
-  void record(std::uint64_t const id, CallChart const& chart, char const* const decision, std::string const& service, Mishap const& m, Revision const routing) {
-    journal_.append(CallEvent{as_ms(w_.now() - started_), id, state_name(chart.state()), decision, service, m.reason, m.step, m.peer, routing});
+  void record(std::uint64_t const id, CallChart const& chart, char const* const decision, std::string const& service, Mishap const& m, Rules const& rules, Carry const* const c = nullptr, std::string const& cell = "") {
+    CallEvent e;
+    e.at_ms = as_ms(w_.now() - started_);
+    e.call = id;
+    e.state = state_name(chart.state());
+    e.decision = decision;
+    e.service = service;
+    e.reason = m.reason;
+    e.step = m.step;
+    e.peer = m.peer;
+    e.cell = cell.empty() ? s_.cell : cell;
+    e.keyed = c != nullptr && c->keyed;
+    e.slice = e.keyed ? c->slice : 0;
+    e.routing = rules.routing;
+    e.catalogue = rules.catalogue_revision;
+    journal_.append(std::move(e));
   }
 
   Task<HttpReply> tries(CallChart& chart, std::uint64_t const id, Rules const& rules, Choice const& choice, Carry carry, bool const repeatable, Instant const deadline) {
     std::set<std::string> tried;
     Mishap last{"pick", s_.cell, "no usable backend", Proof::not_run};
     bool maybe_ran = false;
-    for (int n = 0; n < 4; ++n) {
+    for (int n = 0; n < (broken_on_purpose("no_budget") ? 12 : 4); ++n) {
       chart.step(CallState::picking);
       std::optional<Target> const t = pick_target(carry.service, carry.keyed, carry.slice, choice, tried, true);
       std::int64_t const left = as_ms(deadline - w_.now());
@@ -249,7 +264,7 @@
         if (t) last = Mishap{"pick", s_.cell, "deadline", Proof::not_run};
         break;
       }
-      if (n == 0) {
+      if (n == 0 || broken_on_purpose("no_budget")) {
         budget_.first(w_.now());
       } else if (!budget_.extra(w_.now())) {
         last.reason += "; retry budget spent";
@@ -262,28 +277,45 @@
       carry.crossed = t->instance.empty();
       carry.budget_ms = static_cast<std::uint32_t>(left);
       chart.step(CallState::carrying);
-      record(id, chart, carry.crossed ? "cross" : "stay", carry.service, Mishap{"carry", t->node, choice.settled ? "catalogue" : "local first", Proof::unknown}, rules.routing);
+      record(id, chart, carry.crossed ? "cross" : "stay", carry.service, Mishap{"carry", t->node, n > 0 ? "after a failed try" : choice.home ? "home of the slice" : choice.settled ? "catalogue" : carry.crossed ? "no usable backend here" : "local first", Proof::unknown}, rules, &carry, t->cell);
       CarryReply r = co_await carry_to(*t, carry, deadline);
       chart.step(CallState::waiting);
       if (r.outcome == Outcome::answered) {
         chart.step(CallState::answered);
-        record(id, chart, carry.crossed ? "cross" : "stay", carry.service, Mishap{"answer", t->node, std::to_string(r.reply.status), Proof::unknown}, rules.routing);
+        record(id, chart, carry.crossed ? "cross" : "stay", carry.service, Mishap{"answer", t->node, std::to_string(r.reply.status), Proof::unknown}, rules, &carry, t->cell);
         r.reply.headers.push_back({"banktide-outcome", "answered"});
+        if (broken_on_purpose("swaps_answers") && w_.chance()() % 50 == 0) std::swap(r.reply.body, swapped_);
         co_return std::move(r.reply);
       }
       last = Mishap{r.step, r.peer.empty() ? t->node : r.peer, r.reason, r.outcome == Outcome::not_run ? Proof::not_run : Proof::unknown};
       note("carry", last);
       if (r.outcome == Outcome::unknown) {
         maybe_ran = true;
-        if (!repeatable) break;
+        if (!repeatable && !broken_on_purpose("tries_unknown_again")) break;
       }
       if (r.step == "lease") break;  // nobody else may have the slice either
     }
+    if (broken_on_purpose("calls_unknown_not_run")) maybe_ran = false;
     if (maybe_ran) last.proof = Proof::unknown;
     co_return dropped(chart, id, rules, carry.service, maybe_ran ? 504 : 503, last);
   }
 
+  // The cells that have a backend of the service, by this view.
+  std::set<std::string> offering(std::string const& service, Instant const now) const {
+    std::set<std::string> cells;
+    for (auto it = view_.backends.lower_bound({service, ""}); it != view_.backends.end() && it->first.first == service && cells.empty(); ++it)
+      if (fit(it->second, now)) cells.insert(s_.cell);
+    for (auto const& [name, c] : view_.cells)
+      if (name != s_.cell && !c.gateways.empty() && std::find(c.offers.begin(), c.offers.end(), service) != c.offers.end()) cells.insert(name);
+    return cells;
+  }
+
+  Choice choose(Rules const& rules, Index const service, std::uint32_t const slice) const {
+    return choose_cells(rules.layout, rules.catalogue, s_.cell, service, slice, [&] { return offering(rules.layout.services[service].name, w_.now()); });
+  }
+
   bool fit(BackendRecord const& b, Instant const now) const {
+    if (broken_on_purpose("drain_unheard")) return view_.usable_node(b.node);
     if (b.standing != Standing::fit || !view_.usable_node(b.node)) return false;
     auto const d = drained_.find({b.service, b.instance});
     if (d != drained_.end() && now < d->second) return false;
@@ -294,7 +326,7 @@
     return true;
   }
 
-  bool usable(Local const& l, Instant const now) const { return l.record.standing == Standing::fit && !l.refused && now - l.beaten <= s_.beat_expiry; }
+  bool usable(Local const& l, Instant const now) const { return (l.record.standing == Standing::fit || broken_on_purpose("drain_unheard")) && !l.refused && now - l.beaten <= s_.beat_expiry; }
 
   // The one backend of the cell that should have the slice, by this view.
   BackendRecord const* owner_of(std::string const& service, std::uint32_t const slice, Instant const now) const {
@@ -324,7 +356,7 @@
       if (tried.contains(t.mark)) return std::nullopt;
       return t;
     }
-    if (choice.stay) {
+    if (choice.stay && !(broken_on_purpose("crosses_first") && may_cross && !view_.cells.empty())) {
       for (auto it = view_.backends.lower_bound({service, ""}); it != view_.backends.end() && it->first.first == service; ++it) {
         BackendRecord const& b = it->second;
         if (!fit(b, now)) continue;
@@ -368,7 +400,10 @@
     if (t.node == s_.address && !t.instance.empty()) {
       r = co_await execute(c);
     } else {
-      Result<CarryReply> got = co_await ask(w_, t.node, c, deadline + 20ms);
+      Carry stamped = c;
+      stamped.sender = holder_;
+      stamped.sent_us = std::chrono::duration_cast<std::chrono::microseconds>(w_.now().time_since_epoch()).count();
+      Result<CarryReply> got = co_await ask(w_, t.node, std::move(stamped), deadline + 20ms);
       if (got) {
         r = std::move(*got);
       } else {
@@ -395,12 +430,24 @@
 
   // ---- a call carried here by another node
 
+  // How long this process was frozen, if it has only just woken.
+  Duration overslept() const {
+    Duration const since = w_.now() - tick_;
+    if (since > 400ms) return since;
+    return w_.now() < waking_until_ ? slept_ : Duration{};
+  }
+
   static CarryReply not_run(std::string step, std::string peer, std::string reason) { return CarryReply{Outcome::not_run, {}, std::move(step), std::move(peer), std::move(reason)}; }
 
   Task<CarryReply> carried(Carry c) {
     if (!fresh_) co_return not_run("admit", s_.id, "node is not ready");
     if (refusing_carried()) co_return not_run("admit", s_.id, "node is leaving");
     if (carried_in_flight_ >= 4096) co_return not_run("admit", s_.id, "backlog full");
+    // What it lost on its way, in a frozen process or a held-up link, is gone
+    // from its time; past its deadline it doesn't run.
+    std::int64_t const late = broken_on_purpose("runs_late") ? 0 : as_ms(transit_.late(c.sender, c.sent_us, w_.now()).value_or(overslept()));
+    if (late >= static_cast<std::int64_t>(c.budget_ms)) co_return not_run("admit", s_.id, "came after its deadline");
+    c.budget_ms -= static_cast<std::uint32_t>(late);
     ++carried_in_flight_;
     CarryReply r;
     if (!c.instance.empty()) r = co_await execute(std::move(c));
@@ -415,7 +462,7 @@
     std::shared_ptr<Rules const> const rules = rules_;
     Index const s = rules->layout.service_names.find(c.service);
     if (s == no_index) co_return not_run("gateway", s_.id, "service is in no layout here");
-    Choice const choice = choose_cells(rules->layout, rules->catalogue, s_.cell, s, c.slice);
+    Choice const choice = choose(*rules, s, c.slice);
     if (!choice.stay) co_return not_run("gateway", s_.id, "the catalogue here has it elsewhere");
     std::optional<Target> const t = pick_target(c.service, c.keyed, c.slice, choice, {}, false);
     if (!t) co_return not_run("pick", s_.cell, "no usable backend");
@@ -429,11 +476,17 @@
     Instant const now = w_.now();
     Instant const deadline = now + std::chrono::milliseconds(c.budget_ms);
     std::pair<std::string, std::string> const key{c.service, c.instance};
-    if (rules_->layout.service_names.find(c.service) == no_index) co_return not_run("backend", s_.id, "service is in no layout here");
+    Index const s = rules_->layout.service_names.find(c.service);
+    if (s == no_index) co_return not_run("backend", s_.id, "service is in no layout here");
+    Service const& service = rules_->layout.services[s];
+    std::string const named = service.keyed() ? header_of(c.request, service.key_header) : "";
+    if (service.keyed() != c.keyed || (c.keyed && (named.empty() || service.slice_of(named) != c.slice))) co_return not_run("slice", s_.id, "layouts differ on the key's slice");
+    Choice const choice = choose(*rules_, s, c.slice);
+    if (!choice.stay && !choice.home && !broken_on_purpose("old_catalogue")) co_return not_run("catalogue", s_.id, "the catalogue here has it elsewhere");
     auto const it = local_.find(key);
     if (it == local_.end() || !usable(it->second, now)) co_return not_run("backend", s_.id, "backend is gone, leaving or silent");
     if (it->second.in_flight >= s_.backend_limit) co_return not_run("backlog", s_.id, "backend has its fill");
-    typename SliceLeases<W>::Slice const slice{c.service, c.slice};
+    Slice const slice{c.service, service.mapping(), c.slice};
     std::uint64_t epoch = 0;
     if (c.keyed) {
       auto const lease = leases_.held().find(slice);
@@ -488,7 +541,8 @@
 
   Task<void> spread_drain(BackendRecord const b) {
     log_info("drain", {{"service", b.service}, {"instance", b.instance}});
-    for (int i = 0; i < 4; ++i) {
+    std::pair<std::string, std::string> const key{b.service, b.instance};
+    for (int i = 0; i < 60 && local_.contains(key) && !broken_on_purpose("drain_unheard"); ++i) {
       for (auto const& [id, m] : view_.members)
         if (id != s_.id && m.role != Role::registry) tell(w_, m.address, Drain{b});
       co_await sleep_for(w_, 250ms);
@@ -569,6 +623,7 @@
     bool changed = false;
     for (auto const& [r, h] : newer) {
       if (static_cast<std::uint8_t>(r) > 1) continue;
+      if (broken_on_purpose("old_catalogue") && r == Register::catalogue && held_[1].revision > 0) continue;
       Held& mine = held_[static_cast<std::size_t>(r)];
       if (h.revision <= mine.revision || digest_of(h.bytes) != h.digest) continue;
       mine = h;
@@ -588,7 +643,7 @@
       next->routing = routing.revision;
     }
     if (catalogue.revision > 0) {
-      Result<Catalogue> c = Catalogue::read(catalogue.bytes, next->layout);
+      Result<Catalogue> c = Catalogue::read(catalogue.bytes, next->layout, true);
       if (c) next->catalogue = std::move(*c);
       else note("catalogue", c.error());
       next->catalogue_revision = catalogue.revision;
@@ -664,7 +719,7 @@
       take_layouts(r->newer);
       known = true;
     }
-    if (known) fresh_ = true;
+    if (known || (broken_on_purpose("serves_unchecked") && held_[0].revision > 0)) fresh_ = true;
     co_return known;
   }
 
@@ -681,7 +736,7 @@
       bool const followed = !own.empty() && co_await catch_up(own);
       std::vector<Address> from, others;
       for (RegistryEntry const& e : directory_) (e.cell == s_.cell ? from : others).push_back(e.address);
-      if (!followed || unvouched) from.insert(from.end(), others.begin(), others.end());
+      if ((!followed || unvouched) && !broken_on_purpose("own_registry_only")) from.insert(from.end(), others.begin(), others.end());
       bool const layouts = co_await catch_up_layouts(from);
       if (!followed && !viewed_ && !others.empty() && w_.now() - started_ > 3s) co_await borrow_view(others[w_.chance()() % others.size()]);
       co_await sleep_for(w_, followed && layouts ? 20ms : 150ms);
@@ -756,41 +811,49 @@
   // A port at which nobody listens has lost its backend: nothing goes there
   // until an instance beats from it again, so that whoever comes to the address
   // next is not called in the old one's name.
+  // Each backend has a probe of its own, so that one that hangs delays no other.
   Task<void> keep_probing() {
     while (true) {
       co_await sleep_for(w_, 100ms);
-      std::vector<std::pair<std::string, std::string>> keys;
-      for (auto const& [key, l] : local_)
-        if (!l.refused) keys.push_back(key);
-      for (std::pair<std::string, std::string> const& key : keys) {
-        auto it = local_.find(key);
-        if (it == local_.end()) continue;
-        Instant const beaten = it->second.beaten;
-        bool const listens = co_await edge_.listens(it->second.record.port);
-        it = local_.find(key);
-        if (listens || it == local_.end() || it->second.refused || it->second.beaten != beaten) continue;
-        it->second.refused = true;
-        log_info("backend_refuses", {{"service", key.first}, {"instance", key.second}});
-        touch();
+      if (w_.now() - tick_ > 400ms) {
+        slept_ = w_.now() - tick_;
+        waking_until_ = w_.now() + 200ms;
+      }
+      tick_ = w_.now();
+      for (auto& [key, l] : local_) {
+        if (l.refused || l.probing || broken_on_purpose("no_probe")) continue;
+        l.probing = true;
+        spawn(w_, probe(key, l.record.port, l.beaten));
       }
     }
   }
 
+  Task<void> probe(std::pair<std::string, std::string> const key, std::uint16_t const port, Instant const beaten) {
+    bool const listens = co_await edge_.listens(port);
+    auto const it = local_.find(key);
+    if (it == local_.end()) co_return;
+    it->second.probing = false;
+    if (listens || it->second.refused || it->second.beaten != beaten) co_return;
+    it->second.refused = true;
+    log_info("backend_refuses", {{"service", key.first}, {"instance", key.second}});
+    touch();
+  }
+
   // ---- leases
 
   Task<void> keep_leases() {
     while (true) {
       co_await sleep_for(w_, 400ms);
       if (!fresh_) continue;
-      std::map<typename SliceLeases<W>::Slice, std::string> wanted;
+      std::map<Slice, std::string> wanted;
       std::shared_ptr<Rules const> const rules = rules_;
       Instant const now = w_.now();
       for (Index s = 0; s < rules->layout.services.size() && !leaving_; ++s) {
         Service const& service = rules->layout.services[s];
         for (std::uint32_t slice = 0; slice < service.slices; ++slice) {
-          if (!choose_cells(rules->layout, rules->catalogue, s_.cell, s, slice).stay) continue;
+          if (!choose(*rules, s, slice).stay) continue;
           BackendRecord const* const owner = owner_of(service.name, slice, now);
-          if (owner != nullptr && owner->node == s_.id) wanted[{service.name, slice}] = owner->instance;
+          if (owner != nullptr && owner->node == s_.id) wanted[Slice{service.name, service.mapping(), slice}] = owner->instance;
         }
       }
       std::vector<Address> registries;
@@ -818,8 +881,11 @@
   B& edge_;
   ProxySettings const s_;
   SliceLeases<W> leases_;
+  std::uint64_t const life_;
   std::string const holder_;
   Instant const started_;
+  Instant tick_, waking_until_{};
+  Duration slept_{};
   typename W::Alarm join_alarm_{w_}, fresh_alarm_{w_};
   std::shared_ptr<Rules const> rules_ = std::make_shared<Rules>();
   std::array<Held, 2> held_;
@@ -831,7 +897,9 @@
   std::vector<RegistryEntry> directory_;
   Marks marks_;
   RetryBudget budget_;
-  Journal<CallEvent> journal_{8192};
+  Transit transit_;
+  std::string swapped_;
+  Decisions journal_;
   Journal<Noted> noted_{256};
   std::uint64_t last_call_ = 0, extra_tries_ = 0, incarnation_ = 1, pulse_ = 0, pulse_epoch_ = 0;
   std::size_t calls_in_flight_ = 0, carried_in_flight_ = 0;
--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -8,9 +8,11 @@
 #include "coordination/lease_voter.hpp"
 #include "coordination/register_client.hpp"
 #include "coordination/ring.hpp"
+#include "state/catalogue_edit.hpp"
 #include "state/cell_view.hpp"
 #include "state/journal.hpp"
 #include "state/layout.hpp"
+#include "state/slice_moves.hpp"
 
 #include <map>
 
@@ -67,6 +69,33 @@
   return j;
 }
 
+struct Proposal {
+  Register reg{};
+  std::string bytes;
+  std::optional<Json> change;  // to the newest catalogue, in place of bytes
+  std::string match, request;
+};
+
+struct Verdict {
+  Register reg{};
+  std::uint16_t status = 0;
+  std::string word;  // acknowledged, refused, not-taken or unknown
+  Revision revision = 0;
+  std::string request;
+  Mishap mishap;
+
+  Json json() const {
+    Json j = {{"register", register_name(reg)}, {"request", request}, {"verdict", word}};
+    if (revision > 0) j["revision"] = revision;
+    if (word == "acknowledged") return j;
+    j["step"] = mishap.step;
+    j[word == "refused" ? "pointer" : "peer"] = mishap.peer;
+    j["error"] = mishap.reason;
+    if (word == "unknown") j["advice"] = "ask with GET, or repeat with the same banktide-request";
+    return j;
+  }
+};
+
 template <Surroundings W>
 class Registry {
  public:
@@ -85,9 +114,12 @@
     desk.on<CellTold>([this](CellTold q) { return cell_told(std::move(q)); });
     desk.on<Chosen>([this](Chosen q) { return chosen(std::move(q)); });
     desk.on<LeaseAsk>([this](LeaseAsk q) { return lease(std::move(q)); });
+    desk.on<DecisionsAsk>([this](DecisionsAsk q) { return decisions(std::move(q)); });
+    desk.on<StateAsk>([this](StateAsk q) { return state(q); });
     learn({RegistryEntry{s_.cell, s_.address}});
     spawn(w_, keep_meeting());
     spawn(w_, keep_reading());
+    spawn(w_, find_floor());
     spawn(w_, keep_pulsing());
     spawn(w_, keep_watching());
   }
@@ -97,6 +129,167 @@
   CellView const& view() const { return view_; }
   Held const& held(Register const r) const { return held_[static_cast<std::size_t>(r)]; }
 
+  // What an operator proposes, through whichever door: whole bytes of a
+  // register, or a change to the newest catalogue.
+  Task<Verdict> propose(Proposal p) {
+    Verdict v;
+    v.reg = p.reg;
+    if (p.request.size() > 128) co_return refused(v, 400, Mishap{"check_request", "", "banktide-request is over 128 bytes", Proof::not_run});
+    if (p.request.empty()) p.request = "auto-" + std::to_string(w_.chance()()) + std::to_string(w_.chance()());
+    v.request = p.request;
+    std::optional<Revision> expected;
+    if (!p.match.empty()) {
+      std::string const digits = p.match.size() > 2 && p.match.front() == '"' && p.match.back() == '"' ? p.match.substr(1, p.match.size() - 2) : p.match;
+      if (digits.empty() || digits.size() > 19 || digits.find_first_not_of("0123456789") != std::string::npos) co_return refused(v, 400, Mishap{"check_if_match", "", "If-Match must be a revision", Proof::not_run});
+      expected = std::stoull(digits);
+    }
+    Layout layout;
+    if (broken_on_purpose("takes_bad_revisions")) {
+    } else if (p.reg == Register::routing) {
+      Result<Layout> const l = Layout::read(p.bytes);
+      if (!l) co_return bad_revision(v, l.error());
+      Result<Held> const catalogue = co_await register_.read(Register::catalogue, held(Register::catalogue), w_.now() + 2s);
+      if (!catalogue) co_return not_taken(v, catalogue.error());
+      take(Register::catalogue, *catalogue);
+      Result<Catalogue> const c = catalogue->revision > 0 ? Catalogue::read(catalogue->bytes, *l) : Result<Catalogue>(Catalogue{});
+      if (!c) co_return bad_revision(v, Mishap{"check_catalogue", c.error().peer, "catalogue revision " + std::to_string(catalogue->revision) + " would not fit: " + c.error().reason, Proof::not_run});
+    } else {
+      Result<Held> const routing = co_await register_.read(Register::routing, held(Register::routing), w_.now() + 2s);
+      if (!routing) co_return not_taken(v, routing.error());
+      if (routing->revision == 0) co_return bad_revision(v, Mishap{"check_references", "", "there is no routing revision yet", Proof::not_run});
+      take(Register::routing, *routing);
+      Result<Layout> l = Layout::read(routing->bytes);
+      if (!l) co_return bad_revision(v, l.error());
+      layout = std::move(*l);
+      Result<Catalogue> const c = p.change ? Result<Catalogue>(Catalogue{}) : Catalogue::read(p.bytes, layout);
+      if (!c) co_return bad_revision(v, c.error());
+    }
+    Revision newest = 0;
+    Result<Held> done = co_await register_.change(p.reg, p.request, w_.now() + 5s, [&](Held const& now) -> Result<Held> {
+      newest = now.revision;
+      if (expected && *expected != now.revision) return mishap("check_if_match", "", "the newest revision is " + std::to_string(now.revision), Proof::not_run);
+      Held next = now;
+      if (p.change) {
+        Result<std::string> edited = edit_catalogue(now.bytes, *p.change, layout);
+        if (!edited) return tl::unexpected<Mishap>(edited.error());
+        next.bytes = std::move(*edited);
+      } else {
+        next.bytes = p.bytes;
+      }
+      next.revision = now.revision + 1;
+      next.digest = digest_of(next.bytes);
+      return next;
+    });
+    v.revision = newest;
+    bool const checked = !done && done.error().step.starts_with("check_") && done.error().proof == Proof::not_run;
+    if (checked && done.error().step == "check_if_match") co_return refused(v, 412, done.error());
+    if (checked) co_return bad_revision(v, done.error());
+    if (!done) {
+      note("put_" + register_name(p.reg), done.error());
+      bool const nothing = done.error().proof == Proof::not_run;
+      v.status = nothing ? 503 : 504;
+      v.word = nothing ? "not-taken" : "unknown";
+      v.mishap = done.error();
+      co_return v;
+    }
+    take(p.reg, *done);
+    for (RegistryEntry const& e : directory_)
+      if (e.address != s_.address) tell(w_, e.address, Chosen{p.reg, *done});
+    v.revision = done->revision;
+    for (auto const& [id, revision] : done->requests)
+      if (id == p.request) v.revision = revision;
+    v.status = 200;
+    v.word = "acknowledged";
+    log_info("revision_acknowledged", {{"register", register_name(p.reg)}, {"revision", std::to_string(v.revision)}, {"request", p.request}});
+    co_return v;
+  }
+
+  bool leaving() const { return leaving_; }
+  W& world() { return w_; }
+  std::vector<RegistryEntry> const& directory() const { return directory_; }
+  Address const& address() const { return s_.address; }
+
+  // Decisions of this cell's nodes, as far as they answer in time.
+  Task<DecisionsReply> decisions(DecisionsAsk q) {
+    std::vector<Address> nodes;
+    std::vector<std::string> ids;
+    for (auto const& [id, m] : view_.members)
+      if (m.role != Role::registry) {
+        nodes.push_back(m.address);
+        ids.push_back(id);
+      }
+    auto replies = co_await ask_all<DecisionsAsk>(w_, nodes, q, w_.now() + 250ms, [](auto const&) { return false; });
+    DecisionsReply all;
+    for (auto& [i, r] : replies)
+      if (r) merge(all, std::move(*r));
+    co_return all;
+  }
+  static void merge(DecisionsReply& all, DecisionsReply more) {
+    all.events.insert(all.events.end(), std::make_move_iterator(more.events.begin()), std::make_move_iterator(more.events.end()));
+    all.gaps.insert(all.gaps.end(), more.gaps.begin(), more.gaps.end());
+    all.next.insert(more.next.begin(), more.next.end());
+  }
+
+  // This cell as its registry sees it, with every node's own state.
+  Task<StateReply> state(StateAsk q) {
+    Json j = {{"registry", s_.id}, {"cell", s_.cell}, {"epoch", epoch_}, {"position", journal_.last()}, {"routing", held(Register::routing).revision}, {"catalogue", held(Register::catalogue).revision}, {"vouched", vouched()}, {"ready", ready()}, {"nodes", Json::array()}, {"silent", Json::array()}, {"grants", Json::array()}};
+    for (auto const& [slice, g] : lease_.grants())
+      if (g.until > w_.now()) j["grants"].push_back({{"service", slice.service}, {"mapping", slice.mapping}, {"slice", slice.slice}, {"holder", g.holder}, {"epoch", g.epoch}, {"ends_in_ms", as_ms(g.until - w_.now())}});
+    if (q.with_nodes) {
+      std::vector<Address> nodes;
+      std::vector<std::string> ids;
+      for (auto const& [id, m] : view_.members)
+        if (m.role != Role::registry) {
+          nodes.push_back(m.address);
+          ids.push_back(id);
+        }
+      StateAsk const question{false};
+      auto const replies = co_await ask_all<StateAsk>(w_, nodes, question, w_.now() + 400ms, [](auto const&) { return false; });
+      std::set<std::string> silent(ids.begin(), ids.end());
+      for (auto const& [i, r] : replies) {
+        Json const node = r ? Json::parse(r->json, nullptr, false) : Json();
+        if (!node.is_object()) continue;
+        j["nodes"].push_back(node);
+        silent.erase(ids[i]);
+      }
+      j["silent"] = silent;
+    }
+    co_return StateReply{j.dump()};
+  }
+
+  // Every cell's state, from its own registry; a cell that doesn't answer is
+  // named as silent.
+  Task<Json> whole_fleet() {
+    std::vector<Address> others;
+    std::set<std::string> silent;
+    for (RegistryEntry const& e : directory_)
+      if (e.address != s_.address) {
+        others.push_back(e.address);
+        silent.insert(e.cell);
+      }
+    StateAsk const question{true};
+    auto const replies = co_await ask_all<StateAsk>(w_, others, question, w_.now() + 800ms, [](auto const&) { return false; });
+    StateReply const own = co_await state(question);
+    Json j = {{"cells", Json::array({Json::parse(own.json)})}};
+    for (auto const& [i, r] : replies) {
+      Json const cell = r ? Json::parse(r->json, nullptr, false) : Json();
+      if (!cell.is_object() || !cell.contains("cell")) continue;
+      silent.erase(cell["cell"].get<std::string>());
+      j["cells"].push_back(cell);
+    }
+    j["silent"] = silent;
+    co_return j;
+  }
+
+  // Where each slice is, where it should be, and what it waits for.
+  Task<Json> moves() {
+    Json const fleet = co_await whole_fleet();
+    Result<Layout> const layout = Layout::read(held(Register::routing).bytes);
+    if (!layout) co_return Json{{"slices", Json::array()}, {"error", "there is no routing revision yet"}};
+    Result<Catalogue> const catalogue = held(Register::catalogue).revision > 0 ? Catalogue::read(held(Register::catalogue).bytes, *layout, true) : Result<Catalogue>(Catalogue{});
+    co_return slice_moves(fleet, *layout, catalogue ? *catalogue : Catalogue{});
+  }
+
   // The operator's interface.
   Task<HttpReply> operate(HttpRequest q) {
     std::string const path = q.target.substr(0, q.target.find('?'));
@@ -104,6 +297,8 @@
     if (path == "/ready") co_return json_reply(ready() ? 200 : 503, {{"ready", ready()}, {"vouched", vouched()}, {"warm", warm()}, {"leaving", leaving_}});
     if (path == "/fleet" && q.method == "GET") co_return json_reply(200, fleet());
     if (path == "/mishaps" && q.method == "GET") co_return json_reply(200, mishaps());
+    if (path == "/nodes" && q.method == "GET") co_return json_reply(200, co_await whole_fleet());
+    if (path == "/moves" && q.method == "GET") co_return json_reply(200, co_await moves());
     for (Register const r : all_registers) {
       if (path != "/" + register_name(r)) continue;
       if (q.method == "GET") co_return co_await get(r);
@@ -149,62 +344,30 @@
   }
 
   Task<HttpReply> put(Register const r, HttpRequest q) {
-    Result<Held> routing = Held{};
-    if (r == Register::routing) {
-      Result<Layout> const l = Layout::read(q.body);
-      if (!l) co_return bad_revision(l.error());
-    } else {
-      routing = co_await register_.read(Register::routing, held(Register::routing), w_.now() + 2s);
-      if (!routing) co_return not_vouched(routing.error());
-      if (routing->revision == 0) co_return bad_revision(Mishap{"check_references", "", "there is no routing revision yet", Proof::not_run});
-      take(Register::routing, *routing);
-      Result<Layout> const l = Layout::read(routing->bytes);
-      Result<Catalogue> const c = l ? Catalogue::read(q.body, *l) : Result<Catalogue>(tl::unexpected<Mishap>(l.error()));
-      if (!c) co_return bad_revision(c.error());
-    }
-    std::string const match = header_of(q, "If-Match");
-    std::optional<Revision> expected;
-    if (!match.empty()) {
-      std::string digits = match.size() > 2 && match.front() == '"' && match.back() == '"' ? match.substr(1, match.size() - 2) : match;
-      if (digits.empty() || digits.size() > 19 || digits.find_first_not_of("0123456789") != std::string::npos) co_return json_reply(400, {{"error", "If-Match must be a revision"}, {"step", "check_if_match"}});
-      expected = std::stoull(digits);
-    }
-    std::string request = header_of(q, "banktide-request");
-    if (request.size() > 128) co_return json_reply(400, {{"error", "banktide-request is over 128 bytes"}, {"step", "check_request"}});
-    if (request.empty()) request = "auto-" + std::to_string(w_.chance()()) + std::to_string(w_.chance()());
-    Revision newest = 0;
-    Result<Held> done = co_await register_.change(r, request, w_.now() + 5s, [&](Held const& now) -> Result<Held> {
-      newest = now.revision;
-      if (expected && *expected != now.revision) return mishap("check_if_match", "", "the newest revision is " + std::to_string(now.revision), Proof::not_run);
-      Held next = now;
-      next.revision = now.revision + 1;
-      next.bytes = q.body;
-      next.digest = digest_of(q.body);
-      return next;
-    });
-    if (!done && done.error().step == "check_if_match" && done.error().proof == Proof::not_run) co_return json_reply(412, {{"error", done.error().reason}, {"step", "check_if_match"}, {"revision", newest}});
-    if (!done) {
-      note("put_" + register_name(r), done.error());
-      bool const nothing = done.error().proof == Proof::not_run;
-      HttpReply reply = json_reply(nothing ? 503 : 504, {{"error", nothing ? "not taken: no majority" : "outcome unknown: ask with GET, or repeat with the same banktide-request"}, {"outcome", nothing ? "not-taken" : "unknown"}, {"request", request}, {"step", done.error().step}, {"peer", done.error().peer}, {"reason", done.error().reason}});
-      reply.headers.push_back({"Retry-After", "1"});
-      co_return reply;
-    }
-    take(r, *done);
-    for (RegistryEntry const& e : directory_)
-      if (e.address != s_.address) tell(w_, e.address, Chosen{r, *done});
-    Revision mine = done->revision;
-    for (auto const& [id, revision] : done->requests)
-      if (id == request) mine = revision;
-    log_info("revision_acknowledged", {{"register", register_name(r)}, {"revision", std::to_string(mine)}, {"request", request}});
-    HttpReply reply = json_reply(200, {{"register", register_name(r)}, {"revision", mine}, {"request", request}});
-    reply.headers.push_back({"ETag", quoted(mine)});
+    Proposal proposal{r, std::move(q.body), std::nullopt, header_of(q, "If-Match"), header_of(q, "banktide-request")};
+    Verdict const v = co_await propose(std::move(proposal));
+    HttpReply reply = json_reply(v.status, v.json());
+    if (v.status == 200) reply.headers.push_back({"ETag", quoted(v.revision)});
+    if (v.status >= 500) reply.headers.push_back({"Retry-After", "1"});
     co_return reply;
   }
 
-  HttpReply bad_revision(Mishap const& m) {
+  static Verdict refused(Verdict v, std::uint16_t const status, Mishap const& m) {
+    v.status = status;
+    v.word = "refused";
+    v.mishap = m;
+    return v;
+  }
+  Verdict bad_revision(Verdict v, Mishap const& m) {
     note("bad_revision", m);
-    return json_reply(m.step == "check_size" ? 413 : m.step == "parse_json" ? 400 : 422, {{"error", m.reason}, {"step", m.step}, {"pointer", m.peer}});
+    return refused(std::move(v), m.step == "check_size" ? 413 : m.step == "parse_json" ? 400 : 422, m);
+  }
+  Verdict not_taken(Verdict v, Mishap const& m) {
+    note("register", m);
+    v.status = 503;
+    v.word = "not-taken";
+    v.mishap = m;
+    return v;
   }
 
   Json fleet() const {
@@ -275,6 +438,15 @@
   }
   bool vouched() const { return w_.now() - vouched_at_ < vouched_for; }
 
+  // Lease epochs go on from a number that the register has never given before.
+  Task<void> find_floor() {
+    while (!lease_.floored()) {
+      Result<std::uint64_t> const round = co_await register_.rise(Register::routing, w_.now() + 2s);
+      if (round) lease_.set_floor(broken_on_purpose("epochs_start_again") ? 1 : *round << 20);
+      else co_await sleep_for(w_, 200ms);
+    }
+  }
+
   Task<void> keep_reading() {
     while (true) {
       co_await read_all(1s);
--- a/source/programs/registry_main.cpp
+++ b/source/programs/registry_main.cpp
@@ -1,6 +1,6 @@
 // banktide-registry: the control plane of a cell, and the door for operators.
 #include "programs/process.hpp"
-#include "programs/registry.hpp"
+#include "programs/operator_streams.hpp"
 #include "transport/http_edge.hpp"
 
 using namespace banktide;
@@ -31,6 +31,10 @@
   }
   Registry<SocketWorld> registry(world, RegistrySettings{s.text("id"), s.text("cell"), *bound, s.list("seed"), s.list("voter")});
   HttpListener operators(world.io(), s.text("operator"), [&](HttpRequest q) { return registry.operate(std::move(q)); });
+  OperatorStreams<SocketWorld> streams(registry);
+  operators.on_lines_in("/changes", [&](HttpRequest q, LinesIn& in) { return streams.changes(std::move(q), in); });
+  operators.on_lines_out("/verdicts", [&](HttpRequest q, LinesOut& out) { return streams.verdicts(std::move(q), out); });
+  operators.on_lines_out("/decisions", [&](HttpRequest q, LinesOut& out) { return streams.decisions(std::move(q), out); });
   process.on_thread([&]() {
     world.serve(desk);
     registry.start(desk);
--- a/source/programs/settings.hpp
+++ b/source/programs/settings.hpp
@@ -29,11 +29,14 @@
   }
   void flag(std::string const& name, std::string const& what) { options_.add_options()(name.c_str(), po::value<bool>()->default_value(false)->implicit_value(true), what.c_str()); }
 
+  // Words without a flag belong to this list.
+  void trailing(std::string const& name) { trailing_.add(name.c_str(), -1); }
+
   // Reads; an exit code if the program should end now.
   std::optional<int> read(int const argc, char const* const* const argv) {
     std::vector<std::string> errors;
     try {
-      po::store(po::command_line_parser(argc, argv).options(options_).run(), values_);
+      po::store(po::command_line_parser(argc, argv).options(options_).positional(trailing_).run(), values_);
     } catch (po::error const& e) {
       errors.push_back(e.what());
     }
@@ -133,6 +136,7 @@
 
   std::string const program_;
   po::options_description options_;
+  po::positional_options_description trailing_;
   po::variables_map values_;
   std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> ranges_;
   std::vector<std::function<void(std::vector<std::string>&)>> checks_;
--- /dev/null
+++ b/source/programs/shell_main.cpp
@@ -0,0 +1,338 @@
+// banktide-shell: questions about the fleet's state, asked of any registry's
+// operator door, one-shot or line by line, as text or JSON; and the operators'
+// streams at a prompt. Exit codes: 0 answered, 1 not answered or refused, 2 a
+// question that it doesn't know.
+#include "programs/process.hpp"
+#include "transport/http_edge.hpp"
+
+#include <cpprest/rawptrstream.h>
+#include <histedit.h>
+#include <iomanip>
+#include <unistd.h>
+
+using namespace banktide;
+
+namespace {
+
+struct Question {
+  char const* name;
+  char const* target;
+  char const* rows;     // where in the answer its rows are
+  char const* columns;  // of the text
+  char const* what;
+};
+
+constexpr Question questions[] = {
+    {"members", "/fleet", "members", "id cell role standing incarnation address", "processes of the registry's cell"},
+    {"backends", "/fleet", "backends", "service instance node port burden standing", "backends of the registry's cell, with their burden"},
+    {"cells", "/fleet", "cells", "cell gateways offers", "the other cells, as this one sees them"},
+    {"nodes", "/nodes", "nodes", "node cell gateway ready routing catalogue mishaps", "every node, and the revisions it has in force"},
+    {"standings", "/nodes", "local", "cell node service instance standing burden in_flight", "every backend, as the node beside it knows it"},
+    {"leases", "/nodes", "leases", "cell node service slice instance epoch in_flight wanted ends_in_ms", "every slice's lease"},
+    {"budget", "/nodes", "budget", "cell node firsts extras extra_tries taken in_flight", "calls, and the extra tries of the last 10 s"},
+    {"moves", "/moves", "slices", "service slices should by cell node state in_flight waits_for", "where each slice is, and what a move waits for"},
+    {"ways", "/routing", "ways", "prefix service", "ways of the newest routing revision"},
+    {"routing", "/routing", "", "", "the newest routing revision, as it was sent"},
+    {"catalogue", "/catalogue", "", "", "the newest catalogue, as it was sent"},
+    {"mishaps", "/mishaps", "mishaps", "at_ms what step peer reason", "the registry's last mishaps"},
+};
+
+std::string cell_text(Json const& v) {
+  if (v.is_null()) return "-";
+  if (v.is_string()) return v.get<std::string>().empty() ? "-" : v.get<std::string>();
+  if (v.is_array() && v.size() == 2 && v[0].is_number() && v[1].is_number()) return v[0].dump() + ".." + v[1].dump();
+  if (v.is_array()) {
+    std::string out;
+    for (Json const& e : v) out += (out.empty() ? "" : ",") + (e.is_object() ? e.value("id", e.dump()) : cell_text(e));
+    return out.empty() ? "-" : out;
+  }
+  return v.dump();
+}
+
+// Rows of the whole fleet's state are spread over cells and nodes.
+Json rows_of(Json const& answer, std::string const& what) {
+  if (!answer.contains("cells") || answer.contains(what)) return answer.value(what, Json::array());
+  Json rows = Json::array();
+  for (Json const& cell : answer["cells"])
+    for (Json node : cell.value("nodes", Json::array())) {
+      if (what == "nodes") {
+        rows.push_back(node);
+        continue;
+      }
+      Json parts = node.value(what, Json::array());
+      if (parts.is_object()) {
+        parts.update(node.value("calls", Json::object()));
+        parts = Json::array({parts});
+      }
+      for (Json row : parts) {
+        row["node"] = node["node"];
+        row["cell"] = node["cell"];
+        rows.push_back(row);
+      }
+    }
+  return rows;
+}
+
+void print_table(Json const& rows, std::string const& columns) {
+  std::vector<std::string> names;
+  std::stringstream in(columns);
+  for (std::string c; in >> c;) names.push_back(c);
+  std::vector<std::vector<std::string>> lines{names};
+  for (Json const& row : rows) {
+    lines.emplace_back();
+    for (std::string const& c : names) lines.back().push_back(cell_text(row.contains(c) ? row[c] : Json()));
+  }
+  std::vector<std::size_t> widths(names.size(), 0);
+  for (std::vector<std::string> const& line : lines)
+    for (std::size_t i = 0; i < line.size(); ++i) widths[i] = std::max(widths[i], line[i].size());
+  for (std::vector<std::string> const& line : lines) {
+    std::string out;
+    for (std::size_t i = 0; i < line.size(); ++i) out += line[i] + (i + 1 < line.size() ? std::string(widths[i] - line[i].size() + 2, ' ') : "");
+    std::cout << out << "\n";
+  }
+}
+
+class Shell {
+ public:
+  Shell(Process& p, SocketWorld& w, std::vector<Address> doors, bool const json) : process_(p), world_(w), caller_(w), doors_(std::move(doors)), json_(json) {}
+
+  int run(std::vector<std::string> const& words) {
+    if (words.empty()) return 0;
+    if (words[0] == "help") return help();
+    if (words[0] == "decisions") return watch(words);
+    if (words[0] == "send") return send(words);
+    if (words[0] == "put") return put(words);
+    for (Question const& q : questions)
+      if (words[0] == q.name) return words.size() > 1 ? wrong(words[0] + " takes nothing more") : ask(q);
+    return wrong("no such question: " + words[0] + "; try help");
+  }
+
+ private:
+  int help() {
+    for (Question const& q : questions) std::cout << "  " << std::left << std::setw(11) << q.name << q.what << "\n";
+    std::cout << "  decisions [service=S] [decision=stay|cross|drop] [cell=C] [after=WORD] [lines=N]   calls as they are decided\n"
+                 "  send FILE|-         changes, a JSON object a line, each with its verdict as it falls\n"
+                 "  put routing|catalogue FILE   a whole new revision\n";
+    return 0;
+  }
+
+  int wrong(std::string const& why) {
+    std::cerr << "banktide-shell: " << why << "\n";
+    return 2;
+  }
+  int failed(std::string const& step, std::string const& peer, std::string const& why) {
+    std::cerr << "banktide-shell: " << log_line("mishap", {{"step", step}, {"peer", peer}, {"reason", why}}) << "\n";
+    return 1;
+  }
+
+  // The first door that answers.
+  Result<HttpReply> http(HttpRequest const& q) {
+    Result<HttpReply> r = mishap("connect", "", "no registry", Proof::not_run);
+    for (Address const& door : doors_) {
+      std::promise<Result<HttpReply>> p;
+      process_.on_thread([&]() {
+        asio::co_spawn(world_.executor(), caller_.run_at(door, q, world_.now() + 8s), [&](std::exception_ptr e, Result<HttpReply> got) { p.set_value(e ? Result<HttpReply>(mishap("http", door, "exception")) : std::move(got)); });
+        return true;
+      });
+      r = p.get_future().get();
+      door_ = door;
+      if (r || r.error().proof != Proof::not_run) break;
+    }
+    return r;
+  }
+
+  int ask(Question const& question) {
+    HttpRequest const q{"GET", question.target, {}, ""};
+    Result<HttpReply> const r = http(q);
+    if (!r) return failed(r.error().step, r.error().peer, r.error().reason);
+    if (r->status != 200) return failed("answer", door_, std::to_string(r->status) + " " + r->body);
+    std::string const rows = question.rows;
+    if (rows.empty()) {
+      std::cout << r->body << "\n";
+      return 0;
+    }
+    Json const answer = Json::parse(r->body, nullptr, false);
+    if (!answer.is_object()) return failed("read_answer", door_, "not an object");
+    Json const found = rows_of(answer, rows);
+    if (json_) std::cout << found.dump(1) << "\n";
+    else print_table(found, question.columns);
+    Json silent = answer.value("silent", Json::array());
+    for (Json const& cell : answer.value("cells", Json::array()))
+      for (Json const& s : cell.value("silent", Json::array())) silent.push_back(s);
+    for (Json const& s : silent) std::cerr << "banktide-shell: no answer from " << cell_text(s) << "\n";
+    return 0;
+  }
+
+  int put(std::vector<std::string> const& words) {
+    if (words.size() != 3 || (words[1] != "routing" && words[1] != "catalogue")) return wrong("put routing|catalogue FILE");
+    std::ifstream in(words[2]);
+    std::stringstream all;
+    all << in.rdbuf();
+    if (!in) return failed("read_file", words[2], "can't be read");
+    HttpRequest const q{"PUT", "/" + words[1], {{"Content-Type", "application/json"}}, all.str()};
+    Result<HttpReply> const r = http(q);
+    if (!r) return failed(r.error().step, r.error().peer, r.error().reason);
+    std::cout << r->body;
+    return r->status == 200 ? 0 : 1;
+  }
+
+  // A reply read line by line while it comes; `line` says whether to go on.
+  template <class F>
+  int read_lines(std::string const& target, F line) {
+    try {
+      web::http::client::http_client_config config;
+      config.set_timeout(std::chrono::hours(24));
+      web::http::client::http_client client(web::uri("http://" + doors_.front()), config);
+      web::http::http_response r = client.request(web::http::methods::GET, target).get();
+      if (r.status_code() != 200) return failed("answer", doors_.front(), std::to_string(r.status_code()) + " " + r.extract_utf8string(true).get());
+      concurrency::streams::streambuf<unsigned char> in = r.body().streambuf();
+      std::string held;
+      while (in.getc().get() >= 0) {
+        std::vector<unsigned char> raw(std::max<std::size_t>(1, std::min<std::size_t>(in.in_avail(), 65536)));
+        std::size_t const got = in.getn(raw.data(), raw.size()).get();
+        held.append(reinterpret_cast<char const*>(raw.data()), got);
+        for (std::size_t end = 0; (end = held.find('\n')) != std::string::npos; held.erase(0, end + 1))
+          if (!line(held.substr(0, end))) return 0;
+      }
+      return 0;
+    } catch (std::exception const& e) {
+      return failed("read_lines", doors_.front(), e.what());
+    }
+  }
+
+  int watch(std::vector<std::string> const& words) {
+    std::string query;
+    std::uint64_t left = 0;
+    for (std::size_t i = 1; i < words.size(); ++i) {
+      std::size_t const at = words[i].find('=');
+      std::string const name = words[i].substr(0, at);
+      if (at == std::string::npos) return wrong("decisions takes name=value");
+      if (name == "lines") left = std::strtoull(words[i].c_str() + at + 1, nullptr, 10);
+      else query += (query.empty() ? "?" : "&") + words[i];
+    }
+    bool const bounded = left > 0;
+    return read_lines("/decisions" + query, [&](std::string const& line) {
+      Json const j = Json::parse(line, nullptr, false);
+      if (json_) {
+        std::cout << line << "\n";
+      } else if (j.contains("pulse")) {
+        return true;
+      } else if (j.contains("gap")) {
+        std::cout << "gap " << j.value("node", "") << " " << (j.contains("lost") ? j["lost"].dump() + " lost" : j.value("reason", "")) << "\n";
+      } else {
+        std::cout << j.value("decision", "") << " " << j.value("service", "") << (j.contains("slice") ? "/" + j["slice"].dump() : "") << " at " << j.value("node", "") << " to " << j.value("cell", "") << " " << j.value("peer", "") << " routing " << j.value("routing", 0) << " catalogue " << j.value("catalogue", 0) << ": " << j.value("reason", "") << "\n";
+      }
+      std::cout.flush();
+      return !bounded || --left > 0;
+    });
+  }
+
+  // The library answers a request only when its body is over, so verdicts come
+  // over a second one.
+  int send(std::vector<std::string> const& words) {
+    if (words.size() != 2) return wrong("send FILE, or send - for standard input");
+    std::ifstream file;
+    if (words[1] != "-") {
+      file.open(words[1]);
+      if (!file) return failed("read_file", words[1], "can't be read");
+    }
+    std::istream& in = words[1] == "-" ? std::cin : file;
+    std::string const name = "shell-" + std::to_string(std::random_device{}()) + std::to_string(::getpid());
+    std::uint64_t refused = 0;
+    int out = 0;
+    std::thread verdicts([&] {
+      out = read_lines("/verdicts?stream=" + name, [&](std::string const& line) {
+        Json const j = Json::parse(line, nullptr, false);
+        if (j.contains("pulse")) return true;
+        refused += j.value("verdict", "") != "acknowledged";
+        std::cout << line << std::endl;
+        return true;
+      });
+    });
+    concurrency::streams::producer_consumer_buffer<unsigned char> body;
+    int code = 0;
+    try {
+      web::http::client::http_client_config config;
+      config.set_timeout(std::chrono::hours(24));
+      web::http::client::http_client client(web::uri("http://" + doors_.front()), config);
+      web::http::http_request q(web::http::methods::POST);
+      q.set_request_uri(web::uri("/changes?stream=" + name));
+      q.set_body(body.create_istream(), "application/x-ndjson");
+      pplx::task<web::http::http_response> sent = client.request(q);
+      for (std::string line; std::getline(in, line);) {
+        line += '\n';
+        body.putn_nocopy(reinterpret_cast<unsigned char const*>(line.data()), line.size()).wait();
+        body.sync().wait();
+      }
+      body.close(std::ios_base::out).wait();
+      web::http::http_response r = sent.get();
+      if (r.status_code() != 200) code = failed("send", doors_.front(), std::to_string(r.status_code()) + " " + r.extract_utf8string(true).get());
+    } catch (std::exception const& e) {
+      code = failed("send", doors_.front(), e.what());
+    }
+    if (code != 0) std::_Exit(code);
+    verdicts.join();
+    return out != 0 || refused > 0 ? 1 : 0;
+  }
+
+  Process& process_;
+  SocketWorld& world_;
+  HttpCaller<SocketWorld> caller_;
+  std::vector<Address> const doors_;
+  Address door_;
+  bool const json_;
+};
+
+std::vector<std::string> words_of(std::string const& line) {
+  std::vector<std::string> words;
+  std::stringstream in(line);
+  for (std::string w; in >> w;) words.push_back(w);
+  return words;
+}
+
+int at_prompt(Shell& shell) {
+  EditLine* const editor = el_init("banktide-shell", stdin, stdout, stderr);
+  ::History* const history = history_init();
+  HistEvent event;
+  ::history(history, &event, H_SETSIZE, 500);
+  el_set(editor, EL_PROMPT, +[](EditLine*) -> char const* { return "banktide> "; });
+  el_set(editor, EL_EDITOR, "emacs");
+  el_set(editor, EL_HIST, ::history, history);
+  int code = 0, count = 0;
+  while (char const* const raw = el_gets(editor, &count)) {
+    std::vector<std::string> const words = words_of(raw);
+    if (words.empty()) continue;
+    ::history(history, &event, H_ENTER, raw);
+    if (words[0] == "quit" || words[0] == "exit") break;
+    code = shell.run(words);
+  }
+  history_end(history);
+  el_end(editor);
+  return code;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Settings s("banktide-shell");
+  s.list("registry", "ip:port of a registry's operator door; repeat, the first that answers is asked");
+  s.flag("json", "answers as JSON");
+  s.list("ask", "a question; without one the shell reads questions line by line");
+  s.trailing("ask");
+  s.need_addresses("registry", 1);
+  if (std::optional<int> const code = s.read(argc, argv)) return *code;
+  start_logging("OFF", "banktide-shell", "shell");
+  Process process;
+  SocketWorld world;
+  Shell shell(process, world, s.list("registry"), s.flag("json"));
+  int code = 0;
+  if (!s.list("ask").empty()) {
+    code = shell.run(s.list("ask"));
+  } else if (::isatty(0)) {
+    code = at_prompt(shell);
+  } else {
+    for (std::string line; code == 0 && std::getline(std::cin, line);) code = shell.run(words_of(line));
+  }
+  std::cout.flush();
+  std::_Exit(code);
+}
--- a/source/simulation/history.hpp
+++ b/source/simulation/history.hpp
@@ -1,30 +1,49 @@
 // What was seen from outside during a simulated run, and the plain checks of
 // what must never happen. Nothing here asks the mesh; it has only the records
-// of the stand-in callers, backends and operators, and samples of what each
-// node had in force.
+// of the stand-in callers, backends and operators, what went over the wire, and
+// samples of what each node had in force.
 #pragma once
 
+#include "protocol/digest.hpp"
 #include "protocol/messages.hpp"
 #include "transport/result.hpp"
 
 #include <algorithm>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <set>
 
 namespace banktide {
 
 struct CallSeen {
-  std::string id, service, key, cell;
+  std::string id, service, key, cell, machine;
   bool repeatable = false;
   Instant sent{}, answered{};
+  Instant taken{};  // by the node, which may have been frozen for a while
   std::uint16_t status = 0;
-  std::string outcome;  // answered, not-run, unknown; lost: the node went away
+  // answered, not-run, unknown; lost: no answer came; unsent: nobody listened;
+  // hung-up: the caller went away.
+  std::string outcome;
   bool right = false, retry_after = false;
+  bool must_stay = false;   // an unbothered backend of its own cell was known to serve it
+  bool must_serve = false;  // or one in a cell that could be reached
+  bool calm = false;        // 15 s after the last fault, with the next one far
+  std::string after;        // the last kind of mishap, within 3 s
+  std::string why;
 };
 
 struct RunSeen {
-  std::string id, service, instance, key;
+  std::string id, service, instance, key, cell, machine;
   Instant begin{}, end{};
+  std::uint64_t epoch = 0;
+};
+
+// A try of a call, as it left the machine of its caller's node: over the wire,
+// or straight to a backend there.
+struct TrySeen {
+  Instant at{};
+  std::string id, machine, instance;
+  bool reached = false;  // the link was open
 };
 
 struct RevisionSeen {
@@ -33,51 +52,94 @@
   Instant sent{}, answered{};
   Revision revision = 0;  // 0: not acknowledged
   bool maybe = false;
+  std::optional<Revision> matched;
 };
 
 struct ForceSeen {
   Instant at{};
-  std::string machine, cell;
-  Revision routing = 0;
-  bool excused = false;  // cut off, frozen, just started
+  std::array<Revision, 2> in_force{};
+  bool excused = false;  // could not have heard of anything by any path
 };
 
 struct History {
   std::map<std::string, CallSeen> calls;
   std::vector<RunSeen> runs;
+  std::vector<TrySeen> tries;
   std::vector<RevisionSeen> revisions;
-  std::vector<ForceSeen> forces;
-  std::vector<std::pair<Instant, std::string>> drains;  // instance that said it leaves
+  std::map<std::string, std::vector<ForceSeen>> forces;  // by machine
+  std::vector<std::pair<Instant, std::string>> drains;   // instance that said it leaves
   std::vector<Instant> extra_tries;
-  std::set<std::string> services_ever;
-  Instant quiet_from{};  // the last fault is over
-  std::string readback;
-  bool readback_good = false;
+  bool planned_only = false;  // nothing but planned restarts: no answer may be lost
+  std::size_t lost_revisions_taken = 0;
+  std::vector<std::string> wrongs;  // seen at once by a stand-in
+  Instant quiet_from{};             // the last fault is over
+  std::string readback[2];
+  bool readback_good[2] = {false, false};
 
   std::vector<std::string> broken() const {
-    std::vector<std::string> out;
+    std::vector<std::string> out = wrongs;
     check_runs(out);
     check_answers(out);
     check_keys(out);
+    check_catalogue(out);
     check_revisions(out);
     check_drains(out);
     check_budget(out);
+    check_dropping(out);
     check_recovery(out);
     return out;
   }
 
+  // Calls answered and calls made in the 3 s after each kind of mishap.
+  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> shares() const {
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> out;
+    for (auto const& [id, c] : calls) {
+      if (c.after.empty() || c.outcome == "unsent" || c.outcome == "hung-up") continue;
+      ++out[c.after].second;
+      out[c.after].first += c.outcome == "answered";
+    }
+    return out;
+  }
+
+  // The tries of each call after its first, as they were seen.
+  void count_extras() {
+    std::map<std::string, std::size_t> n;
+    for (TrySeen const& t : tries) {
+      auto const c = calls.find(t.id);
+      if (c != calls.end() && c->second.machine == t.machine && ++n[t.id] > 1) extra_tries.push_back(t.at);
+    }
+  }
+
  private:
+  using Json = nlohmann::json;
   static std::string ms(Instant const t) { return std::to_string(as_ms(t.time_since_epoch()) - 3600000); }
 
+  bool excused(std::string const& machine, Instant const from, Instant const to) const {
+    auto const it = forces.find(machine);
+    if (it == forces.end()) return true;
+    auto const at = std::lower_bound(it->second.begin(), it->second.end(), from, [](ForceSeen const& f, Instant const t) { return f.at < t; });
+    for (auto f = at; f != it->second.end() && f->at <= to; ++f)
+      if (f->excused) return true;
+    return false;
+  }
+
   void check_runs(std::vector<std::string>& out) const {
+    std::set<std::string> allowed;
+    for (RevisionSeen const& r : revisions)
+      if (r.reg == Register::routing && (r.revision > 0 || r.maybe)) {
+        Json const j = Json::parse(r.bytes);
+        for (auto const& [name, s] : j["services"].items()) allowed.insert(name);
+      }
     std::map<std::string, int> n;
     for (RunSeen const& r : runs) {
       int const times = ++n[r.id];
       auto const c = calls.find(r.id);
       if (c == calls.end()) out.push_back("a run of no call: " + r.id);
       else if (times > 1 && !c->second.repeatable) out.push_back("ran twice: " + r.id);
-      else if (r.service != c->second.service) out.push_back("ran at the wrong service: " + r.id);
-      if (!services_ever.contains(r.service)) out.push_back("ran at a service that was never allowed: " + r.service);
+      else if (r.service != c->second.service) out.push_back("ran at the wrong service: " + r.id + " at " + r.service);
+      else if (r.begin > c->second.taken + 2500ms) out.push_back("ran past its deadline: " + r.id + " at " + ms(r.begin));
+      else if (c->second.outcome == "unsent") out.push_back("ran though never sent: " + r.id);
+      if (!allowed.contains(r.service)) out.push_back("ran at a service that was never allowed: " + r.service);
     }
   }
 
@@ -87,8 +149,10 @@
     for (auto const& [id, c] : calls) {
       if (c.outcome == "not-run" && ran.contains(id)) out.push_back("said not run, and ran: " + id);
       if (c.outcome == "answered" && !c.right) out.push_back("wrong answer: " + id);
+      if (c.outcome == "answered" && !ran.contains(id)) out.push_back("answered and never ran: " + id);
       if (c.status >= 500 && !c.retry_after && c.outcome != "answered") out.push_back("given up with no Retry-After: " + id);
       if (c.outcome.empty()) out.push_back("never answered: " + id);
+      if (planned_only && (c.outcome == "lost" || c.outcome == "unknown")) out.push_back("a planned restart lost the answer of " + id + ": " + c.outcome + " " + c.why);
     }
   }
 
@@ -96,57 +160,148 @@
     std::map<std::string, std::vector<RunSeen const*>> by;
     for (RunSeen const& r : runs)
       if (!r.key.empty()) by[r.service + "/" + r.key].push_back(&r);
-    for (auto const& [key, all] : by)
-      for (std::size_t i = 0; i < all.size(); ++i)
-        for (std::size_t j = i + 1; j < all.size(); ++j)
-          if (all[i]->instance != all[j]->instance && all[i]->begin < all[j]->end && all[j]->begin < all[i]->end) out.push_back("two backends at once on " + key + ": " + all[i]->instance + " and " + all[j]->instance + " at " + ms(all[j]->begin));
+    for (auto& [key, all] : by) {
+      std::stable_sort(all.begin(), all.end(), [](RunSeen const* a, RunSeen const* b) { return a->begin < b->begin; });
+      RunSeen const* last = nullptr;  // the one that ends last
+      std::uint64_t top = 0;
+      std::string top_instance;
+      for (RunSeen const* const r : all) {
+        if (last != nullptr && last->instance != r->instance && r->begin < last->end) out.push_back("two backends at once on " + key + ": " + last->instance + " and " + r->instance + " at " + ms(r->begin));
+        if (last == nullptr || r->end > last->end) last = r;
+        if (r->epoch < top || (r->epoch == top && top_instance != r->instance && top > 0)) out.push_back("the epoch of " + key + " did not rise: " + std::to_string(r->epoch) + " for " + r->instance + " after " + std::to_string(top) + " for " + top_instance);
+        if (r->epoch >= top) {
+          top = r->epoch;
+          top_instance = r->instance;
+        }
+      }
+    }
+  }
+
+  // Whether a catalogue lets a call run in a cell, read anew from its bytes.
+  static bool lets(Json const& catalogue, Json const& routing, CallSeen const& c, std::string const& cell) {
+    if (!routing["services"].contains(c.service)) return false;
+    for (Json const& name : catalogue.value("closed", Json::array()))
+      if (name == c.service) return false;
+    bool named = false;
+    for (auto const& [where, services] : catalogue["cells"].items()) {
+      if (!services.contains(c.service)) continue;
+      named = true;
+      if (where != cell) continue;
+      Json const& e = services[c.service];
+      if (!e.contains("slices")) return true;
+      std::uint64_t const slice = digest_of(c.key) % routing["services"][c.service]["key"]["slices"].get<std::uint64_t>();
+      for (Json const& range : e["slices"])
+        if (range[0].get<std::uint64_t>() <= slice && slice <= range[1].get<std::uint64_t>()) return true;
+    }
+    return !named;
+  }
+
+  // The revisions that may have decided a call: sent before it ran, and not
+  // superseded for 2 s when it was made.
+  std::vector<std::size_t> possible(Register const reg, Instant const made, Instant const ran, std::map<Register, std::vector<std::size_t>> const& by) const {
+    std::vector<std::size_t> out;
+    Revision floor = 0;
+    auto const it = by.find(reg);
+    if (it == by.end()) return out;
+    for (std::size_t const i : it->second)
+      if (revisions[i].revision > 0 && revisions[i].answered < made - 2s) floor = std::max(floor, revisions[i].revision);
+    for (std::size_t const i : it->second)
+      if (revisions[i].sent <= ran && (revisions[i].revision >= floor || (revisions[i].revision == 0 && revisions[i].maybe))) out.push_back(i);
+    return out;
+  }
+
+  void check_catalogue(std::vector<std::string>& out) const {
+    std::map<Register, std::vector<std::size_t>> by;
+    std::vector<Json> parsed(revisions.size());
+    for (std::size_t i = 0; i < revisions.size(); ++i) {
+      if (revisions[i].revision == 0 && !revisions[i].maybe) continue;
+      by[revisions[i].reg].push_back(i);
+      parsed[i] = Json::parse(revisions[i].bytes);
+    }
+    for (RunSeen const& r : runs) {
+      auto const c = calls.find(r.id);
+      if (c == calls.end() || excused(r.machine, c->second.sent - 2s, r.begin) || excused(c->second.machine, c->second.sent - 2s, r.begin)) continue;
+      bool good = false, any = false;
+      for (std::size_t const k : possible(Register::catalogue, c->second.sent, r.begin, by)) {
+        any = true;
+        for (std::size_t const l : possible(Register::routing, c->second.sent, r.begin, by))
+          if (!good && lets(parsed[k], parsed[l], c->second, r.cell)) good = true;
+        if (good) break;
+      }
+      if (any && !good) out.push_back(r.id + " ran in " + r.cell + " at " + ms(r.begin) + ", where no catalogue of then lets it");
+    }
   }
 
   void check_revisions(std::vector<std::string>& out) const {
-    RevisionSeen const* newest = nullptr;
     std::map<std::pair<Register, Revision>, std::string> bytes;
+    RevisionSeen const* newest[2] = {nullptr, nullptr};
+    std::map<Register, std::vector<RevisionSeen const*>> acked;
     for (RevisionSeen const& r : revisions) {
       if (r.revision == 0) continue;
       auto const [it, fresh] = bytes.emplace(std::pair(r.reg, r.revision), r.bytes);
-      if (!fresh && it->second != r.bytes) out.push_back("two revisions with number " + std::to_string(r.revision));
-      if (r.reg == Register::routing && (newest == nullptr || r.revision > newest->revision)) newest = &r;
-    }
-    for (RevisionSeen const& a : revisions)
-      for (RevisionSeen const& b : revisions)
-        if (a.revision && b.revision && a.reg == b.reg && a.answered < b.sent && a.revision >= b.revision) out.push_back("revision " + std::to_string(b.revision) + " was sent after " + std::to_string(a.revision) + " was acknowledged");
-    bool const maybe = std::any_of(revisions.begin(), revisions.end(), [&](RevisionSeen const& r) { return r.maybe && r.bytes == readback; });
-    if (!readback_good || (newest != nullptr && readback != newest->bytes && !maybe)) out.push_back("the routing read back is not the newest acknowledged");
-    // In force within 2 s, unless the machine was excused in between; no step back.
-    std::map<std::string, std::vector<ForceSeen const*>> by;
-    for (ForceSeen const& f : forces) by[f.machine].push_back(&f);
-    for (auto const& [machine, seen] : by) {
-      Revision top = 0;
-      Instant back_since{};
-      Instant excused_at{};
-      for (ForceSeen const* const f : seen) {
-        if (f->excused) excused_at = f->at;
-        if (f->routing < top) {
-          if (back_since == Instant{}) back_since = f->at;
-          if (f->at - back_since > 250ms) {
-            out.push_back(machine + " slipped back from " + std::to_string(top) + " to " + std::to_string(f->routing) + " at " + ms(f->at));
-            back_since = f->at + 3600s;
+      if (!fresh) out.push_back("two revisions with number " + std::to_string(r.revision));
+      if (r.matched && *r.matched + 1 != r.revision) out.push_back("revision " + std::to_string(r.revision) + " was to follow " + std::to_string(*r.matched));
+      acked[r.reg].push_back(&r);
+      RevisionSeen const*& top = newest[static_cast<std::size_t>(r.reg)];
+      if (top == nullptr || r.revision > top->revision) top = &r;
+    }
+    for (auto& [reg, all] : acked) {
+      std::sort(all.begin(), all.end(), [](RevisionSeen const* a, RevisionSeen const* b) { return a->revision < b->revision; });
+      Instant latest{};  // of the sendings so far: none may come after an acknowledgement of a later revision
+      for (RevisionSeen const* const r : all) {
+        if (r->answered < latest) out.push_back("revision " + std::to_string(r->revision) + " was acknowledged before an older one was sent");
+        latest = std::max(latest, r->sent);
+      }
+    }
+    for (Register const reg : all_registers) {
+      std::size_t const i = static_cast<std::size_t>(reg);
+      bool const maybe = std::any_of(revisions.begin(), revisions.end(), [&](RevisionSeen const& r) { return r.reg == reg && r.maybe && r.bytes == readback[i]; });
+      if (!readback_good[i] || (newest[i] != nullptr && readback[i] != newest[i]->bytes && !maybe)) out.push_back("the " + register_name(reg) + " read back is not the newest acknowledged: " + (readback_good[i] ? readback[i].substr(0, 60) : "no reading"));
+    }
+    // In force within 2 s of the acknowledgement, or of the moment from which
+    // the machine could hear of it; no step back.
+    for (auto const& [machine, seen] : forces)
+      for (Register const reg : all_registers) {
+        std::size_t const i = static_cast<std::size_t>(reg);
+        Revision top = 0;
+        Instant back_since{}, excused_at{};
+        bool told_back = false, told_late = false;
+        for (ForceSeen const& f : seen) {
+          if (f.excused) excused_at = f.at;
+          Revision const mine = f.in_force[i];
+          if (mine < top) {
+            if (back_since == Instant{}) back_since = f.at;
+            if (f.at - back_since > 250ms && !told_back) {
+              out.push_back(machine + " slipped back from " + register_name(reg) + " " + std::to_string(top) + " to " + std::to_string(mine) + " at " + ms(f.at));
+              told_back = true;
+            }
+          } else {
+            back_since = {};
           }
-        } else {
-          back_since = {};
-        }
-        top = std::max(top, f->routing);
-        for (RevisionSeen const& r : revisions) {
-          if (r.revision == 0 || r.reg != Register::routing || f->routing >= r.revision) continue;
-          if (f->at - r.answered > 2s && f->at - r.answered < 2300ms && (excused_at == Instant{} || f->at - excused_at > 2s)) out.push_back(machine + " has routing " + std::to_string(f->routing) + " at " + ms(f->at) + ", " + std::to_string(r.revision) + " was acknowledged at " + ms(r.answered));
+          top = std::max(top, mine);
+          if (told_late || f.excused || f.at - excused_at <= 2s) continue;
+          std::vector<RevisionSeen const*> const& all = acked[reg];
+          auto const from = std::upper_bound(all.begin(), all.end(), mine, [](Revision const m, RevisionSeen const* r) { return m < r->revision; });
+          for (auto r = from; r != all.end() && !told_late; ++r)
+            if (f.at - (*r)->answered > 2s) {
+              out.push_back(machine + " has " + register_name(reg) + " " + std::to_string(mine) + " at " + ms(f.at) + ", " + std::to_string((*r)->revision) + " was acknowledged at " + ms((*r)->answered));
+              told_late = true;
+            }
         }
       }
-    }
   }
 
   void check_drains(std::vector<std::string>& out) const {
-    for (auto const& [at, instance] : drains)
-      for (RunSeen const& r : runs)
-        if (r.instance == instance && r.begin - at > 2s) out.push_back("new work for " + instance + " after its drain: " + r.id);
+    std::map<std::string, Instant> left;
+    for (auto const& [at, instance] : drains) left.emplace(instance, at);
+    for (RunSeen const& r : runs) {
+      auto const d = left.find(r.instance);
+      if (d != left.end() && r.begin - d->second > 2s) out.push_back("new work for " + r.instance + " after its drain: " + r.id);
+    }
+    for (TrySeen const& t : tries) {
+      auto const d = left.find(t.instance);
+      if (d != left.end() && t.reached && t.at - d->second > 2s && !excused(t.machine, t.at - 2s, t.at)) out.push_back(t.machine + " sent " + t.id + " to " + t.instance + " at " + ms(t.at) + " after its drain at " + ms(d->second));
+    }
   }
 
   void check_budget(std::vector<std::string>& out) const {
@@ -164,20 +319,29 @@
     }
   }
 
-  // 15 s after the last fault, every call is answered.
+  void check_dropping(std::vector<std::string>& out) const {
+    std::map<std::string, std::set<std::string>> ran_in;
+    for (RunSeen const& r : runs) ran_in[r.id].insert(r.cell);
+    for (auto const& [id, c] : calls) {
+      if (c.must_stay && c.outcome == "not-run") out.push_back(id + " was dropped at " + ms(c.sent) + " in " + c.cell + " beside a backend known to be good: " + c.why);
+      else if (c.must_stay && ran_in.contains(id) && !ran_in[id].contains(c.cell)) out.push_back(id + " left " + c.cell + " at " + ms(c.sent) + " where a backend was known to be good");
+      else if (c.must_serve && c.outcome == "not-run") out.push_back(id + " was dropped at " + ms(c.sent) + " in " + c.cell + ", and another cell could serve it: " + c.why);
+    }
+  }
+
+  // 15 s after a fault, every call is answered.
   void check_recovery(std::vector<std::string>& out) const {
-    if (quiet_from == Instant{}) return;
     std::size_t bad = 0, all = 0;
     std::string one;
     for (auto const& [id, c] : calls) {
-      if (c.sent < quiet_from + 15s) continue;
+      if (!c.calm) continue;
       ++all;
-      if (c.outcome == "answered") continue;
+      if (c.outcome == "answered" || c.outcome == "hung-up") continue;
       ++bad;
-      one = id + " " + c.outcome + " " + std::to_string(c.status) + " in " + c.cell + " at " + ms(c.sent);
+      one = id + " " + c.outcome + " " + std::to_string(c.status) + " in " + c.cell + " at " + ms(c.sent) + ": " + c.why;
     }
-    if (all == 0) out.push_back("no call after the quiet");
-    if (bad > 0) out.push_back(std::to_string(bad) + " of " + std::to_string(all) + " calls unserved 15 s after the last fault, as " + one);
+    if (all == 0) out.push_back("no call in calm");
+    if (bad > 0) out.push_back(std::to_string(bad) + " of " + std::to_string(all) + " calls unserved 15 s after a fault, as " + one);
   }
 };
 
--- /dev/null
+++ b/source/simulation/sim_machines.hpp
@@ -0,0 +1,377 @@
+// A simulated deployment's machines: the real registry, voter and node code on
+// them, and stand-in backends. What is done to them is known here too: which
+// machine was bothered last and when.
+#pragma once
+
+#include "programs/deployment.hpp"
+#include "programs/proxy.hpp"
+#include "simulation/history.hpp"
+#include "simulation/sim_world.hpp"
+
+namespace banktide {
+
+struct Scenario {
+  std::uint64_t seed = 1;
+  std::string deployment = "kibble";
+  Duration faults_for = 30s;
+  Duration fault_every = 2500ms;
+  std::set<std::string> only;  // kinds of mishap; empty: all
+  std::string last;            // a fault at the end that nobody repairs
+  std::uint64_t rate_divisor = 10;
+  bool verbose = false;
+};
+
+// The node's way to the backends of its simulated machine.
+struct SimEdge {
+  using Done = std::function<void(Result<HttpReply>)>;
+  std::function<void(std::uint16_t, HttpRequest, Instant, Done)> serve;
+  std::function<bool(std::uint16_t)> taken;
+  SimProcess* process = nullptr;
+
+  Task<bool> listens(std::uint16_t const port) {
+    co_await sleep_for(*process, 200us);
+    co_return taken(port);
+  }
+
+  Task<Result<HttpReply>> run(std::uint16_t const port, HttpRequest q, Instant const deadline) {
+    using Shot = OneShot<SimProcess, Result<HttpReply>>;
+    std::shared_ptr<Shot> shot = std::make_shared<Shot>(*process);
+    std::weak_ptr<Shot> weak = shot;
+    std::weak_ptr<SimProcess> alive = process->weak_from_this();
+    Done const done = [weak, alive](Result<HttpReply> r) {
+      std::shared_ptr<SimProcess> const mine = alive.lock();
+      if (mine) mine->run([weak, r = std::move(r)] {
+        if (std::shared_ptr<Shot> const s = weak.lock()) s->give(r);
+      });
+    };
+    serve(port, std::move(q), process->global(deadline), done);
+    std::optional<Result<HttpReply>> got = co_await shot->wait(deadline);
+    if (got) co_return std::move(*got);
+    co_return mishap("call_backend", "", "deadline", Proof::unknown);
+  }
+};
+static_assert(BackendEdge<SimEdge>);
+
+class SimMachines {
+ public:
+  explicit SimMachines(Scenario s) : scenario_(std::move(s)), sim_(scenario_.seed), net_(sim_), d_(scenario_.deployment == "kibble" ? kibble() : nilewise()) {}
+  SimMachines(SimMachines const&) = delete;
+  ~SimMachines() {
+    for (auto& [address, p] : net_.at) p->kill();
+    for (std::shared_ptr<SimProcess> const& p : grave_) p->kill();
+    sim_.clear();
+    sim_.settle();
+  }
+
+ protected:
+  struct Voter {
+    std::string machine;
+    Address address;
+    SimDisk disk;
+    std::shared_ptr<SimProcess> process;
+    std::shared_ptr<Acceptor<SimProcess, SimDisk>> acceptor;
+  };
+  struct Control {
+    std::string machine, cell, id;
+    Address address;
+    std::shared_ptr<SimProcess> process;
+    std::shared_ptr<Registry<SimProcess>> registry;
+    std::shared_ptr<Desk> desk;
+  };
+  struct Node {
+    std::string machine, cell, id;
+    Address address;
+    bool gateway = false;
+    std::shared_ptr<SimProcess> process;
+    std::shared_ptr<SimEdge> edge;
+    std::shared_ptr<Proxy<SimProcess, SimEdge>> proxy;
+    std::shared_ptr<Desk> desk;
+    bool rolling = false;
+  };
+  struct Backend {
+    std::string service, instance;
+    std::size_t node = 0;
+    std::uint16_t port = 0;
+    bool alive = true, leaving = false, frozen = false;
+    bool naive = false;  // runs whatever comes, without a look at whom it is for
+    std::uint64_t life = 0;
+  };
+
+  std::shared_ptr<SimProcess> process(std::string const& machine, Address const& address) {
+    auto const old = net_.at.find(address);
+    if (old != net_.at.end()) {
+      old->second->kill();
+      grave_.push_back(old->second);
+    }
+    std::shared_ptr<SimProcess> p = std::make_shared<SimProcess>(sim_, net_, machine, address, ++runs_);
+    auto const [clock, fresh] = clocks_.try_emplace(machine, 0, 0);
+    if (fresh) {
+      clock->second.first = static_cast<std::int64_t>(sim_.chance() % 6001) - 3000;
+      clock->second.second = static_cast<std::int64_t>(sim_.chance() % 3600) - 1800;
+    }
+    p->clock_ppm = clock->second.first;
+    p->clock_offset = std::chrono::seconds(clock->second.second);
+    net_.at[address] = p;
+    net_.machine_of[address] = machine;
+    return p;
+  }
+
+  void build() {
+    voters_.resize(d_.cells.size());
+    controls_.resize(d_.cells.size());
+    for (std::size_t i = 0; i < d_.cells.size(); ++i) {
+      voter_addresses_.push_back("store-" + std::to_string(i) + ":1");
+      registry_addresses_.push_back("registry-" + std::to_string(i) + ":1");
+    }
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < d_.cells.size(); ++i) {
+      std::string const core = "core-" + std::to_string(i);
+      voters_[i].machine = core;
+      voters_[i].address = voter_addresses_[i];
+      start_voter(i);
+      controls_[i].machine = core;
+      controls_[i].cell = d_.cells[i];
+      controls_[i].id = "registry-" + std::to_string(i);
+      controls_[i].address = registry_addresses_[i];
+      start_control(i);
+      for (std::size_t k = 0; k < d_.nodes[i]; ++k) {
+        Node node;
+        node.machine = "app-" + std::to_string(n);
+        node.cell = d_.cells[i];
+        node.id = "node-" + std::to_string(n);
+        node.address = "node-" + std::to_string(n) + ":1";
+        node.gateway = k < 2;
+        nodes_.push_back(node);
+        ++n;
+      }
+    }
+    for (std::size_t i = 0; i < nodes_.size(); ++i) start_node(i);
+    std::vector<std::size_t> placed(d_.cells.size(), 0);
+    for (BackendPlace const& b : d_.backends) add_backend(b.service, node_in(d_.cells[b.cell], placed[b.cell]++));
+  }
+
+  std::size_t node_in(std::string const& cell, std::size_t const k) const {
+    std::vector<std::size_t> in_cell;
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+      if (nodes_[i].cell == cell) in_cell.push_back(i);
+    return in_cell[k % in_cell.size()];
+  }
+
+  void start_voter(std::size_t const i) {
+    Voter& v = voters_[i];
+    bury(v.acceptor);
+    v.process = process(v.machine, v.address);
+    v.disk.process = v.process.get();
+    v.acceptor = std::make_shared<Acceptor<SimProcess, SimDisk>>(*v.process, v.disk, voter_addresses_, i);
+    if (!v.acceptor->load()) std::abort();
+    std::shared_ptr<Desk> desk = std::make_shared<Desk>();
+    bury(desk);
+    v.acceptor->attach(*desk);
+    v.process->serve(*desk);
+    spawn(*v.process, v.acceptor->settle());
+  }
+  void start_control(std::size_t const i) {
+    Control& c = controls_[i];
+    bury(c.registry);
+    bury(c.desk);
+    c.process = process(c.machine, c.address);
+    std::vector<Address> seeds;
+    for (Address const& a : registry_addresses_)
+      if (a != c.address) seeds.push_back(a);
+    c.registry = std::make_shared<Registry<SimProcess>>(*c.process, RegistrySettings{c.id, c.cell, c.address, seeds, voter_addresses_});
+    c.desk = std::make_shared<Desk>();
+    c.registry->start(*c.desk);
+    c.process->serve(*c.desk);
+  }
+  void start_node(std::size_t const i) {
+    Node& n = nodes_[i];
+    bury(n.proxy);
+    bury(n.desk);
+    bury(n.edge);
+    n.process = process(n.machine, n.address);
+    n.edge = std::make_shared<SimEdge>();
+    n.edge->process = n.process.get();
+    n.edge->serve = [this, i](std::uint16_t const port, HttpRequest q, Instant const deadline, SimEdge::Done done) { serve(i, port, std::move(q), deadline, std::move(done)); };
+    n.edge->taken = [this, i](std::uint16_t const port) { return std::any_of(backends_.begin(), backends_.end(), [&](Backend const& b) { return b.node == i && b.port == port && b.alive; }); };
+    ProxySettings s{n.id, n.cell, n.address, n.gateway, {registry_addresses_[0], registry_addresses_[1], registry_addresses_[2]}};
+    n.proxy = std::make_shared<Proxy<SimProcess, SimEdge>>(*n.process, *n.edge, s);
+    n.desk = std::make_shared<Desk>();
+    n.proxy->start(*n.desk);
+    n.process->serve(*n.desk);
+    n.rolling = false;
+  }
+  template <class T>
+  void bury(std::shared_ptr<T> const& old) {
+    if (old) remains_.push_back(old);
+  }
+
+  // ---- backends
+
+  std::size_t add_backend(std::string const& service, std::size_t const node, Duration const first_beat = 0s) {
+    Backend b;
+    b.service = service;
+    b.instance = service + "-" + std::to_string(++instances_);
+    b.node = node;
+    b.port = static_cast<std::uint16_t>(next_port_++);
+    b.life = ++runs_;
+    backends_.push_back(b);
+    bother_service(service, nodes_[node].cell);
+    std::size_t const at = backends_.size() - 1;
+    std::uint64_t const life = b.life;
+    if (first_beat == 0s) keep_beating(at, life);
+    else sim_.after(first_beat, [this, at, life] { keep_beating(at, life); });
+    return at;
+  }
+
+  static std::string beat_of(Backend const& b) { return Json{{"service", b.service}, {"instance", b.instance}, {"port", b.port}, {"burden", 0}, {"leaving", b.leaving}}.dump(); }
+
+  void keep_beating(std::size_t const i, std::uint64_t const life) {
+    Backend& b = backends_[i];
+    if (!b.alive || b.life != life) return;
+    Node& n = nodes_[b.node];
+    if (!b.frozen && n.process->alive && !n.process->frozen) n.proxy->beat(beat_of(b));
+    sim_.after(500ms, [this, i, life] { keep_beating(i, life); });
+  }
+
+  // Says that it leaves, and counts as having said so once its node took it.
+  void drain(std::size_t const i) {
+    Backend& b = backends_[i];
+    b.leaving = true;
+    bother_service(b.service, nodes_[b.node].cell);
+    std::shared_ptr<SimProcess> const p = nodes_[b.node].process;
+    std::shared_ptr<Proxy<SimProcess, SimEdge>> const proxy = nodes_[b.node].proxy;
+    p->run([this, i, proxy] {
+      proxy->beat(beat_of(backends_[i]));
+      history_.drains.emplace_back(sim_.now, backends_[i].instance);
+    });
+    sim_.after(5s, [this, i] { kill_backend(i); });
+  }
+
+  void kill_backend(std::size_t const i) {
+    Backend& b = backends_[i];
+    if (!b.alive) return;
+    b.alive = false;
+    bother_service(b.service, nodes_[b.node].cell);
+    for (RunSeen& r : history_.runs)
+      if (r.instance == b.instance) r.end = std::min(r.end, std::max(r.begin, sim_.now));
+  }
+
+  void serve(std::size_t const node, std::uint16_t const port, HttpRequest q, Instant const deadline, std::function<void(Result<HttpReply>)> done) {
+    std::string const id = header_of(q, "call-id");
+    auto const call = history_.calls.find(id);
+    if (call != history_.calls.end() && call->second.machine == nodes_[node].machine) history_.tries.push_back(TrySeen{sim_.now, id, nodes_[node].machine, header_of(q, "banktide-instance"), true});
+    sim_.after(200us, [this, node, port, q = std::move(q), deadline, done] {
+      for (std::size_t i = 0; i < backends_.size(); ++i) {
+        if (backends_[i].node != node || backends_[i].port != port || !backends_[i].alive) continue;
+        run_backend(i, q, deadline, done);
+        return;
+      }
+      done(mishap("connect", "", "refused", Proof::not_run));
+    });
+  }
+
+  void run_backend(std::size_t const i, HttpRequest const& q, Instant const deadline, std::function<void(Result<HttpReply>)> const& done) {
+    Backend& b = backends_[i];
+    if (b.frozen) return;  // silence until the deadline
+    bool const right = header_of(q, "banktide-service") == b.service && header_of(q, "banktide-instance") == b.instance;
+    if (!right && !b.naive) {
+      HttpReply no;
+      no.status = 421;
+      no.headers = {{"banktide-not-run", "1"}};
+      done(no);
+      return;
+    }
+    bool const rough = noisy();
+    Duration work = std::chrono::milliseconds(1 + sim_.chance() % 15);
+    if (rough && sim_.chance() % 200 == 0) work = 1800ms;
+    if (slow_key_ && header_of(q, "x-key") == "k0") work = 300ms;
+    Instant const end = std::min(sim_.now + work, deadline);
+    std::string const id = header_of(q, "call-id"), epoch = header_of(q, "banktide-epoch");
+    history_.runs.push_back(RunSeen{id, b.service, b.instance, header_of(q, "x-key"), nodes_[b.node].cell, nodes_[b.node].machine, sim_.now, end, epoch.empty() ? 0 : std::stoull(epoch)});
+    std::size_t const run = history_.runs.size() - 1;
+    std::uint64_t const life = b.life;
+    bool const vanish = rough && sim_.chance() % 300 == 0;
+    sim_.at(end, [this, i, life, run, id, vanish, done, q] {
+      Backend const& now = backends_[i];
+      if (!now.alive || now.life != life) {
+        history_.runs[run].end = std::min(history_.runs[run].end, sim_.now);
+        done(mishap("call_backend", "", "connection lost", Proof::unknown));
+        return;
+      }
+      if (now.frozen) return;
+      if (vanish) {
+        done(mishap("read_reply", "", "garbage", Proof::unknown));
+        return;
+      }
+      HttpReply ok;
+      ok.status = 200;
+      ok.body = id + "/" + std::to_string(digest_of(q.body)) + "/" + q.target;
+      done(ok);
+    });
+  }
+
+  // ---- what was done to whom
+
+  void bother(std::string const& machine) { bothered_[machine] = sim_.now; }
+  void bother_service(std::string const& service, std::string const& cell) { service_bothered_[{service, cell}] = sim_.now; }
+  Duration unbothered(std::string const& machine) const {
+    auto const it = bothered_.find(machine);
+    return sim_.now - (it == bothered_.end() ? start_ : it->second);
+  }
+  Duration unbothered_service(std::string const& service, std::string const& cell) const {
+    auto const it = service_bothered_.find({service, cell});
+    return sim_.now - (it == service_bothered_.end() ? start_ : it->second);
+  }
+  std::size_t fit_backends(std::string const& service, std::string const& cell) const {
+    return static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(), [&](Backend const& b) { return b.service == service && nodes_[b.node].cell == cell && b.alive && !b.leaving && !b.frozen; }));
+  }
+  std::string core_of(std::string const& cell) const {
+    for (Control const& c : controls_)
+      if (c.cell == cell) return c.machine;
+    return "";
+  }
+  bool cell_unbothered(std::string const& cell, Duration const for_long) const {
+    if (unbothered(core_of(cell)) < for_long) return false;
+    return std::all_of(nodes_.begin(), nodes_.end(), [&](Node const& n) { return n.cell != cell || unbothered(n.machine) >= for_long; });
+  }
+
+  bool linked(std::string const& a, std::string const& b) const { return sim_.open(a, b) && sim_.open(b, a); }
+
+  // Whether a registry can have a majority's word now.
+  bool can_vouch(std::size_t const k) const {
+    Control const& c = controls_[k];
+    if (!c.process->alive || c.process->frozen) return false;
+    std::size_t n = 0;
+    for (Voter const& v : voters_) n += v.process->alive && v.acceptor->phase() == Phase::voting && v.disk.stalled_until <= sim_.now && linked(c.machine, v.machine);
+    return n >= voters_.size() / 2 + 1;
+  }
+  // Whether a node could hear of a revision by any path.
+  bool can_hear(Node const& n) const {
+    if (!n.process->alive || n.process->frozen) return false;
+    for (std::size_t k = 0; k < controls_.size(); ++k)
+      if (linked(n.machine, controls_[k].machine) && can_vouch(k)) return true;
+    return false;
+  }
+  bool noisy() const { return sim_.now < busy_until_; }
+
+  Scenario const scenario_;
+  Sim sim_;
+  SimNet net_;
+  Deployment const d_;
+  History history_;
+  std::vector<std::shared_ptr<SimProcess>> grave_;
+  std::vector<std::shared_ptr<void>> remains_;  // after the grave: they go first, and touch it
+  std::map<std::string, std::pair<std::int64_t, std::int64_t>> clocks_;
+  std::vector<Address> voter_addresses_, registry_addresses_;
+  std::vector<Voter> voters_;
+  std::vector<Control> controls_;
+  std::vector<Node> nodes_;
+  std::deque<Backend> backends_;
+  std::map<std::string, Instant> bothered_;
+  std::map<std::pair<std::string, std::string>, Instant> service_bothered_;
+  Instant start_{}, busy_until_{};  // until when the last mishap goes on
+  std::uint64_t runs_ = 0, instances_ = 0, next_port_ = 20000;
+  bool slow_key_ = false;
+};
+
+}  // namespace banktide
--- a/source/simulation/sim_main.cpp
+++ b/source/simulation/sim_main.cpp
@@ -1,45 +1,129 @@
 // banktide-sim: plays seeds of the simulated fleet and tells which break a
-// rule. The same seed plays the same run.
+// rule. The same seed plays the same run, alone or beside others: with --jobs
+// each seed is a forked process of its own, and results come in seed order.
 #include "programs/settings.hpp"
 #include "simulation/sim_fleet.hpp"
 
+#include <sys/wait.h>
+#include <unistd.h>
+
 using namespace banktide;
 
+namespace {
+
+Json play(Scenario const& scenario) {
+  SimFleet fleet(scenario);
+  History const h = fleet.run();
+  Json j = {{"seed", scenario.seed}, {"broken", h.broken()}, {"outcomes", Json::object()}, {"mishaps", fleet.mishaps()}, {"after", Json::object()}};
+  std::map<std::string, std::uint64_t> outcomes;
+  for (auto const& [id, c] : h.calls) ++outcomes[c.outcome];
+  j["outcomes"] = outcomes;
+  for (auto const& [kind, n] : h.shares()) j["after"][kind] = {n.first, n.second};
+  j["extras"] = h.extra_tries.size();
+  return j;
+}
+
+struct Job {
+  pid_t pid = 0;
+  int from = -1;
+  std::string said;
+};
+
+Job begin(Scenario const& scenario) {
+  int ends[2];
+  if (::pipe(ends) != 0) std::abort();
+  Job job;
+  job.pid = ::fork();
+  if (job.pid < 0) std::abort();
+  if (job.pid == 0) {
+    ::close(ends[0]);
+    std::string const text = play(scenario).dump();
+    for (std::size_t at = 0; at < text.size();) {
+      ssize_t const n = ::write(ends[1], text.data() + at, text.size() - at);
+      if (n <= 0) std::_Exit(3);
+      at += static_cast<std::size_t>(n);
+    }
+    std::_Exit(0);
+  }
+  ::close(ends[1]);
+  job.from = ends[0];
+  return job;
+}
+
+Json finish(Job& job, std::uint64_t const seed) {
+  char raw[4096];
+  for (ssize_t n = 0; (n = ::read(job.from, raw, sizeof raw)) > 0;) job.said.append(raw, static_cast<std::size_t>(n));
+  ::close(job.from);
+  int status = 0;
+  ::waitpid(job.pid, &status, 0);
+  Json j = Json::parse(job.said, nullptr, false);
+  if (status != 0 || !j.is_object()) j = {{"seed", seed}, {"broken", {"the run ended with status " + std::to_string(status)}}, {"outcomes", Json::object()}, {"mishaps", Json::object()}, {"after", Json::object()}, {"extras", 0}};
+  return j;
+}
+
+}  // namespace
+
 int main(int argc, char** argv) {
   Settings s("banktide-sim");
   s.number("seed", 1, 0, UINT64_MAX, "first seed");
-  s.number("seeds", 1, 1, 1000000, "how many seeds, one after the other");
+  s.number("seeds", 1, 1, 1000000, "how many seeds");
+  s.number("jobs", 1, 1, 256, "how many seeds at the same time");
   s.number("seconds", 30, 1, 3600, "virtual seconds with mishaps");
   s.number("fault-every-ms", 2500, 0, 600000, "mean time between mishaps (0: none)");
   s.text("deployment", "kibble", "kibble or nilewise");
   s.list("only", "a kind of mishap; repeat");
+  s.text("last", "", "a last fault that nobody repairs: core_gone, cell_gone, disk_lost or node_gone");
+  s.text("broken-on-purpose", "", "break the code in one named way, to see a check fail");
   s.flag("verbose", "tell every mishap and every call not answered");
   if (std::optional<int> const code = s.read(argc, argv)) return *code;
   start_logging(s.flag("verbose") ? "INFO" : "OFF", "banktide-sim", "sim");
-  std::size_t bad = 0;
-  std::map<std::string, std::uint64_t> outcomes, mishaps;
-  for (std::uint64_t i = 0; i < s.number("seeds"); ++i) {
+  mutant_name = s.text("broken-on-purpose");
+  std::uint64_t const seeds = s.number("seeds"), jobs = s.number("jobs");
+  auto const scenario_of = [&](std::uint64_t const i) {
     Scenario scenario;
     scenario.seed = s.number("seed") + i;
     scenario.deployment = s.text("deployment");
     scenario.faults_for = std::chrono::seconds(s.number("seconds"));
     scenario.fault_every = std::chrono::milliseconds(s.number("fault-every-ms"));
+    scenario.last = s.text("last");
     scenario.verbose = s.flag("verbose");
     for (std::string const& kind : s.list("only")) scenario.only.insert(kind);
-    SimFleet fleet(scenario);
-    History const h = fleet.run();
-    std::vector<std::string> const broken = h.broken();
-    for (auto const& [id, c] : h.calls) ++outcomes[c.outcome];
-    for (auto const& [kind, n] : fleet.mishaps()) mishaps[kind] += n;
+    return scenario;
+  };
+  std::uint64_t bad = 0, extras = 0, calls = 0;
+  std::map<std::string, std::uint64_t> outcomes, mishaps;
+  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> after;
+  auto const take = [&](Json const& j) {
+    std::vector<std::string> const broken = j["broken"];
     bad += !broken.empty();
-    for (std::size_t k = 0; k < broken.size() && k < 5; ++k) std::cout << "seed " << scenario.seed << ": " << broken[k] << "\n";
-    if (broken.size() > 5) std::cout << "seed " << scenario.seed << ": and " << broken.size() - 5 << " more\n";
+    for (std::size_t k = 0; k < broken.size() && k < 5; ++k) std::cout << "seed " << j["seed"] << ": " << broken[k] << "\n";
+    if (broken.size() > 5) std::cout << "seed " << j["seed"] << ": and " << broken.size() - 5 << " more\n";
+    for (auto const& [what, n] : j["outcomes"].items()) outcomes[what] += n.get<std::uint64_t>(), calls += n.get<std::uint64_t>();
+    for (auto const& [kind, n] : j["mishaps"].items()) mishaps[kind] += n.get<std::uint64_t>();
+    for (auto const& [kind, n] : j["after"].items()) after[kind].first += n[0].get<std::uint64_t>(), after[kind].second += n[1].get<std::uint64_t>();
+    extras += j["extras"].get<std::uint64_t>();
     std::cout.flush();
+  };
+  std::deque<std::pair<std::uint64_t, Job>> running;
+  for (std::uint64_t i = 0; i < seeds; ++i) {
+    if (jobs == 1) {
+      take(play(scenario_of(i)));
+      continue;
+    }
+    if (running.size() == jobs) {
+      take(finish(running.front().second, s.number("seed") + running.front().first));
+      running.pop_front();
+    }
+    running.emplace_back(i, begin(scenario_of(i)));
   }
-  std::cout << s.number("seeds") << " seeds, " << bad << " broken;";
+  for (auto& [i, job] : running) take(finish(job, s.number("seed") + i));
+  std::cout << seeds << " seeds, " << bad << " broken; " << calls << " calls, " << extras << " extra tries;";
   for (auto const& [what, n] : outcomes) std::cout << " " << what << "=" << n;
-  std::cout << "\nmishaps:";
-  for (auto const& [kind, n] : mishaps) std::cout << " " << kind << "=" << n;
+  std::cout << "\nmishaps, and the share answered of calls in the 3 s after:";
+  for (auto const& [kind, n] : mishaps) {
+    std::cout << " " << kind << "=" << n;
+    if (after[kind].second > 0) std::cout << "(" << 100 * after[kind].first / after[kind].second << "%)";
+  }
   std::cout << "\n";
   return bad ? 1 : 0;
 }
--- /dev/null
+++ b/source/simulation/sim_traffic.hpp
@@ -0,0 +1,351 @@
+// Stand-in callers and operators of the simulated fleet, and the samples taken
+// of it. Callers hit whatever node they like, dying ones too, and some hang up;
+// operators move slices, open and close services, change mappings and race.
+#pragma once
+
+#include "simulation/sim_machines.hpp"
+
+namespace banktide {
+
+class SimTraffic : public SimMachines {
+ protected:
+  explicit SimTraffic(Scenario s) : SimMachines(std::move(s)), routing_(Json::parse(d_.routing)), catalogue_(Json::parse(d_.catalogue)) {
+    for (auto const& [name, service] : routing_["services"].items())
+      if (service.contains("key")) keyed_ = name;
+    for (Json const& w : routing_["ways"]) ways_[w["prefix"]] = w["service"];
+    ways_["/promo"] = "promo";
+    net_.tap = [this](SimProcess const& from, Address const& to, std::uint8_t const kind, Bytes const& raw) {
+      if (kind == Accept::kind) tapped_accept(from);
+      if (kind != Carry::kind) return;
+      Result<Carry> const c = unpack<Carry>(raw);
+      if (c) history_.tries.push_back(TrySeen{sim_.now, header_of(c->request, "call-id"), from.machine, c->instance, linked(from.machine, net_.machine_of[to])});
+    };
+  }
+  virtual ~SimTraffic() = default;
+  virtual void tapped_accept(SimProcess const&) {}
+  virtual void acknowledged(std::size_t) {}
+
+  // ---- callers
+
+  void keep_calling(std::string const& mix) {
+    std::vector<std::string> parts;
+    std::stringstream in(mix);
+    for (std::string p; std::getline(in, p, ':');) parts.push_back(p);
+    Duration const gap = std::chrono::microseconds(1000000 * scenario_.rate_divisor / std::stoull(parts[3]));
+    sim_.after(gap, [this, mix, parts] {
+      if (!calling_) return;
+      keep_calling(mix);
+      call_once(parts);
+    });
+  }
+
+  void call_once(std::vector<std::string> const& parts) {
+    std::uint64_t const keys = std::stoull(parts[4]) / 10;
+    std::size_t const at = sim_.chance() % nodes_.size();
+    Node& n = nodes_[at];
+    CallSeen c;
+    c.id = parts[0] + "-" + std::to_string(++calls_);
+    c.service = ways_[parts[2]];
+    c.cell = n.cell;
+    c.machine = n.machine;
+    c.repeatable = parts[1] == "GET";
+    c.sent = sim_.now;
+    if (keys > 0) c.key = "k" + std::to_string(hot_ && sim_.chance() % 2 ? 0 : sim_.chance() % keys);
+    if (sim_.now - mishap_at_ < 3s) c.after = mishap_kind_;
+    if (!n.process->alive) {
+      c.outcome = "unsent";
+      history_.calls[c.id] = c;
+      return;
+    }
+    judge(at, c, true);
+    HttpRequest q{parts[1], parts[2] + "/" + c.id, {{"call-id", c.id}}, parts[1] == "POST" ? "{\"id\":\"" + c.id + "\"}" : ""};
+    if (keys > 0) q.headers.push_back({"x-key", c.key});
+    history_.calls[c.id] = c;
+    std::string const want = c.id + "/" + std::to_string(digest_of(q.body)) + "/" + q.target;
+    std::string const id = c.id;
+    std::shared_ptr<SimProcess> const p = n.process;
+    std::shared_ptr<Proxy<SimProcess, SimEdge>> const proxy = n.proxy;
+    p->run([this, p, proxy, q, id, want, at] {
+      history_.calls[id].taken = sim_.now;
+      spawn(*p, answer(proxy, q, id, want, at));
+    });
+    if (sim_.chance() % 100 == 0) sim_.after(std::chrono::milliseconds(sim_.chance() % 10), [this, id] { over(id, "hung-up"); });
+    sim_.after(5s, [this, id, at] {
+      if (!history_.calls[id].outcome.empty()) return;
+      judge(at, history_.calls[id], false);
+      over(id, "lost");
+    });
+  }
+
+  void over(std::string const& id, std::string const& outcome) {
+    CallSeen& seen = history_.calls[id];
+    if (seen.outcome.empty()) seen.outcome = outcome;
+  }
+
+  Task<void> answer(std::shared_ptr<Proxy<SimProcess, SimEdge>> proxy, HttpRequest q, std::string id, std::string want, std::size_t at) {
+    HttpReply const r = co_await proxy->call(std::move(q));
+    CallSeen& c = history_.calls[id];
+    if (!c.outcome.empty()) co_return;
+    c.answered = sim_.now;
+    c.status = r.status;
+    c.right = r.status == 200 && r.body == want;
+    for (Header const& h : r.headers) {
+      if (h.name == "banktide-outcome") c.outcome = h.value;
+      if (h.name == "Retry-After") c.retry_after = true;
+    }
+    if (c.outcome != "answered") c.why = r.body;
+    judge(at, c, false);
+    if (scenario_.verbose && c.outcome != "answered") log_info("sim_call", {{"id", id}, {"outcome", c.outcome}, {"cell", c.cell}, {"body", r.body}, {"at_ms", at_ms()}});
+  }
+
+  // Whether what the operators last meant is what was acknowledged last.
+  bool as_meant() const {
+    for (std::size_t i = 0; i < 2; ++i)
+      if (last_put_[i] >= history_.revisions.size() || history_.revisions[last_put_[i]].revision != known_[i]) return false;
+    return open_puts_ == 0;
+  }
+
+  // What an honest mesh owes this call, by what was done to whom: at its start,
+  // and still at its end.
+  void judge(std::size_t const at, CallSeen& c, bool const begins) {
+    Node const& n = nodes_[at];
+    bool stay = false, serve = false;
+    Duration const unchanged = sim_.now - changed_[c.service];
+    bool const up = as_meant() && c.service != "promo" && unbothered(n.machine) >= 4s && unbothered(core_of(n.cell)) >= 4s;
+    bool closed = false;
+    for (Json const& name : catalogue_.value("closed", Json::array())) closed = closed || name == c.service;
+    if (up && !closed && c.service != keyed_ && unchanged > 8s) {
+      std::set<std::string> allowed, named;
+      for (auto const& [cell, services] : catalogue_["cells"].items())
+        if (services.contains(c.service)) named.insert(cell);
+      for (std::string const& cell : d_.cells)
+        if (named.empty() || named.contains(cell)) allowed.insert(cell);
+      auto const good = [&](std::string const& cell) { return allowed.contains(cell) && cell_unbothered(cell, 4s) && unbothered_service(c.service, cell) > 4s && fit_backends(c.service, cell) > 0; };
+      stay = good(n.cell);
+      bool const none = !allowed.contains(n.cell) || (fit_backends(c.service, n.cell) == 0 && unbothered_service(c.service, n.cell) > 6s);
+      bool elsewhere = none, any = false;
+      for (std::string const& cell : d_.cells) {
+        if (cell == n.cell) continue;
+        elsewhere = elsewhere && cell_unbothered(cell, 4s) && unbothered_service(c.service, cell) > 4s;
+        any = any || good(cell);
+      }
+      serve = stay || (elsewhere && any);
+    }
+    if (up && !closed && c.service == keyed_ && unchanged > 14s) {
+      std::uint64_t const slice = digest_of(c.key) % routing_["services"][keyed_]["key"]["slices"].get<std::uint64_t>();
+      bool cores = true;
+      for (Control const& k : controls_) cores = cores && unbothered(k.machine) > 14s;
+      for (std::string const& cell : d_.cells) {
+        bool here = false;
+        if (catalogue_["cells"].contains(cell) && catalogue_["cells"][cell].contains(keyed_))
+          for (Json const& range : catalogue_["cells"][cell][keyed_]["slices"]) here = here || (range[0].get<std::uint64_t>() <= slice && slice <= range[1].get<std::uint64_t>());
+        if (here && cores && cell_unbothered(cell, 14s) && unbothered_service(keyed_, cell) > 14s && fit_backends(keyed_, cell) > 0) serve = true;
+      }
+    }
+    bool const calm = c.service != "promo" && sim_.now >= busy_until_ + 15s && unchanged > 15s;
+    if (begins) {
+      c.must_stay = stay;
+      c.must_serve = serve;
+      c.calm = calm;
+    } else {
+      c.must_stay = c.must_stay && stay;
+      c.must_serve = c.must_serve && serve;
+      c.calm = c.calm && calm;
+    }
+  }
+
+  // ---- operators
+
+  void put(std::size_t const at, Register const reg, std::string const& bytes, std::optional<Revision> const match = std::nullopt, bool const insist = false) {
+    Control& c = controls_[at];
+    RevisionSeen r;
+    r.reg = reg;
+    r.bytes = bytes;
+    r.sent = sim_.now;
+    r.maybe = true;
+    r.matched = match;
+    ++open_puts_;
+    last_put_[static_cast<std::size_t>(reg)] = history_.revisions.size();
+    history_.revisions.push_back(r);
+    std::size_t const n = history_.revisions.size() - 1;
+    HttpRequest q{"PUT", "/" + register_name(reg), {}, bytes};
+    if (match) q.headers.push_back({"If-Match", "\"" + std::to_string(*match) + "\""});
+    std::shared_ptr<SimProcess> const p = c.process;
+    std::shared_ptr<Registry<SimProcess>> const registry = c.registry;
+    if (!p->alive) history_.revisions[n].maybe = false;
+    sim_.after(6s, [this, n] { open_puts_ -= history_.revisions[n].answered == Instant{}; });
+    p->run([this, p, registry, q, n, at] { spawn(*p, put_once(registry, q, n, at)); });
+    if (insist) sim_.after(1500ms, [this, at, reg, bytes, n] {
+      if (history_.revisions[n].revision == 0) put((at + 1) % controls_.size(), reg, bytes, std::nullopt, true);
+    });
+  }
+
+  Task<void> put_once(std::shared_ptr<Registry<SimProcess>> registry, HttpRequest q, std::size_t n, std::size_t at) {
+    HttpReply const reply = co_await registry->operate(std::move(q));
+    RevisionSeen& r = history_.revisions[n];
+    r.answered = sim_.now;
+    --open_puts_;
+    if (reply.status == 200) {
+      r.revision = Json::parse(reply.body)["revision"].get<Revision>();
+      r.maybe = false;
+      known_[static_cast<std::size_t>(r.reg)] = std::max(known_[static_cast<std::size_t>(r.reg)], r.revision);
+      acknowledged(at);
+    } else if (reply.status != 504) {
+      r.maybe = false;
+    }
+  }
+
+  std::size_t anyone() { return sim_.chance() % controls_.size(); }
+  void put_routing() { put(anyone(), Register::routing, routing_.dump()); }
+  void put_catalogue() { put(anyone(), Register::catalogue, catalogue_.dump()); }
+  void note() { routing_["note"] = "revision " + std::to_string(++sent_); }
+
+  // The keyed service's slices: split between its two cells, or in one of
+  // them, or with the catalogue silent.
+  void place_keyed(std::uint64_t const style) {
+    changed_[keyed_] = sim_.now;
+    std::uint64_t const slices = routing_["services"][keyed_]["key"]["slices"], cut = 1 + sim_.chance() % (slices - 1);
+    for (auto& [cell, services] : catalogue_["cells"].items()) services.erase(keyed_);
+    std::string const& a = d_.cells[style % 2];
+    std::string const& b = d_.cells[1 - style % 2];
+    if (style == 4) return;
+    if (style >= 2) {
+      catalogue_["cells"][a][keyed_]["slices"] = {{0, slices - 1}};
+      return;
+    }
+    catalogue_["cells"][a][keyed_]["slices"] = {{0, cut - 1}};
+    catalogue_["cells"][b][keyed_]["slices"] = {{cut, slices - 1}};
+  }
+
+  void change_something() {
+    note();
+    std::vector<std::string> open;
+    for (auto const& [name, s] : routing_["services"].items())
+      if (name != keyed_ && name != "promo") open.push_back(name);
+    std::string const service = open[sim_.chance() % open.size()];
+    std::uint64_t const what = sim_.chance() % 20;
+    if (what < 10) {
+      put_routing();
+    } else if (what < 12) {
+      routing_["services"][service]["timeout_ms"] = 1500 + sim_.chance() % 500;
+      put_routing();
+    } else if (what < 14) {
+      if (routing_["services"].contains("promo")) {
+        routing_["services"].erase("promo");
+        routing_["ways"].erase(routing_["ways"].size() - 1);
+      } else {
+        routing_["services"]["promo"] = {{"timeout_ms", 1500}};
+        routing_["ways"].push_back({{"prefix", "/promo"}, {"service", "promo"}});
+      }
+      put_routing();
+    } else if (what < 17) {
+      place_keyed(sim_.chance() % 5);
+      put_catalogue();
+    } else if (what == 17) {
+      changed_[service] = sim_.now;
+      bool named = false;
+      for (auto& [cell, services] : catalogue_["cells"].items()) named = services.erase(service) > 0 || named;
+      std::size_t const first = sim_.chance() % d_.cells.size();
+      if (!named)
+        for (std::size_t const k : {first, (first + 1) % d_.cells.size()}) catalogue_["cells"][d_.cells[k]][service] = Json::object();
+      put_catalogue();
+    } else if (what == 18) {
+      changed_[service] = sim_.now;
+      catalogue_["closed"] = {service};
+      put_catalogue();
+      sim_.after(1500ms, [this, service] {
+        changed_[service] = sim_.now;
+        catalogue_["closed"] = Json::array();
+        put_catalogue();
+      });
+    } else {
+      changed_[keyed_] = sim_.now;
+      place_keyed(4);
+      put_catalogue();
+      sim_.after(700ms, [this] {
+        changed_[keyed_] = sim_.now;
+        Json& slices = routing_["services"][keyed_]["key"]["slices"];
+        slices = slices == 32 ? 48 : 32;
+        note();
+        put_routing();
+      });
+      sim_.after(2500ms, [this] {
+        place_keyed(0);
+        put_catalogue();
+      });
+    }
+  }
+
+  void keep_sending_revisions() {
+    if (!calling_) return;
+    if (settled_) {
+      note();
+      put_routing();
+    } else {
+      change_something();
+    }
+    sim_.after(std::chrono::milliseconds(400 + sim_.chance() % 1600), [this] { keep_sending_revisions(); });
+  }
+
+  // From here on only notes change, so that what isn't served is a fault.
+  void settle_layouts() {
+    settled_ = true;
+    for (auto const& [prefix, service] : ways_) changed_[service] = sim_.now;
+    routing_ = Json::parse(d_.routing);
+    catalogue_ = Json::parse(d_.catalogue);
+    note();
+    put(anyone(), Register::catalogue, R"({"cells":{}})", std::nullopt, true);
+    sim_.after(1s, [this] { put(anyone(), Register::routing, routing_.dump(), std::nullopt, true); });
+    sim_.after(3s, [this] { put(anyone(), Register::catalogue, catalogue_.dump(), std::nullopt, true); });
+  }
+
+  void read_back() {
+    std::size_t at = anyone();
+    while (!controls_[at].process->alive) at = (at + 1) % controls_.size();
+    Control& c = controls_[at];
+    for (Register const reg : all_registers) spawn(*c.process, read_once(c.registry, reg));
+    sim_.run_until(sim_.now + 3s);
+  }
+  Task<void> read_once(std::shared_ptr<Registry<SimProcess>> registry, Register reg) {
+    HttpRequest const q{"GET", "/" + register_name(reg), {}, ""};
+    HttpReply const r = co_await registry->operate(q);
+    history_.readback[static_cast<std::size_t>(reg)] = r.body;
+    history_.readback_good[static_cast<std::size_t>(reg)] = r.status == 200;
+  }
+
+  // ---- samples
+
+  void keep_sampling() {
+    if (!calling_) return;
+    for (Node& n : nodes_) {
+      std::vector<ForceSeen>& seen = history_.forces[n.machine];
+      ForceSeen f{sim_.now, seen.empty() ? std::array<Revision, 2>{} : seen.back().in_force, true};
+      bool const up = n.process->alive && n.proxy->ready();
+      if (up) {
+        f.in_force = {n.proxy->rules().routing, n.proxy->rules().catalogue_revision};
+        f.excused = !can_hear(n);
+      }
+      seen.push_back(f);
+      if (!up || n.process->frozen || n.rolling || sim_.cut_off(n.machine) || sim_.weather) bother(n.machine);
+    }
+    for (std::size_t k = 0; k < controls_.size(); ++k)
+      if (!controls_[k].process->alive || controls_[k].process->frozen || !voters_[k].process->alive || voters_[k].disk.stalled_until > sim_.now || sim_.cut_off(controls_[k].machine) || sim_.weather) bother(controls_[k].machine);
+    sim_.after(50ms, [this] { keep_sampling(); });
+  }
+
+  std::string at_ms() const { return std::to_string(as_ms(sim_.now.time_since_epoch()) - 3600000); }
+
+  Json routing_, catalogue_;  // as the operators last meant them
+  std::string keyed_;
+  std::map<std::string, std::string> ways_;
+  std::map<std::string, Instant> changed_;  // by service: its last change of more than a note
+  std::array<Revision, 2> known_{};
+  std::array<std::size_t, 2> last_put_{};
+  std::int64_t open_puts_ = 0;
+  std::uint64_t calls_ = 0, sent_ = 1;
+  std::string mishap_kind_;
+  Instant mishap_at_{};
+  bool calling_ = false, hot_ = false, settled_ = false;
+};
+
+}  // namespace banktide
--- a/source/simulation/sim_world.hpp
+++ b/source/simulation/sim_world.hpp
@@ -56,7 +56,13 @@
   bool cut_off(std::string const& m) const {
     return std::any_of(cuts_.begin(), cuts_.end(), [&](auto const& c) { return c.first == m || c.second == m; });
   }
-  Duration delay() { return std::chrono::microseconds(100 + chance() % 400 + (chance() % 50 == 0 ? chance() % 5000 : 0)); }
+  Duration delay() {
+    Duration const gust = weather ? Duration(std::chrono::milliseconds(chance() % 10 == 0 ? chance() % 300 : chance() % 5)) : 0ms;
+    return gust + std::chrono::microseconds(100 + chance() % 400 + (chance() % 50 == 0 ? chance() % 5000 : 0));
+  }
+
+  // Bad weather: messages take long, overtake one another, get lost or doubled.
+  bool weather = false;
 
  private:
   struct Entry {
@@ -99,7 +105,7 @@
             s->handler = [kept](bool const v) { std::move (*kept)(v); };
             std::weak_ptr<Pending> weak = s;
             std::weak_ptr<SimProcess> self = p->weak_from_this();
-            p->sim.at(t, [weak, self, n] {
+            p->sim.at(p->global(t), [weak, self, n] {
               std::shared_ptr<SimProcess> const alive = self.lock();
               if (alive) alive->run([weak, n] {
                 if (std::shared_ptr<Pending> const st = weak.lock()) fire(st, n, true);
@@ -135,7 +141,14 @@
   SimProcess(Sim& s, SimNet& n, std::string m, Address a, std::uint64_t const incarnation) : sim(s), net(n), machine(std::move(m)), address(std::move(a)), run_number(incarnation), chance_(s.chance()) {}
   ~SimProcess() { kill(); }
 
-  Instant now() const { return sim.now; }
+  // Each machine's clock has an offset and a speed of its own.
+  Instant now() const { return local(sim.now); }
+  __extension__ typedef __int128 Wide;
+  Instant local(Instant const t) const { return t + clock_offset + Duration(static_cast<std::int64_t>(Wide(t.time_since_epoch().count()) * clock_ppm / 1000000)); }
+  Instant global(Instant const t) const {
+    Wide const ns = (t - clock_offset).time_since_epoch().count();
+    return Instant{Duration(static_cast<std::int64_t>(ns * 1000000 / (1000000 + clock_ppm)) + 2000)};
+  }
   std::mt19937_64& chance() { return chance_; }
   asio::io_context::executor_type executor() { return sim.io.get_executor(); }
 
@@ -175,6 +188,8 @@
   std::uint64_t const run_number;
   Desk* desk = nullptr;
   bool alive = true, frozen = false;
+  Duration clock_offset{};
+  std::int64_t clock_ppm = 0;
   std::map<Address, std::uint64_t> connected;  // peer and the run it was
 
  private:
@@ -192,6 +207,10 @@
   std::map<Address, std::shared_ptr<SimProcess>> at;
   std::map<Address, std::string> machine_of;
   std::set<std::string> dark;  // machines without power
+  // Sees every message as it is sent; and each answer before it leaves: "yes"
+  // means that its machine lost power first.
+  std::function<void(SimProcess const&, Address const&, std::uint8_t, Bytes const&)> tap;
+  std::function<bool(SimProcess&, std::uint8_t)> struck;
 
   struct Exchange {
     std::shared_ptr<SimProcess> from;
@@ -205,6 +224,13 @@
   void begin(std::shared_ptr<Exchange> const& x, Duration const wait) {
     sim.after(wait, [this, x] {
       if (!x->from->alive || x->withdrawn) return;
+      if (tap) tap(*x->from, x->peer, x->kind, x->payload);
+      if (sim.weather && !x->done && sim.chance() % 8 == 0) return;
+      if (sim.weather && !x->done && sim.chance() % 8 == 0) {
+        std::shared_ptr<Exchange> const twin = std::make_shared<Exchange>(*x);
+        auto const up = at.find(x->peer);
+        if (up != at.end() && up->second->alive) deliver(twin, up->second, sim.now + 3s);
+      }
       auto const target = at.find(x->peer);
       std::string const machine = machine_of[x->peer];
       bool const reach = sim.open(x->from->machine, machine) && sim.open(machine, x->from->machine);
@@ -259,7 +285,11 @@
 
   Task<void> handle(std::shared_ptr<Exchange> x, std::shared_ptr<SimProcess> target) {
     Result<Bytes> reply = co_await target->desk->handlers[x->kind](x->payload);
-    if (x->done) back(x, target, std::make_shared<Result<Bytes>>(std::move(reply)), sim.now + 3s);
+    if (struck && struck(*target, x->kind)) co_return;
+    if (x->done && sim.weather && sim.chance() % 100 == 0) {
+      x->from->connected.erase(x->peer);
+      fail(x, sim.delay(), "wait_for_reply", "connection lost", Proof::unknown);
+    } else if (x->done) back(x, target, std::make_shared<Result<Bytes>>(std::move(reply)), sim.now + 3s);
   }
 
   void back(std::shared_ptr<Exchange> const& x, std::shared_ptr<SimProcess> const target, std::shared_ptr<Result<Bytes>> const reply, Instant const give_up) {
@@ -306,7 +336,7 @@
 // A disk outlives the processes that use it. Power lost during a sync leaves
 // the old record or the new one.
 struct SimDisk {
-  VoterRecord durable;
+  VoterRecord durable, unsynced;
   Instant stalled_until{};
   SimProcess* process = nullptr;
 
@@ -315,7 +345,11 @@
     SimProcess* const mine = process;
     VoterRecord const next = r;
     Duration wait = std::chrono::microseconds(200 + mine->chance()() % 2000);
-    if (stalled_until > mine->now()) wait += stalled_until - mine->now();
+    if (stalled_until > mine->sim.now) wait += stalled_until - mine->sim.now;
+    if (broken_on_purpose("no_sync")) {
+      unsynced = next;
+      co_return true;
+    }
     bool const early = mine->chance()() % 2 == 0;
     if (early) {
       co_await sleep_for(*mine, wait / 2);
--- a/source/state/layout.hpp
+++ b/source/state/layout.hpp
@@ -91,6 +91,9 @@
   std::string key_header;  // empty: not keyed
   std::uint32_t slices = 0;
   bool keyed() const { return slices > 0; }
+  // How keys come to slices. Two mappings of one service never hold leases at
+  // the same time, so a change of it is as safe as a move.
+  std::uint64_t mapping() const { return digest_of(key_header + "/" + std::to_string(slices)); }
   bool may_repeat(std::string const& method) const { return std::find(idempotent.begin(), idempotent.end(), method) != idempotent.end(); }
   std::uint32_t slice_of(std::string_view const key) const;
 };
@@ -184,7 +187,10 @@
     bool serves(std::uint32_t const slice) const { return slices.empty() || (slice < slices.size() && slices[slice]); }
   };
 
-  static Result<Catalogue> read(std::string const& bytes, Layout const& layout) {
+  // An operator's catalogue is checked against the routing revision to the last
+  // name. A node that has a newer routing revision than the catalogue was made
+  // for passes over the names and slices that are gone, and nothing else.
+  static Result<Catalogue> read(std::string const& bytes, Layout const& layout, bool const forgiving = false) {
     Result<Json> j = parse_json(bytes);
     if (!j) return tl::unexpected<Mishap>(j.error());
     Result<bool> const fits = check_schema(*j, schema);
@@ -195,30 +201,36 @@
     std::size_t at = 0;
     for (Json const& name : j->value("closed", Json::array())) {
       Index const s = layout.service_names.find(name.get<std::string>());
-      if (s == no_index) return mishap("check_references", "/closed/" + std::to_string(at), "no such service", Proof::not_run);
-      c.closed[s] = true;
+      if (s == no_index && !forgiving) return mishap("check_references", "/closed/" + std::to_string(at), "no such service", Proof::not_run);
+      if (s != no_index) c.closed[s] = true;
       ++at;
     }
     for (auto const& [cell, services] : (*j)["cells"].items()) {
-      if (layout.cells.find(cell) == no_index) return mishap("check_references", "/cells/" + cell, "no such cell", Proof::not_run);
+      bool const gone = layout.cells.find(cell) == no_index;
+      if (gone && !forgiving) return mishap("check_references", "/cells/" + cell, "no such cell", Proof::not_run);
       for (auto const& [name, e] : services.items()) {
         std::string const pointer = "/cells/" + cell + "/" + name;
         Index const s = layout.service_names.find(name);
-        if (s == no_index) return mishap("check_references", pointer, "no such service", Proof::not_run);
+        if (s == no_index && !forgiving) return mishap("check_references", pointer, "no such service", Proof::not_run);
+        if (s == no_index) continue;
         Service const& service = layout.services[s];
         Entry entry;
         entry.cell = cell;
-        if (e.contains("slices") && !service.keyed()) return mishap("check_references", pointer + "/slices", "service is not keyed", Proof::not_run);
-        if (service.keyed()) {
+        if (gone) entry.slices.assign(std::max<std::uint32_t>(service.slices, 1), false);
+        else if (e.contains("slices") && !service.keyed() && !forgiving) return mishap("check_references", pointer + "/slices", "service is not keyed", Proof::not_run);
+        if (service.keyed() && !gone) {
           entry.slices.assign(service.slices, !e.contains("slices"));
           for (Json const& range : e.value("slices", Json::array())) {
-            std::uint32_t const first = range[0].get<std::uint32_t>(), last = range[1].get<std::uint32_t>();
-            if (first > last || last >= service.slices) return mishap("check_references", pointer + "/slices", "slice range outside 0.." + std::to_string(service.slices - 1), Proof::not_run);
+            std::uint32_t const first = range[0].get<std::uint32_t>();
+            std::uint32_t last = range[1].get<std::uint32_t>();
+            if (forgiving) last = std::min(last, service.slices - 1);
+            else if (first > last || last >= service.slices) return mishap("check_references", pointer + "/slices", "slice range outside 0.." + std::to_string(service.slices - 1), Proof::not_run);
             for (std::uint32_t i = first; i <= last; ++i) entry.slices[i] = true;
           }
           for (Entry const& other : c.entries[s])
             for (std::uint32_t i = 0; i < service.slices; ++i)
-              if (entry.slices[i] && other.slices[i]) return mishap("check_references", pointer + "/slices", "slice " + std::to_string(i) + " is also in cell " + other.cell, Proof::not_run);
+              if (entry.slices[i] && other.slices[i] && forgiving) entry.slices[i] = false;
+              else if (entry.slices[i] && other.slices[i]) return mishap("check_references", pointer + "/slices", "slice " + std::to_string(i) + " is also in cell " + other.cell, Proof::not_run);
         }
         c.entries[s].push_back(std::move(entry));
       }
@@ -234,20 +246,42 @@
 // run in, own first. `dropped` has the reason where there is none.
 struct Choice {
   bool stay = false;
-  bool settled = false;             // by the catalogue
+  bool settled = false;             // by the catalogue, or by the slice's home
+  bool home = false;                // the catalogue is silent on a keyed service
   std::vector<std::string> others;  // empty and not settled: any cell
   std::string dropped;
 };
 
-inline Choice choose_cells(Layout const& layout, Catalogue const& c, std::string const& own, Index const service, std::uint32_t const slice) {
+// `offering` tells the cells that have a backend of the service now. Where the
+// catalogue is silent on a keyed service, each slice has one home among them,
+// the one with the highest digest, so that all who see the same cells agree;
+// the leases see to it that it moves only when the old home has let go.
+template <class Offering>
+Choice choose_cells(Layout const& layout, Catalogue const& c, std::string const& own, Index const service, std::uint32_t const slice, Offering offering) {
   Choice out;
   if (service < c.closed.size() && c.closed[service]) {
     out.dropped = "closed by the catalogue";
     return out;
   }
   if (service >= c.entries.size() || c.entries[service].empty()) {
-    if (layout.services[service].keyed()) out.dropped = "no cell has the slice";
-    else out.stay = true;
+    if (!layout.services[service].keyed()) {
+      out.stay = true;
+      return out;
+    }
+    std::string home;
+    std::uint64_t top = 0;
+    for (std::string const& cell : offering()) {
+      std::uint64_t const score = digest_of(layout.services[service].name + "/" + std::to_string(slice) + "@" + cell);
+      if (home.empty() || score > top) {
+        home = cell;
+        top = score;
+      }
+    }
+    out.home = true;
+    out.settled = true;
+    if (home.empty()) out.dropped = "no cell has a backend of the keyed service";
+    else if (home == own) out.stay = true;
+    else out.others.push_back(home);
     return out;
   }
   out.settled = true;
@@ -256,7 +290,7 @@
     if (e.cell == own) out.stay = true;
     else out.others.push_back(e.cell);
   }
-  if (!out.stay && out.others.empty()) out.dropped = "no cell has the slice";
+  if (!out.stay && out.others.empty()) out.dropped = layout.services[service].keyed() ? "no cell has the slice" : "no cell has the service";
   return out;
 }
 
@@ -286,14 +320,43 @@
   for (std::string const bad : {R"({"cells":{"c":{}}})", R"({"cells":{"a":{"nope":{}}}})", R"({"cells":{"a":{"pay":{"slices":[[0,4]]}},"b":{"pay":{"slices":[[4,7]]}}}})", R"({"cells":{"a":{"pay":{"slices":[[0,8]]}}}})",
                                 R"({"cells":{"a":{"browse":{"slices":[[0,1]]}}}})", R"({"cells":{},"closed":["nope"]})"})
     EXPECT_FALSE(Catalogue::read(bad, l)) << bad;
+  auto const nowhere = [] { return std::set<std::string>{}; };
   Catalogue const c = *Catalogue::read(R"({"cells":{"a":{"pay":{"slices":[[0,3]]}},"b":{"pay":{"slices":[[4,6]]}}}})", l);
   Index const pay = l.service_names.find("pay"), browse = l.service_names.find("browse");
-  EXPECT_TRUE(choose_cells(l, c, "a", pay, 1).stay);
-  EXPECT_EQ(choose_cells(l, c, "a", pay, 5).others, std::vector<std::string>{"b"});
-  EXPECT_FALSE(choose_cells(l, c, "a", pay, 5).stay);
-  EXPECT_EQ(choose_cells(l, c, "a", pay, 7).dropped, "no cell has the slice");
-  EXPECT_TRUE(choose_cells(l, c, "a", browse, 0).stay);
-  EXPECT_TRUE(choose_cells(l, *Catalogue::read(R"({"cells":{},"closed":["browse"]})", l), "a", browse, 0).dropped.size());
+  EXPECT_TRUE(choose_cells(l, c, "a", pay, 1, nowhere).stay);
+  EXPECT_EQ(choose_cells(l, c, "a", pay, 5, nowhere).others, std::vector<std::string>{"b"});
+  EXPECT_FALSE(choose_cells(l, c, "a", pay, 5, nowhere).stay);
+  EXPECT_EQ(choose_cells(l, c, "a", pay, 7, nowhere).dropped, "no cell has the slice");
+  EXPECT_TRUE(choose_cells(l, c, "a", browse, 0, nowhere).stay);
+  EXPECT_TRUE(choose_cells(l, *Catalogue::read(R"({"cells":{},"closed":["browse"]})", l), "a", browse, 0, nowhere).dropped.size());
+}
+
+TEST(Catalogue, what_a_newer_routing_revision_dropped_is_passed_over_and_the_rest_holds) {
+  Layout const l = *Layout::read(sample_layout);
+  std::string const old = R"({"cells":{"a":{"pay":{"slices":[[0,3]]},"gone":{}},"b":{"pay":{"slices":[[4,20]]}},"lost":{"pay":{"slices":[[0,0]]},"browse":{}}},"closed":["gone"]})";
+  EXPECT_EQ(Catalogue::read(old, l).error().step, "check_references");
+  Catalogue const c = *Catalogue::read(old, l, true);
+  auto const nowhere = [] { return std::set<std::string>{}; };
+  Index const pay = l.service_names.find("pay"), browse = l.service_names.find("browse");
+  EXPECT_TRUE(choose_cells(l, c, "a", pay, 0, nowhere).stay);
+  EXPECT_EQ(choose_cells(l, c, "a", pay, 7, nowhere).others, std::vector<std::string>{"b"});
+  EXPECT_EQ(choose_cells(l, c, "a", browse, 0, nowhere).dropped, "no cell has the service");
+}
+
+TEST(Catalogue, a_slice_it_is_silent_on_has_one_home_that_all_agree_on) {
+  Layout const l = *Layout::read(sample_layout);
+  Index const pay = l.service_names.find("pay");
+  std::set<std::string> const both{"a", "b"};
+  std::size_t at_a = 0;
+  for (std::uint32_t slice = 0; slice < 8; ++slice) {
+    Choice const a = choose_cells(l, Catalogue{}, "a", pay, slice, [&] { return both; }), b = choose_cells(l, Catalogue{}, "b", pay, slice, [&] { return both; });
+    EXPECT_NE(a.stay, b.stay);
+    EXPECT_EQ((a.stay ? b : a).others, std::vector<std::string>{a.stay ? "a" : "b"});
+    at_a += a.stay;
+  }
+  EXPECT_GT(at_a, 0u);
+  EXPECT_LT(at_a, 8u);
+  EXPECT_FALSE(choose_cells(l, Catalogue{}, "a", pay, 0, [] { return std::set<std::string>{}; }).dropped.empty());
 }
 #endif
 
--- /dev/null
+++ b/source/state/slice_moves.hpp
@@ -0,0 +1,94 @@
+// One view of where each slice of the keyed services is: the cell that should
+// have it, who holds its lease, what is in flight and what a move still waits
+// for. Made from the states that the registries and nodes tell of themselves.
+#pragma once
+
+#include "state/layout.hpp"
+
+namespace banktide {
+
+inline Json slice_moves(Json const& fleet, Layout const& layout, Catalogue const& catalogue) {
+  std::map<std::string, std::set<std::string>> offering;  // by service
+  std::map<Slice, std::vector<Json>> leases;
+  std::map<Slice, Json> grants;
+  std::map<std::string, std::set<std::uint64_t>> mappings;  // with leases, by service
+  for (Json const& cell : fleet["cells"]) {
+    for (Json const& g : cell.value("grants", Json::array())) grants[Slice{g["service"], g["mapping"], g["slice"]}] = g;
+    for (Json const& node : cell["nodes"]) {
+      for (Json const& b : node.value("local", Json::array()))
+        if (b.value("standing", "") == "fit") offering[b["service"]].insert(cell["cell"].get<std::string>());
+      for (Json const& l : node.value("leases", Json::array())) {
+        Json lease = l;
+        lease["node"] = node["node"];
+        lease["cell"] = cell["cell"];
+        leases[Slice{l["service"], l["mapping"], l["slice"]}].push_back(lease);
+        mappings[l["service"]].insert(l["mapping"].get<std::uint64_t>());
+      }
+    }
+  }
+  Json out = Json::array();
+  for (Index s = 0; s < layout.services.size(); ++s) {
+    Service const& service = layout.services[s];
+    for (std::uint32_t i = 0; i < service.slices; ++i) {
+      Choice const choice = choose_cells(layout, catalogue, "", s, i, [&] { return offering[service.name]; });
+      std::string const should = choice.others.empty() ? "" : choice.others.front();
+      Json row = {{"service", service.name}, {"should", should}, {"by", choice.home ? "home" : "catalogue"}, {"in_flight", 0}};
+      auto const held = leases.find(Slice{service.name, service.mapping(), i});
+      auto const granted = grants.find(Slice{service.name, service.mapping(), i});
+      bool const former = mappings[service.name].size() > mappings[service.name].count(service.mapping());
+      if (held != leases.end()) {
+        Json const& l = held->second.front();
+        row["cell"] = l["cell"];
+        row["node"] = l["node"];
+        row["instance"] = l["instance"];
+        row["in_flight"] = l["in_flight"];
+        bool const there = l["cell"] == should && l["wanted"].get<bool>();
+        row["state"] = there ? "held" : "emptying";
+        if (!there) row["waits_for"] = l["in_flight"].get<int>() > 0 ? std::to_string(l["in_flight"].get<int>()) + " calls in flight" : "calls of unknown outcome, or the node to let go";
+      } else {
+        row["state"] = choice.dropped.empty() ? "waiting" : "nowhere";
+        if (!choice.dropped.empty()) row["waits_for"] = choice.dropped;
+        else if (!offering[service.name].contains(should)) row["waits_for"] = "a backend of the service in " + should;
+        else if (former) row["waits_for"] = "leases under the former mapping of its keys";
+        else if (granted != grants.end()) row["waits_for"] = "the lease of " + granted->second["holder"].get<std::string>();
+        else row["waits_for"] = "its new holder's claim";
+      }
+      // Neighbours that differ in nothing are one row.
+      row["slices"] = {i, i};
+      if (!out.empty()) {
+        Json last = out.back(), mine = row;
+        last.erase("slices");
+        mine.erase("slices");
+        if (last == mine && out.back()["slices"][1] == i - 1) {
+          out.back()["slices"][1] = i;
+          continue;
+        }
+      }
+      out.push_back(row);
+    }
+  }
+  return Json{{"slices", out}, {"silent", fleet.value("silent", Json::array())}};
+}
+
+}  // namespace banktide
+
+#ifdef TESTS_OF_SLICE_MOVES
+namespace banktide {
+TEST(SliceMoves, a_move_shows_what_is_held_what_empties_and_what_waits) {
+  Layout const l = *Layout::read(R"({"cells":["a","b"],"services":{"pay":{"key":{"header":"x-key","slices":4}}},"ways":[]})");
+  Catalogue const c = *Catalogue::read(R"({"cells":{"a":{"pay":{"slices":[[0,0]]}},"b":{"pay":{"slices":[[1,3]]}}}})", l);
+  std::uint64_t const m = l.services[0].mapping();
+  auto const lease = [&](int slice, int in_flight, bool wanted) { return Json{{"service", "pay"}, {"mapping", m}, {"slice", slice}, {"instance", "pay-1"}, {"in_flight", in_flight}, {"wanted", wanted}}; };
+  Json const backend = {{"service", "pay"}, {"standing", "fit"}};
+  Json const fleet = {{"cells", {{{"cell", "a"}, {"nodes", {{{"node", "n1"}, {"local", {backend}}, {"leases", {lease(0, 2, true), lease(1, 3, false)}}}}}}, {{"cell", "b"}, {"nodes", {{{"node", "n2"}, {"local", {backend}}, {"leases", Json::array()}}}}}}}};
+  Json const rows = slice_moves(fleet, l, c)["slices"];
+  ASSERT_EQ(rows.size(), 3u) << rows.dump(1);
+  EXPECT_EQ(rows[0]["state"], "held");
+  EXPECT_EQ(rows[1]["state"], "emptying");
+  EXPECT_EQ(rows[1]["waits_for"], "3 calls in flight");
+  EXPECT_EQ(rows[1]["should"], "b");
+  EXPECT_EQ(rows[2]["slices"], Json::array({2, 3}));
+  EXPECT_EQ(rows[2]["waits_for"], "its new holder's claim");
+}
+}  // namespace banktide
+#endif
--- a/source/transport/http_edge.hpp
+++ b/source/transport/http_edge.hpp
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cpprest/http_client.h>
 #include <cpprest/http_listener.h>
+#include <cpprest/producerconsumerstream.h>
 #include <pplx/threadpool.h>
 
 namespace banktide {
@@ -47,9 +48,97 @@
   }
 }
 
+// The lines of a request's body while it arrives. A sender that is faster than
+// what is done with its lines is cut off before it fills the memory.
+class LinesIn {
+ public:
+  static constexpr std::size_t line_limit = 1u << 20, backlog = 8u << 20;
+  explicit LinesIn(web::http::http_request const& q) : in_(q.body().streambuf()) {}
+
+  Task<std::optional<std::string>> next() {
+    while (true) {
+      std::size_t const end = held_.find('\n');
+      if (end != std::string::npos) {
+        std::string line = held_.substr(0, end);
+        held_.erase(0, end + 1);
+        co_return line;
+      }
+      if (over_ || held_.size() > line_limit) {
+        over_ = true;
+        if (held_.empty()) co_return std::nullopt;
+        co_return std::exchange(held_, "");
+      }
+      try {
+        int const first = co_await await_task(in_.getc());
+        std::size_t const n = in_.in_avail();
+        over_ = first < 0 || n == 0 || n > backlog;
+        if (over_) continue;
+        std::vector<unsigned char> raw(std::min<std::size_t>(n, 64u << 10));
+        std::size_t const got = co_await await_task(in_.getn(raw.data(), raw.size()));
+        held_.append(raw.begin(), raw.begin() + static_cast<std::ptrdiff_t>(got));
+      } catch (std::exception const& e) {
+        log_warn("caller_gone", {{"step", "read_lines"}, {"reason", e.what()}});
+        held_.clear();
+        over_ = true;
+      }
+    }
+  }
+
+ private:
+  concurrency::streams::streambuf<unsigned char> in_;
+  std::string held_;
+  bool over_ = false;
+};
+
+// Lines of a reply while they are made. The reply begins with the first line.
+class LinesOut {
+ public:
+  static constexpr std::size_t backlog = 256u << 10;
+  explicit LinesOut(web::http::http_request q) : q_(std::move(q)), over_(std::make_shared<bool>(false)) {}
+
+  bool begun() const { return begun_; }
+  bool full() const { return begun_ && !*over_ && buffer_.in_avail() > backlog; }
+  bool write(std::string line) {
+    if (!begun_) begin();
+    if (*over_) return false;
+    line += '\n';
+    buffer_.putn_nocopy(reinterpret_cast<unsigned char const*>(line.data()), line.size());
+    buffer_.sync();
+    return true;
+  }
+  void end() {
+    if (begun_) buffer_.close(std::ios_base::out);
+  }
+
+ private:
+  void begin() {
+    begun_ = true;
+    web::http::http_response r(200);
+    r.set_body(buffer_.create_istream(), "application/x-ndjson");
+    q_.reply(r).then([over = over_](pplx::task<void> done) {
+      try {
+        done.get();
+      } catch (std::exception const& e) {
+        log_info("reader_gone", {{"reason", e.what()}});
+      }
+      *over = true;
+    });
+  }
+  web::http::http_request q_;
+  concurrency::streams::producer_consumer_buffer<unsigned char> buffer_;
+  std::shared_ptr<bool> over_;
+  bool begun_ = false;
+};
+
 class HttpListener {
  public:
   using Handler = std::function<Task<HttpReply>(HttpRequest)>;
+  using LinesInHandler = std::function<Task<HttpReply>(HttpRequest, LinesIn&)>;
+  using LinesOutHandler = std::function<Task<std::optional<HttpReply>>(HttpRequest, LinesOut&)>;
+
+  // Paths whose request body, or whose reply, is a stream of lines.
+  void on_lines_in(std::string const& path, LinesInHandler h) { lines_in_[path] = std::move(h); }
+  void on_lines_out(std::string const& path, LinesOutHandler h) { lines_out_[path] = std::move(h); }
 
   // `address` is ip:port with the port given.
   HttpListener(asio::io_context& io, Address const& address, Handler handler) : io_(io), handler_(std::move(handler)), listener_("http://" + address + "/") {
@@ -87,7 +176,17 @@
     request.target = q.request_uri().to_string();
     for (auto const& [name, value] : q.headers()) request.headers.push_back({name, value});
     HttpReply reply;
-    if (!carries(request.target)) {
+    std::string const path = request.target.substr(0, request.target.find('?'));
+    if (request.method == "GET" && lines_out_.contains(path)) {
+      LinesOut out(q);
+      std::optional<HttpReply> const no = co_await lines_out_[path](std::move(request), out);
+      out.end();
+      if (out.begun()) co_return;
+      reply = no ? *no : HttpReply{503, {{"Retry-After", "1"}}, ""};
+    } else if (request.method == "POST" && lines_in_.contains(path)) {
+      LinesIn in(q);
+      reply = co_await lines_in_[path](std::move(request), in);
+    } else if (!carries(request.target)) {
       reply.status = 400;
       reply.headers = {{"banktide-outcome", "not-run"}, {"Connection", "close"}};
       reply.body = "this target can't be carried as it stands\n";
@@ -113,6 +212,8 @@
 
   asio::io_context& io_;
   Handler handler_;
+  std::map<std::string, LinesInHandler> lines_in_;
+  std::map<std::string, LinesOutHandler> lines_out_;
   web::http::experimental::listener::http_listener listener_;
 };
 
--- a/source/transport/surroundings.hpp
+++ b/source/transport/surroundings.hpp
@@ -6,6 +6,7 @@
 
 #include "protocol/archive.hpp"
 #include "transport/log.hpp"
+#include "transport/mutant.hpp"
 #include "transport/result.hpp"
 
 #include <array>
