--- a/source/coordination/acceptor.hpp
+++ b/source/coordination/acceptor.hpp
@@ -28,7 +28,8 @@
 template <Surroundings W, Disk D>
 class Acceptor {
  public:
-  Acceptor(W& w, D& d, std::vector<Address> voters, std::size_t const own) : w_(w), disk_(d), voters_(std::move(voters)), own_(own), turn_(w) {}
+  Acceptor(W& w, D& d, std::vector<Address> voters, std::size_t const own)
+      : w_(w), disk_(d), voters_(std::move(voters)), own_(own), turn_(w) {}
 
   Result<bool> load() {
     Result<VoterRecord> r = disk_.load();
@@ -52,7 +53,8 @@
     while (record_.phase != Phase::voting) {
       std::vector<Address> const others = other_voters();
       Found question{Phase::blank, record_.founding};
-      auto const replies = co_await ask_all<Found>(w_, others, question, w_.now() + 1s, [](auto const&) { return false; });
+      auto const replies =
+          co_await ask_all<Found>(w_, others, question, w_.now() + 1s, [](auto const&) { return false; });
       std::size_t heard = 0, voting = 0, same = 0;
       for (auto const& [i, r] : replies) {
         if (!r) continue;
@@ -74,9 +76,12 @@
       } else if (own_ == 0 && heard == others.size()) {
         co_await found_all(others);
       }
-      if (record_.phase != Phase::voting) co_await sleep_for(w_, 200ms + std::chrono::milliseconds(w_.chance()() % 100));
+      if (record_.phase != Phase::voting)
+        co_await sleep_for(w_, 200ms + std::chrono::milliseconds(w_.chance()() % 100));
     }
-    log_info("voting", {{"founding", std::to_string(record_.founding)}, {"routing", std::to_string(slot(Register::routing).held.revision)}, {"catalogue", std::to_string(slot(Register::catalogue).held.revision)}});
+    log_info("voting", {{"founding", std::to_string(record_.founding)},
+                        {"routing", std::to_string(slot(Register::routing).held.revision)},
+                        {"catalogue", std::to_string(slot(Register::catalogue).held.revision)}});
   }
 
  private:
@@ -91,8 +96,10 @@
     if (f(next)) {
       Result<bool> kept = co_await disk_.keep(next);
       good = kept.has_value();
-      if (good) record_ = std::move(next);
-      else log_warn("disk_mishap", {{"step", kept.error().step}, {"reason", kept.error().reason}});
+      if (good)
+        record_ = std::move(next);
+      else
+        log_warn("disk_mishap", {{"step", kept.error().step}, {"reason", kept.error().reason}});
     }
     turn_.leave();
     co_return good;
@@ -184,7 +191,8 @@
     });
     if (!began) co_return;
     Found const prepared{Phase::prepared, id}, open{Phase::voting, id};
-    auto const replies = co_await ask_all<Found>(w_, others, prepared, w_.now() + 2s, [](auto const&) { return false; });
+    auto const replies =
+        co_await ask_all<Found>(w_, others, prepared, w_.now() + 2s, [](auto const&) { return false; });
     std::size_t ready = 0;
     for (auto const& [i, r] : replies) ready += r && r->phase == Phase::prepared && r->founding == id;
     if (ready != others.size()) co_return;
@@ -235,7 +243,8 @@
         }
         if (promised >= enough_others()) {
           Accept const question{reg, ballot, held};
-          auto const taken = co_await ask_all<Accept>(w_, others, question, w_.now() + 1s, [](auto const&) { return false; });
+          auto const taken =
+              co_await ask_all<Accept>(w_, others, question, w_.now() + 1s, [](auto const&) { return false; });
           std::size_t accepted = 0;
           for (auto const& [i, r] : taken) accepted += r && r->accepted;
           if (accepted >= enough_others()) break;
--- a/source/coordination/lease_voter.hpp
+++ b/source/coordination/lease_voter.hpp
@@ -39,7 +39,8 @@
       bool const free = g.until <= now || g.holder == q.holder;
       bool const newer = g.holder == q.holder ? c.epoch >= g.epoch : c.epoch > g.epoch;
       std::uint64_t const least = std::max(floor_, top_elsewhere(c.slice));
-      bool const ok = broken_on_purpose("lease_to_all") || (free && newer && c.epoch > least && !other_mapping(c.slice, now));
+      bool const ok =
+          broken_on_purpose("lease_to_all") || (free && newer && c.epoch > least && !other_mapping(c.slice, now));
       if (ok) {
         g.holder = q.holder;
         g.epoch = c.epoch;
@@ -65,7 +66,8 @@
   bool other_mapping(Slice const& s, Instant const now) {
     for (auto it = mappings_.lower_bound({s.service, 0}); it != mappings_.end() && it->first.first == s.service; ++it) {
       if (it->first.second == s.mapping || it->second.last <= now) continue;
-      for (auto g = grants_.lower_bound(Slice{s.service, it->first.second, 0}); g != grants_.end() && g->first.service == s.service && g->first.mapping == it->first.second; ++g)
+      for (auto g = grants_.lower_bound(Slice{s.service, it->first.second, 0});
+           g != grants_.end() && g->first.service == s.service && g->first.mapping == it->first.second; ++g)
         if (g->second.until > now) return true;
       it->second.last = now;
     }
@@ -106,7 +108,9 @@
     LeaseReply const r = v.ask(LeaseAsk{holder, {SliceClaim{s, epoch}}, {}});
     return r.voting && r.granted[0];
   }
-  void release(std::string const& holder, Slice const& s, std::uint64_t const epoch) { v.ask(LeaseAsk{holder, {}, {SliceClaim{s, epoch}}}); }
+  void release(std::string const& holder, Slice const& s, std::uint64_t const epoch) {
+    v.ask(LeaseAsk{holder, {}, {SliceClaim{s, epoch}}});
+  }
 };
 
 TEST_F(LeaseVoterTest, abstains_for_a_term_and_until_epochs_have_a_floor) {
--- a/source/coordination/register_client.hpp
+++ b/source/coordination/register_client.hpp
@@ -25,14 +25,19 @@
   // is handed on untouched). A mishap of a round is `unknown` once any voter
   // may hold the new value.
   template <class F>
-  Task<Result<Held>> change(Register const reg, std::string request, Instant const deadline, F step, std::uint64_t* const round = nullptr) {
+  Task<Result<Held>> change(Register const reg, std::string request, Instant const deadline, F step,
+                            std::uint64_t* const round = nullptr) {
     bool offered = false;
     std::string last = "no majority";
     for (std::uint64_t attempt = 0; w_.now() < deadline; ++attempt) {
-      if (attempt > 0) co_await sleep_for(w_, std::chrono::milliseconds(2 + w_.chance()() % (20ull << std::min<std::uint64_t>(attempt, 4))));
+      if (attempt > 0)
+        co_await sleep_for(
+            w_, std::chrono::milliseconds(2 + w_.chance()() % (20ull << std::min<std::uint64_t>(attempt, 4))));
       Ballot const ballot{++round_, nonce_};
       Prepare const first{reg, ballot};
-      auto const prepared = co_await ask_all<Prepare>(w_, voters_, first, std::min(deadline, w_.now() + 600ms), [this](auto const& replies) { return count(replies, &PrepareReply::promised) >= majority(); });
+      auto const prepared = co_await ask_all<Prepare>(
+          w_, voters_, first, std::min(deadline, w_.now() + 600ms),
+          [this](auto const& replies) { return count(replies, &PrepareReply::promised) >= majority(); });
       Ballot best;
       Held held;
       for (auto const& [i, r] : prepared) {
@@ -47,7 +52,8 @@
         last = "prepare had no majority";
         continue;
       }
-      bool const repeat = !request.empty() && std::any_of(held.requests.begin(), held.requests.end(), [&](auto const& p) { return p.first == request; });
+      bool const repeat = !request.empty() && std::any_of(held.requests.begin(), held.requests.end(),
+                                                          [&](auto const& p) { return p.first == request; });
       if (!repeat) {
         Result<Held> next = step(held);
         if (!next) {
@@ -62,7 +68,9 @@
       }
       offered = true;
       Accept const second{reg, ballot, held};
-      auto const accepted = co_await ask_all<Accept>(w_, voters_, second, std::min(deadline, w_.now() + 600ms), [this](auto const& replies) { return count(replies, &AcceptReply::accepted) >= majority(); });
+      auto const accepted = co_await ask_all<Accept>(
+          w_, voters_, second, std::min(deadline, w_.now() + 600ms),
+          [this](auto const& replies) { return count(replies, &AcceptReply::accepted) >= majority(); });
       for (auto const& [i, r] : accepted)
         if (r) round_ = std::max(round_, r->promised.round);
       if (count(accepted, &AcceptReply::accepted) >= majority()) {
@@ -77,7 +85,8 @@
   // The newest chosen value, vouched for by a majority as of this call.
   Task<Result<Held>> read(Register const reg, Held const known, Instant const deadline) {
     Peek const question{reg, known.revision};
-    auto const replies = co_await ask_all<Peek>(w_, voters_, question, std::min(deadline, w_.now() + 600ms), [this](auto const& r) { return agreeing(r).second >= majority(); });
+    auto const replies = co_await ask_all<Peek>(w_, voters_, question, std::min(deadline, w_.now() + 600ms),
+                                                [this](auto const& r) { return agreeing(r).second >= majority(); });
     auto const [at, n] = agreeing(replies);
     if (n >= majority()) {
       PeekReply const& r = *replies[at].second;
@@ -89,7 +98,8 @@
   // A number greater than every one that this has given before, to anyone.
   Task<Result<std::uint64_t>> rise(Register const reg, Instant const deadline) {
     Peek const question{reg, std::numeric_limits<Revision>::max()};
-    auto const replies = co_await ask_all<Peek>(w_, voters_, question, std::min(deadline, w_.now() + 600ms), [](auto const&) { return false; });
+    auto const replies = co_await ask_all<Peek>(w_, voters_, question, std::min(deadline, w_.now() + 600ms),
+                                                [](auto const&) { return false; });
     std::size_t heard = 0;
     for (auto const& [i, r] : replies) {
       if (!r || !r->voting) continue;
@@ -98,7 +108,8 @@
     }
     if (heard < majority()) co_return mishap("register", register_name(reg), "no majority", Proof::not_run);
     std::uint64_t round = 0;
-    Result<Held> const done = co_await change(reg, "", deadline, [](Held const& h) -> Result<Held> { return h; }, &round);
+    Result<Held> const done = co_await change(
+        reg, "", deadline, [](Held const& h) -> Result<Held> { return h; }, &round);
     if (!done) co_return tl::unexpected<Mishap>(done.error());
     co_return round;
   }
@@ -161,7 +172,8 @@
   }
 
   void start(std::size_t const i) {
-    std::shared_ptr<SimProcess> p = std::make_shared<SimProcess>(sim, net, "core-" + std::to_string(i), voters[i], ++runs);
+    std::shared_ptr<SimProcess> p =
+        std::make_shared<SimProcess>(sim, net, "core-" + std::to_string(i), voters[i], ++runs);
     if (net.at.contains(voters[i])) net.at[voters[i]]->kill();
     net.at[voters[i]] = p;
     net.machine_of[voters[i]] = p->machine;
@@ -186,14 +198,18 @@
       };
       std::size_t const known = acked.size();
       Result<Held> const r = co_await coordinators[c]->change(Register::routing, id, clients[c]->now() + 3s, append);
-      if (r) acked.push_back(id);
-      else if (r.error().proof == Proof::not_run) refused.push_back(id);
+      if (r)
+        acked.push_back(id);
+      else if (r.error().proof == Proof::not_run)
+        refused.push_back(id);
       Held const none{};
       Result<Held> const seen = co_await coordinators[c]->read(Register::routing, none, clients[c]->now() + 3s);
       if (seen) {
-        for (std::size_t i = 0; i < known; ++i) EXPECT_NE((";" + seen->bytes).find(";" + acked[i]), std::string::npos) << "stale reading";
+        for (std::size_t i = 0; i < known; ++i)
+          EXPECT_NE((";" + seen->bytes).find(";" + acked[i]), std::string::npos) << "stale reading";
         EXPECT_EQ(static_cast<std::size_t>(std::count(seen->bytes.begin(), seen->bytes.end(), ';')), seen->revision);
-        last = std::max(last, seen->bytes, [](std::string const& a, std::string const& b) { return a.size() < b.size(); });
+        last =
+            std::max(last, seen->bytes, [](std::string const& a, std::string const& b) { return a.size() < b.size(); });
         EXPECT_TRUE(last.starts_with(seen->bytes)) << "histories differ";
       }
       co_await sleep_for(*clients[c], std::chrono::milliseconds(sim.chance() % 60));
@@ -206,7 +222,9 @@
     next.bytes = "kept";
     return next;
   }
-  Task<void> write_kept() { written = co_await coordinators[0]->change(Register::routing, "r", clients[0]->now() + 3s, &kept); }
+  Task<void> write_kept() {
+    written = co_await coordinators[0]->change(Register::routing, "r", clients[0]->now() + 3s, &kept);
+  }
   Task<void> read_once() {
     Held const none{};
     seen = co_await coordinators[1]->read(Register::routing, none, clients[1]->now() + 3s);
@@ -225,7 +243,9 @@
         sim.after(a_while, [this, i] { start(i); });
         sim.after(a_while + 3s, [this] { down = false; });
         break;
-      case 2: disks[i].stalled_until = sim.now + a_while; break;
+      case 2:
+        disks[i].stalled_until = sim.now + a_while;
+        break;
       case 3: {
         std::string const m = sim.chance() % 2 ? "core-" + std::to_string(i) : "client-" + std::to_string(i % 3);
         for (auto const& [address, other] : net.machine_of) {
@@ -235,7 +255,8 @@
         sim.after(a_while, [this] { sim.heal(); });
         break;
       }
-      default: break;
+      default:
+        break;
     }
     if (!over) sim.after(std::chrono::milliseconds(200 + sim.chance() % 800), [this] { trouble(); });
   }
@@ -272,7 +293,8 @@
       EXPECT_NE(at, std::string::npos) << "seed " << seed << " lost " << id;
       EXPECT_EQ(all.find(";" + id, at + 1), std::string::npos) << "seed " << seed << " twice " << id;
     }
-    for (std::string const& id : t.refused) EXPECT_EQ(all.find(";" + id), std::string::npos) << "seed " << seed << " took " << id;
+    for (std::string const& id : t.refused)
+      EXPECT_EQ(all.find(";" + id), std::string::npos) << "seed " << seed << " took " << id;
     acked += t.acked.size();
   }
   EXPECT_GT(acked, 1000u);
--- a/source/coordination/ring.hpp
+++ b/source/coordination/ring.hpp
@@ -16,7 +16,9 @@
 inline constexpr std::size_t relay_fanout = 3;
 
 inline std::vector<std::string> ring_order(std::vector<std::string> ids) {
-  std::sort(ids.begin(), ids.end(), [](std::string const& a, std::string const& b) { return std::pair(digest_of(a), a) < std::pair(digest_of(b), b); });
+  std::sort(ids.begin(), ids.end(), [](std::string const& a, std::string const& b) {
+    return std::pair(digest_of(a), a) < std::pair(digest_of(b), b);
+  });
   return ids;
 }
 
--- a/source/coordination/slice_leases.hpp
+++ b/source/coordination/slice_leases.hpp
@@ -29,7 +29,8 @@
   Result<std::uint64_t> admit(Slice const& s, std::string const& instance, Instant const deadline) {
     auto const it = held_.find(s);
     if (broken_on_purpose("no_lease")) return std::uint64_t{1};
-    if (it == held_.end() || it->second.instance != instance) return mishap("lease", s.service, "slice " + std::to_string(s.slice) + " is not held here", Proof::not_run);
+    if (it == held_.end() || it->second.instance != instance)
+      return mishap("lease", s.service, "slice " + std::to_string(s.slice) + " is not held here", Proof::not_run);
     Lease& l = it->second;
     if (!l.wanted) return mishap("lease", s.service, "slice " + std::to_string(s.slice) + " is moving", Proof::not_run);
     if (deadline >= l.until) return mishap("lease", s.service, "lease ends before the call's deadline", Proof::not_run);
@@ -47,7 +48,8 @@
 
   // One round: claims what this node should serve, renews, and releases what
   // it should not and has emptied.
-  Task<void> round(std::string const holder, std::map<Slice, std::string> const wanted, std::vector<Address> const registries, std::size_t const majority) {
+  Task<void> round(std::string const holder, std::map<Slice, std::string> const wanted,
+                   std::vector<Address> const registries, std::size_t const majority) {
     Instant const start = w_.now();
     LeaseAsk q;
     q.holder = holder;
@@ -77,7 +79,8 @@
       instances.push_back(instance);
     }
     if (q.want.empty() && q.release.empty()) co_return;
-    auto const replies = co_await ask_all<LeaseAsk>(w_, registries, q, start + 600ms, [](auto const&) { return false; });
+    auto const replies =
+        co_await ask_all<LeaseAsk>(w_, registries, q, start + 600ms, [](auto const&) { return false; });
     LeaseAsk undo;
     undo.holder = holder;
     for (std::size_t i = 0; i < q.want.size(); ++i) {
@@ -93,7 +96,10 @@
         Lease& l = held_[slice];
         if (i >= renewed) {
           l = Lease{instances[i], q.want[i].epoch, {}, 0, {}, true};
-          log_info("lease_held", {{"service", slice.service}, {"slice", std::to_string(slice.slice)}, {"instance", instances[i]}, {"epoch", std::to_string(l.epoch)}});
+          log_info("lease_held", {{"service", slice.service},
+                                  {"slice", std::to_string(slice.slice)},
+                                  {"instance", instances[i]},
+                                  {"epoch", std::to_string(l.epoch)}});
         }
         l.until = start + lease_term - lease_margin;
       } else if (i >= renewed && granted > 0) {
--- a/source/coordination/transit.hpp
+++ b/source/coordination/transit.hpp
@@ -18,8 +18,10 @@
   static constexpr Duration window = 10s;
 
   std::optional<Duration> late(std::string const& sender, std::int64_t const sent_us, Instant const now) {
-    std::int64_t const apart = std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count() - sent_us;
-    if (senders_.size() > 1024) std::erase_if(senders_, [&](auto const& s) { return now - s.second.from > 6 * window; });
+    std::int64_t const apart =
+        std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count() - sent_us;
+    if (senders_.size() > 1024)
+      std::erase_if(senders_, [&](auto const& s) { return now - s.second.from > 6 * window; });
     auto const [it, fresh] = senders_.try_emplace(sender, Least{now, apart, apart});
     Least& l = it->second;
     if (fresh) return std::nullopt;
--- a/source/programs/backend_main.cpp
+++ b/source/programs/backend_main.cpp
@@ -36,16 +36,20 @@
   s.need_address("node");
   if (std::optional<int> const code = s.read(argc, argv)) return *code;
   start_logging(s.text("log-level"), "banktide-backend", s.text("instance"));
-  int const record = s.text("record").empty() ? -1 : ::open(s.text("record").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  int const record =
+      s.text("record").empty() ? -1 : ::open(s.text("record").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   Process process;
   SocketWorld world;
   std::string const service = s.text("service"), instance = s.text("instance"), node = s.text("node");
-  Duration const work = std::chrono::milliseconds(s.number("work-ms")), every = std::chrono::milliseconds(s.number("beat-ms"));
+  Duration const work = std::chrono::milliseconds(s.number("work-ms")),
+                 every = std::chrono::milliseconds(s.number("beat-ms"));
   std::uint32_t running = 0;
   bool leaving = false;
   Instant told{};
   auto const write = [&](std::string const& what, HttpRequest const& q) {
-    std::string const line = what + " " + std::to_string(now_ms()) + " " + header(q, "call-id") + " " + service + " " + instance + " " + header(q, "x-key") + " " + header(q, "banktide-epoch") + " " + q.method + "\n";
+    std::string const line = what + " " + std::to_string(now_ms()) + " " + header(q, "call-id") + " " + service + " " +
+                             instance + " " + header(q, "x-key") + " " + header(q, "banktide-epoch") + " " + q.method +
+                             "\n";
     if (record >= 0 && ::write(record, line.data(), line.size()) < 0) log_warn("record_failed", {});
   };
   HttpListener listener(world.io(), s.text("address"), [&](HttpRequest q) -> Task<HttpReply> {
@@ -63,7 +67,9 @@
     write("end", q);
     --running;
     reply.status = 200;
-    reply.body = Json{{"service", service}, {"instance", instance}, {"call", header(q, "call-id")}, {"target", q.target}, {"method", q.method}, {"digest", std::to_string(digest_of(q.body))}}.dump();
+    reply.body = Json{{"service", service}, {"instance", instance}, {"call", header(q, "call-id")},
+                      {"target", q.target}, {"method", q.method},   {"digest", std::to_string(digest_of(q.body))}}
+                     .dump();
     co_return reply;
   });
   Result<bool> const open = listener.open();
@@ -75,10 +81,16 @@
   HttpCaller<SocketWorld> caller(world);
   auto const keep_beating = [&]() -> Task<void> {
     while (true) {
-      HttpRequest q{"POST", "/beat", {{"Content-Type", "application/json"}}, Json{{"service", service}, {"instance", instance}, {"port", port}, {"burden", running}, {"leaving", leaving}}.dump()};
+      HttpRequest q{
+          "POST",
+          "/beat",
+          {{"Content-Type", "application/json"}},
+          Json{{"service", service}, {"instance", instance}, {"port", port}, {"burden", running}, {"leaving", leaving}}
+              .dump()};
       Result<HttpReply> const r = co_await caller.run_at(node, std::move(q), world.now() + 1s);
       if (!r || r->status != 200)
-        log_warn("beat_failed", {{"peer", node}, {"reason", r ? "status " + std::to_string(r->status) : r.error().reason}});
+        log_warn("beat_failed",
+                 {{"peer", node}, {"reason", r ? "status " + std::to_string(r->status) : r.error().reason}});
       else if (leaving && told == Instant{})
         told = world.now();
       co_await sleep_for(world, leaving && told == Instant{} ? 20ms : every);
@@ -89,6 +101,7 @@
     return true;
   });
   log_info("started", {{"address", s.text("address")}});
-  process.until_told_to_go([&] { leaving = true; }, [&] { return told != Instant{} && world.now() - told > 2s && running == 0; }, [] {}, 6s);
+  process.until_told_to_go([&] { leaving = true; },
+                           [&] { return told != Instant{} && world.now() - told > 2s && running == 0; }, [] {}, 6s);
   std::_Exit(0);
 }
--- a/source/programs/caller_main.cpp
+++ b/source/programs/caller_main.cpp
@@ -46,7 +46,8 @@
   std::uint64_t last = 0, open = 0;
   bool ended = false;
   Instant const start = world.now(), end = start + std::chrono::seconds(s.number("seconds"));
-  auto const one = [&](Line const line, std::string const id, std::string const node, std::string const key) -> Task<void> {
+  auto const one = [&](Line const line, std::string const id, std::string const node,
+                       std::string const key) -> Task<void> {
     ++open;
     std::string const body = line.method == "POST" ? "{\"id\":\"" + id + "\"}" : "";
     HttpRequest q{line.method, line.path + "/" + id, {{"call-id", id}}, body};
@@ -54,8 +55,9 @@
     if (line.keys > 0) q.headers.push_back({"x-key", key});
     Instant const from = world.now();
     Result<HttpReply> const r = co_await caller.run_at(node, q, from + 4s);
-    std::string outcome = r ? "none" : r.error().proof == Proof::not_run ? "unsent"
-                                                                         : "lost",
+    std::string outcome = r                                   ? "none"
+                          : r.error().proof == Proof::not_run ? "unsent"
+                                                              : "lost",
                 reason = r ? "" : r.error().reason;
     bool retry_after = false, right = false;
     if (r) {
@@ -65,7 +67,8 @@
       }
       if (r->status == 200) {
         Json const j = Json::parse(r->body, nullptr, false);
-        right = j.is_object() && j.value("call", "") == id && j.value("target", "") == q.target && j.value("digest", "") == std::to_string(digest_of(body));
+        right = j.is_object() && j.value("call", "") == id && j.value("target", "") == q.target &&
+                j.value("digest", "") == std::to_string(digest_of(body));
       } else {
         Json const j = Json::parse(r->body, nullptr, false);
         if (j.is_object()) reason = j.value("step", "") + "/" + j.value("peer", "") + "/" + j.value("error", "");
@@ -73,13 +76,18 @@
     }
     for (char& c : reason)
       if (c == ' ' || c == '\n') c = '_';
-    record << as_ms(from.time_since_epoch()) << " " << id << " " << line.name << " " << line.method << " " << (key.empty() ? "-" : key) << " " << (r ? r->status : 0) << " " << outcome << " " << (right ? "right" : "-") << " " << (retry_after ? "retry-after" : "-") << " " << std::chrono::duration_cast<std::chrono::microseconds>(world.now() - from).count() << " " << node << " " << (reason.empty() ? "-" : reason) << "\n";
+    record << as_ms(from.time_since_epoch()) << " " << id << " " << line.name << " " << line.method << " "
+           << (key.empty() ? "-" : key) << " " << (r ? r->status : 0) << " " << outcome << " "
+           << (right ? "right" : "-") << " " << (retry_after ? "retry-after" : "-") << " "
+           << std::chrono::duration_cast<std::chrono::microseconds>(world.now() - from).count() << " " << node << " "
+           << (reason.empty() ? "-" : reason) << "\n";
     --open;
   };
   auto const keep_calling = [&](Line const l) -> Task<void> {
     Duration const gap = std::chrono::nanoseconds(1000000000ull / std::max<std::uint64_t>(l.rate, 1));
     typename SocketWorld::Alarm alarm(world);
-    for (Instant next = start + std::chrono::nanoseconds(chance() % static_cast<std::uint64_t>(gap.count())); next < end; next += gap) {
+    for (Instant next = start + std::chrono::nanoseconds(chance() % static_cast<std::uint64_t>(gap.count()));
+         next < end; next += gap) {
       co_await alarm.wait(next);
       std::string const id = l.name + "-" + std::to_string(s.number("seed")) + "-" + std::to_string(++last);
       std::string const key = l.keys > 0 ? "k" + std::to_string(chance() % l.keys) : "";
--- a/source/programs/fleet_main.cpp
+++ b/source/programs/fleet_main.cpp
@@ -44,7 +44,9 @@
     a.sin_family = AF_INET;
     a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t n = sizeof a;
-    if (::bind(fd, reinterpret_cast<sockaddr*>(&a), n) != 0 || ::getsockname(fd, reinterpret_cast<sockaddr*>(&a), &n) != 0) std::abort();
+    if (::bind(fd, reinterpret_cast<sockaddr*>(&a), n) != 0 ||
+        ::getsockname(fd, reinterpret_cast<sockaddr*>(&a), &n) != 0)
+      std::abort();
     held_.push_back(fd);
     return "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
   }
@@ -59,7 +61,8 @@
 
 class Fleet {
  public:
-  Fleet(Process& p, SocketWorld& w, std::string bin, fs::path folder) : process_(p), world_(w), caller_(w), bin_(std::move(bin)), folder_(std::move(folder)) {}
+  Fleet(Process& p, SocketWorld& w, std::string bin, fs::path folder)
+      : process_(p), world_(w), caller_(w), bin_(std::move(bin)), folder_(std::move(folder)) {}
   ~Fleet() {
     for (auto& [name, c] : children_) end(c, SIGKILL);
   }
@@ -69,7 +72,8 @@
   void start(Child& c) {
     std::vector<std::string> args{bin_ + "/" + c.program};
     args.insert(args.end(), c.flags.begin(), c.flags.end());
-    if (c.program == "banktide-backend") args.insert(args.end(), {"--instance", c.name + "." + std::to_string(c.starts)});
+    if (c.program == "banktide-backend")
+      args.insert(args.end(), {"--instance", c.name + "." + std::to_string(c.starts)});
     ++c.starts;
     std::vector<char*> argv;
     for (std::string& a : args) argv.push_back(a.data());
@@ -97,11 +101,15 @@
     return status;
   }
 
-  Result<HttpReply> http(Address const& peer, std::string const& method, std::string const& target, std::string const& body = "", std::vector<Header> headers = {}) {
+  Result<HttpReply> http(Address const& peer, std::string const& method, std::string const& target,
+                         std::string const& body = "", std::vector<Header> headers = {}) {
     std::promise<Result<HttpReply>> p;
     HttpRequest q{method, target, std::move(headers), body};
     process_.on_thread([&]() {
-      asio::co_spawn(world_.executor(), caller_.run_at(peer, q, world_.now() + 8s), [&](std::exception_ptr e, Result<HttpReply> r) { p.set_value(e ? Result<HttpReply>(mishap("http", peer, "exception")) : std::move(r)); });
+      asio::co_spawn(world_.executor(), caller_.run_at(peer, q, world_.now() + 8s),
+                     [&](std::exception_ptr e, Result<HttpReply> r) {
+                       p.set_value(e ? Result<HttpReply>(mishap("http", peer, "exception")) : std::move(r));
+                     });
       return true;
     });
     return p.get_future().get();
@@ -122,7 +130,8 @@
     std::map<std::string, std::vector<std::pair<double, double>>> by;
     for (auto const& [name, c] : children_) {
       if (c.pid <= 0) continue;
-      std::ifstream stat("/proc/" + std::to_string(c.pid) + "/stat"), status("/proc/" + std::to_string(c.pid) + "/status");
+      std::ifstream stat("/proc/" + std::to_string(c.pid) + "/stat"),
+          status("/proc/" + std::to_string(c.pid) + "/status");
       std::string word;
       double ticks = 0, kib = 0;
       for (int i = 1; i <= 15 && stat >> word; ++i)
@@ -134,7 +143,8 @@
     for (auto& [program, all] : by) {
       std::ostringstream text;
       std::sort(all.begin(), all.end());
-      text << program << ": " << all.size() << " processes, processor s median " << all[all.size() / 2].first << " max " << all.back().first;
+      text << program << ": " << all.size() << " processes, processor s median " << all[all.size() / 2].first << " max "
+           << all.back().first;
       std::sort(all.begin(), all.end(), [](auto const& a, auto const& b) { return a.second < b.second; });
       text << ", memory MiB median " << all[all.size() / 2].second << " max " << all.back().second;
       doings_.usage.push_back(text.str());
@@ -163,10 +173,11 @@
         if (!c->data.empty()) fs::remove_all(c->data, ec);
         start(*c);
       }
-      if (e.action == "roll") goers.emplace_back([this, c] {
-        end(*c, SIGTERM);
-        start(*c);
-      });
+      if (e.action == "roll")
+        goers.emplace_back([this, c] {
+          end(*c, SIGTERM);
+          start(*c);
+        });
       if (e.action == "term") goers.emplace_back([c] { end(*c, SIGTERM); });
     }
     for (std::thread& t : goers) t.join();
@@ -193,16 +204,22 @@
   s.number("seed", 1, 0, UINT64_MAX, "seed of keys, nodes and registries");
   s.number("revision-every-ms", 1000, 0, 3600000, "time between routing revisions (0: none)");
   s.text("drill", "", "a cell to take out for three eighths of the run and bring back");
-  s.list("event", "second:action:name, action one of kill, stop, continue, start, wipe, term, roll; name a process, cell=NAME or program=NAME; repeat");
+  s.list(
+      "event",
+      "second:action:name, action one of kill, stop, continue, start, wipe, term, roll; name a process, cell=NAME or program=NAME; repeat");
   s.check([&](std::vector<std::string>& errors) {
-    if (s.text("deployment") != "kibble" && s.text("deployment") != "nilewise") errors.push_back("deployment: kibble or nilewise");
-    if (s.text("folder").empty() || (fs::exists(s.text("folder")) && !fs::is_empty(s.text("folder")))) errors.push_back("folder: needed, new or empty");
+    if (s.text("deployment") != "kibble" && s.text("deployment") != "nilewise")
+      errors.push_back("deployment: kibble or nilewise");
+    if (s.text("folder").empty() || (fs::exists(s.text("folder")) && !fs::is_empty(s.text("folder"))))
+      errors.push_back("folder: needed, new or empty");
     for (std::string const& e : s.list("event"))
-      if (std::count(e.begin(), e.end(), ':') != 2 || e.find_first_not_of("0123456789") == 0) errors.push_back("event: " + e + " is not second:action:name");
+      if (std::count(e.begin(), e.end(), ':') != 2 || e.find_first_not_of("0123456789") == 0)
+        errors.push_back("event: " + e + " is not second:action:name");
   });
   s.check([&](std::vector<std::string>& errors) {
     Deployment const d = s.text("deployment") == "kibble" ? kibble() : nilewise();
-    if (!s.text("drill").empty() && std::count(d.cells.begin(), d.cells.end(), s.text("drill")) == 0) errors.push_back("drill: no such cell");
+    if (!s.text("drill").empty() && std::count(d.cells.begin(), d.cells.end(), s.text("drill")) == 0)
+      errors.push_back("drill: no such cell");
     if (!s.text("drill").empty() && s.number("seconds") < 40) errors.push_back("drill: needs 40 seconds or more");
   });
   if (std::optional<int> const code = s.read(argc, argv)) return *code;
@@ -218,7 +235,8 @@
     events.push_back(Event{length / 4, "kill", "cell=" + drill});
     events.push_back(Event{length / 4 + 2, "move", "away"});
     events.push_back(Event{length * 5 / 8, "start", "cell=" + drill});
-    for (std::uint64_t k = 0; k < 4; ++k) events.push_back(Event{length * 5 / 8 + 7 + 2 * k, "move", "back-" + std::to_string(k)});
+    for (std::uint64_t k = 0; k < 4; ++k)
+      events.push_back(Event{length * 5 / 8 + 7 + 2 * k, "move", "back-" + std::to_string(k)});
   }
   std::stable_sort(events.begin(), events.end(), [](Event const& a, Event const& b) { return a.second < b.second; });
 
@@ -247,15 +265,18 @@
     store.flags = {"--id", store.name, "--address", stores[i], "--data", store.data};
     store.flags.insert(store.flags.end(), voter_flags.begin(), voter_flags.end());
     fleet.children_[store.name] = store;
-    Child registry{"registry-" + std::to_string(i + 1), d.cells[i], "banktide-registry", "", {}, 0, operators[i], "", 0};
-    registry.flags = {"--id", registry.name, "--cell", d.cells[i], "--address", registries[i], "--operator", operators[i]};
+    Child registry{
+        "registry-" + std::to_string(i + 1), d.cells[i], "banktide-registry", "", {}, 0, operators[i], "", 0};
+    registry.flags = {"--id",      registry.name, "--cell",     d.cells[i],
+                      "--address", registries[i], "--operator", operators[i]};
     registry.flags.insert(registry.flags.end(), voter_flags.begin(), voter_flags.end());
     for (Address const& a : registries)
       if (a != registries[i]) registry.flags.insert(registry.flags.end(), {"--seed", a});
     fleet.children_[registry.name] = registry;
     for (std::size_t k = 0; k < d.nodes[i]; ++k) {
       Child node{"node-" + std::to_string(++n), d.cells[i], "banktide-proxy", "", {}, 0, ports.next(), ports.next(), 0};
-      node.flags = {"--id", node.name, "--cell", d.cells[i], "--address", ports.next(), "--caller", node.http, "--local", node.local};
+      node.flags = {"--id",       node.name,  "--cell",  d.cells[i], "--address",
+                    ports.next(), "--caller", node.http, "--local",  node.local};
       if (k < 2) node.flags.push_back("--gateway");
       node.flags.insert(node.flags.end(), node_seeds.begin(), node_seeds.end());
       doors.push_back(node.http);
@@ -267,8 +288,17 @@
   std::vector<std::size_t> placed(d.cells.size(), 0);
   for (BackendPlace const& b : d.backends) {
     Child const& node = fleet.children_[nodes_of[b.cell][placed[b.cell]++ % nodes_of[b.cell].size()]];
-    Child backend{b.service + "-" + std::to_string(++counted[b.service]), d.cells[b.cell], "banktide-backend", "", {}, 0, "", "", 0};
-    backend.flags = {"--service", b.service, "--address", ports.next(), "--node", node.local, "--record", folder / "runs.txt"};
+    Child backend{b.service + "-" + std::to_string(++counted[b.service]),
+                  d.cells[b.cell],
+                  "banktide-backend",
+                  "",
+                  {},
+                  0,
+                  "",
+                  "",
+                  0};
+    backend.flags = {"--service", b.service,  "--address", ports.next(),
+                     "--node",    node.local, "--record",  folder / "runs.txt"};
     fleet.children_[backend.name] = backend;
   }
   ports.release();
@@ -289,16 +319,19 @@
     }
     if (ready == of) break;
   }
-  std::cout << "deployment " << d.name << ": " << fleet.children_.size() << " processes, all ready after " << as_ms(world.now() - started) << " ms" << std::endl;
+  std::cout << "deployment " << d.name << ": " << fleet.children_.size() << " processes, all ready after "
+            << as_ms(world.now() - started) << " ms" << std::endl;
 
   std::vector<Acknowledged> acks;
   auto const put = [&](Address const& at, std::string const& what, std::string const& body) {
     Result<HttpReply> const r = fleet.http(at, "PUT", "/" + what, body, {{"Content-Type", "application/json"}});
     if (!r || r->status != 200) {
-      std::cout << "put " << what << ": " << (r ? std::to_string(r->status) + " " + r->body : r.error().reason) << std::endl;
+      std::cout << "put " << what << ": " << (r ? std::to_string(r->status) + " " + r->body : r.error().reason)
+                << std::endl;
       return;
     }
-    acks.push_back(Acknowledged{what, Json::parse(r->body)["revision"].get<Revision>(), as_ms(world.now().time_since_epoch()), body});
+    acks.push_back(Acknowledged{what, Json::parse(r->body)["revision"].get<Revision>(),
+                                as_ms(world.now().time_since_epoch()), body});
   };
   put(operators[0], "routing", d.routing);
   put(operators[1], "catalogue", d.catalogue);
@@ -307,7 +340,8 @@
     Result<HttpReply> const r = fleet.http(operators[0], "GET", "/moves");
     Json const j = r && r->status == 200 ? Json::parse(r->body, nullptr, false) : Json();
     Json const rows = j.is_object() ? j.value("slices", Json::array()) : Json::array();
-    if (!rows.empty() && std::all_of(rows.begin(), rows.end(), [](Json const& row) { return row["state"] == "held"; })) break;
+    if (!rows.empty() && std::all_of(rows.begin(), rows.end(), [](Json const& row) { return row["state"] == "held"; }))
+      break;
   }
 
   // The operators' part of a drill: slices of the cell go to the cell that has
@@ -321,9 +355,15 @@
       for (auto const& [cell, services] : catalogue["cells"].items())
         if (cell != drill && services.contains(service)) other = cell;
       for (Json const& range : e["slices"]) {
-        std::uint64_t const first = range[0], n = range[1].get<std::uint64_t>() - first + 1, k = what == "away" ? 0 : static_cast<std::uint64_t>(what.back() - '0');
-        std::uint64_t const a = what == "away" ? first : first + n * k / 4, b = what == "away" ? first + n - 1 : first + n * (k + 1) / 4 - 1;
-        if (a <= b) lines += Json{{"change", "move"}, {"service", service}, {"slices", {a, b}}, {"to", what == "away" ? other : drill}}.dump() + "\n";
+        std::uint64_t const first = range[0], n = range[1].get<std::uint64_t>() - first + 1,
+                            k = what == "away" ? 0 : static_cast<std::uint64_t>(what.back() - '0');
+        std::uint64_t const a = what == "away" ? first : first + n * k / 4,
+                            b = what == "away" ? first + n - 1 : first + n * (k + 1) / 4 - 1;
+        if (a <= b)
+          lines +=
+              Json{{"change", "move"}, {"service", service}, {"slices", {a, b}}, {"to", what == "away" ? other : drill}}
+                  .dump() +
+              "\n";
       }
     }
     if (lines.empty()) return;
@@ -333,7 +373,9 @@
   };
 
   Child calls{"caller", "", "banktide-caller", "", {}, 0, "", "", 0};
-  calls.flags = {"--record", folder / "calls.txt", "--seconds", std::to_string(s.number("seconds")), "--seed", std::to_string(s.number("seed"))};
+  calls.flags = {"--record",  folder / "calls.txt",
+                 "--seconds", std::to_string(s.number("seconds")),
+                 "--seed",    std::to_string(s.number("seed"))};
   for (Address const& a : doors) calls.flags.insert(calls.flags.end(), {"--node", a});
   for (std::string const& m : d.mix) calls.flags.insert(calls.flags.end(), {"--mix", m});
   Instant const from = world.now();
@@ -347,8 +389,10 @@
     if (::waitpid(calls.pid, &status, WNOHANG) == calls.pid) break;
     while (next_event < events.size() && world.now() - from >= std::chrono::seconds(events[next_event].second)) {
       Event const e = events[next_event++];
-      if (e.action == "move" && !drill.empty()) move(e.name);
-      else fleet.apply(e);
+      if (e.action == "move" && !drill.empty())
+        move(e.name);
+      else
+        fleet.apply(e);
     }
     if (every > 0s && world.now() >= next_revision) {
       next_revision += every;
@@ -376,8 +420,10 @@
   FleetDoings doings = fleet.doings_;
   for (auto const& [name, c] : fleet.children_) doings.cell_of[name] = c.cell;
   if (!drill.empty()) {
-    std::int64_t const zero = as_ms(from.time_since_epoch()), out = zero + static_cast<std::int64_t>(length / 4) * 1000, back = zero + static_cast<std::int64_t>(length * 5 / 8) * 1000;
-    doings.phases = {Stage{"before", zero, out}, Stage{"out", out, back}, Stage{"back", back, zero + static_cast<std::int64_t>(length) * 1000}};
+    std::int64_t const zero = as_ms(from.time_since_epoch()), out = zero + static_cast<std::int64_t>(length / 4) * 1000,
+                       back = zero + static_cast<std::int64_t>(length * 5 / 8) * 1000;
+    doings.phases = {Stage{"before", zero, out}, Stage{"out", out, back},
+                     Stage{"back", back, zero + static_cast<std::int64_t>(length) * 1000}};
   }
   FleetReport const report(folder, acks, extras, readback, doings);
   report.print(std::cout);
--- a/source/programs/fleet_report.hpp
+++ b/source/programs/fleet_report.hpp
@@ -37,7 +37,9 @@
 
 class FleetReport {
  public:
-  FleetReport(std::filesystem::path const& folder, std::vector<Acknowledged> const& acks, std::uint64_t const extras, std::string const& readback, FleetDoings doings) : extras_(extras), doings_(std::move(doings)) {
+  FleetReport(std::filesystem::path const& folder, std::vector<Acknowledged> const& acks, std::uint64_t const extras,
+              std::string const& readback, FleetDoings doings)
+      : extras_(extras), doings_(std::move(doings)) {
     for (Stage const& p : doings_.phases) phases_.emplace_back().phase = p;
     read_runs(folder / "runs.txt");
     read_calls(folder / "calls.txt");
@@ -56,12 +58,23 @@
       for (auto const& [what, n] : by) out << " " << what << "=" << n;
       out << "\n";
     }
-    out << "calls " << calls_ << ", extra tries " << extras_ << " (" << (calls_ ? 100.0 * static_cast<double>(extras_) / static_cast<double>(calls_) : 0.0) << " %), runs " << runs_ << ", strangers " << strangers_ << "\n";
+    out << "calls " << calls_ << ", extra tries " << extras_ << " ("
+        << (calls_ ? 100.0 * static_cast<double>(extras_) / static_cast<double>(calls_) : 0.0) << " %), runs " << runs_
+        << ", strangers " << strangers_ << "\n";
     out << "latency us: " << spread(latency_) << "\n";
-    out << "acknowledged to in force on every running node, ms: " << spread(propagation_) << "; left out, as the node was down: " << left_out_ << "\n";
+    out << "acknowledged to in force on every running node, ms: " << spread(propagation_)
+        << "; left out, as the node was down: " << left_out_ << "\n";
     for (Seen const& s : phases_) {
-      out << "phase " << s.phase.name << ": " << s.calls << " calls, answered " << (s.calls ? 100.0 * static_cast<double>(s.answered) / static_cast<double>(s.calls) : 0.0) << " %, not run " << s.not_run << ", unknown " << s.unknown << "; last one not answered " << (s.last_bad ? std::to_string(s.last_bad - s.phase.from_ms) + " ms after it began" : "never") << "; latency us: " << spread(s.latency) << "\n";
-      for (auto const& [where, n] : s.runs) out << "  " << where << " " << static_cast<double>(n * 1000 / static_cast<std::uint64_t>(std::max<std::int64_t>(1, s.phase.to_ms - s.phase.from_ms))) << " runs/s" << share_of_first(where, s) << "\n";
+      out << "phase " << s.phase.name << ": " << s.calls << " calls, answered "
+          << (s.calls ? 100.0 * static_cast<double>(s.answered) / static_cast<double>(s.calls) : 0.0) << " %, not run "
+          << s.not_run << ", unknown " << s.unknown << "; last one not answered "
+          << (s.last_bad ? std::to_string(s.last_bad - s.phase.from_ms) + " ms after it began" : "never")
+          << "; latency us: " << spread(s.latency) << "\n";
+      for (auto const& [where, n] : s.runs)
+        out << "  " << where << " "
+            << static_cast<double>(
+                   n * 1000 / static_cast<std::uint64_t>(std::max<std::int64_t>(1, s.phase.to_ms - s.phase.from_ms)))
+            << " runs/s" << share_of_first(where, s) << "\n";
     }
     for (std::string const& u : doings_.usage) out << "usage " << u << "\n";
     for (auto const& [why, n] : reasons_) out << "  " << n << " x " << why << "\n";
@@ -87,7 +100,8 @@
     if (&s == &phases_.front()) return "";
     auto const first = phases_.front().runs.find(where);
     if (first == phases_.front().runs.end() || first->second == 0) return "";
-    double const then = static_cast<double>(first->second) / static_cast<double>(phases_.front().phase.to_ms - phases_.front().phase.from_ms);
+    double const then = static_cast<double>(first->second) /
+                        static_cast<double>(phases_.front().phase.to_ms - phases_.front().phase.from_ms);
     double const now = static_cast<double>(s.runs.at(where)) / static_cast<double>(s.phase.to_ms - s.phase.from_ms);
     std::ostringstream text;
     text << " (" << std::setprecision(3) << now / then << " x)";
@@ -102,7 +116,9 @@
   static std::string spread(std::vector<std::int64_t> v) {
     if (v.empty()) return "none";
     std::sort(v.begin(), v.end());
-    return "min " + std::to_string(v.front()) + " median " + std::to_string(v[v.size() / 2]) + " p99 " + std::to_string(v[v.size() * 99 / 100]) + " max " + std::to_string(v.back()) + " of " + std::to_string(v.size());
+    return "min " + std::to_string(v.front()) + " median " + std::to_string(v[v.size() / 2]) + " p99 " +
+           std::to_string(v[v.size() * 99 / 100]) + " max " + std::to_string(v.back()) + " of " +
+           std::to_string(v.size());
   }
 
   void read_runs(std::filesystem::path const& file) {
@@ -118,7 +134,8 @@
       if (what == "stranger") ++strangers_;
       std::string const k = service + "/" + key;
       if (what == "begin") {
-        if (Seen* const s = at_phase(at)) ++s->runs[doings_.cell_of[instance.substr(0, instance.find('.'))] + " " + service];
+        if (Seen* const s = at_phase(at))
+          ++s->runs[doings_.cell_of[instance.substr(0, instance.find('.'))] + " " + service];
         ++runs_;
         ++ran_[id];
         if (method == "POST" && ran_[id] > 1) broken_.push_back("call " + id + " ran more than once");
@@ -135,7 +152,9 @@
     for (auto const& [key, runs] : by_key)
       for (std::size_t i = 0; i < runs.size(); ++i)
         for (std::size_t j = i + 1; j < runs.size(); ++j)
-          if (runs[i].instance != runs[j].instance && runs[i].end >= 0 && runs[j].end >= 0 && runs[i].begin < runs[j].end && runs[j].begin < runs[i].end) broken_.push_back("two backends at once on " + key + ": " + runs[i].instance + " and " + runs[j].instance);
+          if (runs[i].instance != runs[j].instance && runs[i].end >= 0 && runs[j].end >= 0 &&
+              runs[i].begin < runs[j].end && runs[j].begin < runs[i].end)
+            broken_.push_back("two backends at once on " + key + ": " + runs[i].instance + " and " + runs[j].instance);
   }
 
   void read_calls(std::filesystem::path const& file) {
@@ -164,7 +183,8 @@
       if (outcome == "not-run" && ran_.contains(id)) broken_.push_back("call " + id + " was said not run and ran");
       if (outcome == "unsent" && ran_.contains(id)) broken_.push_back("call " + id + " was never sent and ran");
       if (status == 200 && !ran_.contains(id)) broken_.push_back("call " + id + " was answered and never ran");
-      if (status >= 500 && retry != "retry-after") broken_.push_back("call " + id + " was given up with no Retry-After");
+      if (status >= 500 && retry != "retry-after")
+        broken_.push_back("call " + id + " was given up with no Retry-After");
     }
   }
 
@@ -187,13 +207,16 @@
         forced.emplace_back(number(line, " at_ms="), number(line, " routing="));
       }
       for (std::size_t i = 1; i < forced.size(); ++i)
-        if (forced[i].second < forced[i - 1].second) broken_.push_back(name + " slipped back from routing " + std::to_string(forced[i - 1].second));
+        if (forced[i].second < forced[i - 1].second)
+          broken_.push_back(name + " slipped back from routing " + std::to_string(forced[i - 1].second));
       for (Acknowledged const& a : acks) {
         if (a.what != "routing") continue;
         for (auto const& [at, revision] : forced) {
           if (revision < a.revision) continue;
-          std::vector<std::pair<std::int64_t, std::int64_t>> const& down = doings_.down[name.substr(0, name.size() - 4)];
-          if (std::any_of(down.begin(), down.end(), [&](auto const& d) { return d.first <= at && a.at_ms <= d.second; })) {
+          std::vector<std::pair<std::int64_t, std::int64_t>> const& down =
+              doings_.down[name.substr(0, name.size() - 4)];
+          if (std::any_of(down.begin(), down.end(),
+                          [&](auto const& d) { return d.first <= at && a.at_ms <= d.second; })) {
             ++left_out_;
             break;
           }
--- a/source/programs/operator_streams.hpp
+++ b/source/programs/operator_streams.hpp
@@ -32,7 +32,8 @@
   for (std::string pair; std::getline(in, pair, '&');) {
     std::string plain;
     for (std::size_t i = 0; i < pair.size(); ++i) {
-      if (pair[i] == '%' && i + 2 < pair.size() && std::isxdigit(static_cast<unsigned char>(pair[i + 1])) && std::isxdigit(static_cast<unsigned char>(pair[i + 2]))) {
+      if (pair[i] == '%' && i + 2 < pair.size() && std::isxdigit(static_cast<unsigned char>(pair[i + 1])) &&
+          std::isxdigit(static_cast<unsigned char>(pair[i + 2]))) {
         plain += static_cast<char>(std::stoi(pair.substr(i + 1, 2), nullptr, 16));
         i += 2;
       } else {
@@ -48,7 +49,8 @@
 // Where a reader is, in one word that it can come back with.
 inline std::string word_of(Positions const& positions) {
   std::string out;
-  for (auto const& [node, p] : positions) out += (out.empty() ? "" : ",") + node + ":" + std::to_string(p.epoch) + ":" + std::to_string(p.seq);
+  for (auto const& [node, p] : positions)
+    out += (out.empty() ? "" : ",") + node + ":" + std::to_string(p.epoch) + ":" + std::to_string(p.seq);
   return out;
 }
 inline Result<Positions> positions_of(std::string const& word) {
@@ -56,16 +58,27 @@
   std::stringstream in(word);
   for (std::string part; std::getline(in, part, ',');) {
     std::size_t const a = part.find(':'), b = part.rfind(':');
-    std::string const life = a == b ? "" : part.substr(a + 1, b - a - 1), seq = b == std::string::npos ? "" : part.substr(b + 1);
-    auto const number = [](std::string const& s) { return !s.empty() && s.size() <= 20 && s.find_first_not_of("0123456789") == std::string::npos; };
-    if (!number(life) || !number(seq) || out.size() > 1000) return mishap("read_position", part.substr(0, 40), "a position is node:life:number, several with commas", Proof::not_run);
-    out[part.substr(0, a)] = Position{std::strtoull(life.c_str(), nullptr, 10), std::strtoull(seq.c_str(), nullptr, 10)};
+    std::string const life = a == b ? "" : part.substr(a + 1, b - a - 1),
+                      seq = b == std::string::npos ? "" : part.substr(b + 1);
+    auto const number = [](std::string const& s) {
+      return !s.empty() && s.size() <= 20 && s.find_first_not_of("0123456789") == std::string::npos;
+    };
+    if (!number(life) || !number(seq) || out.size() > 1000)
+      return mishap("read_position", part.substr(0, 40), "a position is node:life:number, several with commas",
+                    Proof::not_run);
+    out[part.substr(0, a)] =
+        Position{std::strtoull(life.c_str(), nullptr, 10), std::strtoull(seq.c_str(), nullptr, 10)};
   }
   return out;
 }
 
 inline Json event_json(CallEvent const& e) {
-  Json j = {{"node", e.node}, {"n", e.n}, {"at_ms", e.at_ms}, {"call", e.call}, {"decision", e.decision}, {"service", e.service}, {"cell", e.cell}, {"reason", e.reason}, {"step", e.step}, {"peer", e.peer}, {"routing", e.routing}, {"catalogue", e.catalogue}};
+  Json j = {{"node", e.node},         {"n", e.n},
+            {"at_ms", e.at_ms},       {"call", e.call},
+            {"decision", e.decision}, {"service", e.service},
+            {"cell", e.cell},         {"reason", e.reason},
+            {"step", e.step},         {"peer", e.peer},
+            {"routing", e.routing},   {"catalogue", e.catalogue}};
   if (e.keyed) j["slice"] = e.slice;
   return j;
 }
@@ -80,7 +93,8 @@
   // POST /changes?stream=NAME
   template <LineSource In>
   Task<HttpReply> changes(HttpRequest q, In& in) {
-    std::string const name = query_of(q.target)["stream"].empty() ? "auto-" + std::to_string(w_.chance()()) : query_of(q.target)["stream"];
+    std::string const name =
+        query_of(q.target)["stream"].empty() ? "auto-" + std::to_string(w_.chance()()) : query_of(q.target)["stream"];
     std::shared_ptr<Stream> const s = stream(name);
     if (!s) co_return busy("too many streams");
     if (s->sending) co_return json_reply(409, {{"error", "this stream has a sender already"}, {"step", "open_stream"}});
@@ -114,7 +128,8 @@
     std::map<std::string, std::string> query = query_of(q.target);
     std::string const after = query["after"].empty() ? "0" : query["after"];
     if (query["stream"].empty()) co_return json_reply(400, {{"error", "name the stream"}, {"step", "open_stream"}});
-    if (after.size() > 18 || after.find_first_not_of("0123456789") != std::string::npos) co_return json_reply(400, {{"error", "after must be a line's number"}, {"step", "open_stream"}});
+    if (after.size() > 18 || after.find_first_not_of("0123456789") != std::string::npos)
+      co_return json_reply(400, {{"error", "after must be a line's number"}, {"step", "open_stream"}});
     std::shared_ptr<Stream> const s = stream(query["stream"]);
     if (!s || readers_ >= most_readers) co_return busy("too many streams or readers");
     Reader const reader(readers_);
@@ -149,11 +164,14 @@
   Task<std::optional<HttpReply>> decisions(HttpRequest q, Out& out) {
     std::map<std::string, std::string> query = query_of(q.target);
     for (auto const& [name, value] : query)
-      if (name != "service" && name != "decision" && name != "cell" && name != "after") co_return json_reply(400, {{"error", "no such filter: " + name}, {"step", "open_stream"}});
+      if (name != "service" && name != "decision" && name != "cell" && name != "after")
+        co_return json_reply(400, {{"error", "no such filter: " + name}, {"step", "open_stream"}});
     Result<Positions> at = positions_of(query["after"]);
-    if (!at) co_return json_reply(400, {{"error", at.error().reason}, {"step", at.error().step}, {"peer", at.error().peer}});
+    if (!at)
+      co_return json_reply(400, {{"error", at.error().reason}, {"step", at.error().step}, {"peer", at.error().peer}});
     std::string const& decision = query["decision"];
-    if (!decision.empty() && decision != "stay" && decision != "cross" && decision != "drop") co_return json_reply(400, {{"error", "decision is stay, cross or drop"}, {"step", "open_stream"}});
+    if (!decision.empty() && decision != "stay" && decision != "cross" && decision != "drop")
+      co_return json_reply(400, {{"error", "decision is stay, cross or drop"}, {"step", "open_stream"}});
     if (readers_ >= most_readers) co_return busy("too many readers");
     Reader const reader(readers_);
     DecisionsAsk question{*at, at->empty(), DecisionFilter{query["service"], decision, query["cell"]}, 60};
@@ -166,8 +184,10 @@
         bool open = true;
         for (Gap const& g : reply.gaps) {
           Json j = {{"gap", true}, {"node", g.node}};
-          if (g.lost > 0) j["lost"] = g.lost;
-          else j["reason"] = "the node has started again; what it had not told is gone";
+          if (g.lost > 0)
+            j["lost"] = g.lost;
+          else
+            j["reason"] = "the node has started again; what it had not told is gone";
           open = open && out.write(j.dump());
         }
         for (CallEvent const& e : reply.events)
@@ -207,7 +227,9 @@
     if (!streams_.contains(name) && streams_.size() >= most_streams) {
       auto oldest = streams_.end();
       for (auto it = streams_.begin(); it != streams_.end(); ++it)
-        if (!it->second->sending && it->second.use_count() == 1 && (oldest == streams_.end() || it->second->used < oldest->second->used)) oldest = it;
+        if (!it->second->sending && it->second.use_count() == 1 &&
+            (oldest == streams_.end() || it->second->used < oldest->second->used))
+          oldest = it;
       if (oldest == streams_.end()) return nullptr;
       streams_.erase(oldest);
     }
@@ -236,7 +258,8 @@
     } else {
       p.reg = Register::catalogue;
     }
-    if (j->contains("if_match") && (*j)["if_match"].is_number_unsigned()) p.match = std::to_string((*j)["if_match"].get<Revision>());
+    if (j->contains("if_match") && (*j)["if_match"].is_number_unsigned())
+      p.match = std::to_string((*j)["if_match"].get<Revision>());
     if (j->contains("request") && (*j)["request"].is_string()) p.request = (*j)["request"];
     if (!j->contains("put")) {
       p.change = *j;
@@ -328,11 +351,13 @@
     }(*streams, target, out));
   }
   void send(std::vector<std::pair<Duration, std::string>> script, HttpReply& reply) {
-    spawn(process(), [](OperatorStreams<SimProcess>& s, SimProcess& p, std::vector<std::pair<Duration, std::string>> lines, HttpReply& r) -> Task<void> {
-      ScriptSource in{p, std::move(lines)};
-      HttpRequest const q{"POST", "/changes?stream=op", {}, ""};
-      r = co_await s.changes(q, in);
-    }(*streams, process(), std::move(script), reply));
+    spawn(process(),
+          [](OperatorStreams<SimProcess>& s, SimProcess& p, std::vector<std::pair<Duration, std::string>> lines,
+             HttpReply& r) -> Task<void> {
+            ScriptSource in{p, std::move(lines)};
+            HttpRequest const q{"POST", "/changes?stream=op", {}, ""};
+            r = co_await s.changes(q, in);
+          }(*streams, process(), std::move(script), reply));
   }
   void restart(std::size_t const node) {
     nodes_[node].process->kill();
@@ -358,8 +383,10 @@
     for (std::string const& line : sink.lines) {
       Json const j = Json::parse(line);
       EXPECT_FALSE(j.contains("gap")) << line;
-      if (j.contains("pulse")) after = j["after"];
-      else ++seen[{j["node"], j["n"]}], cells.insert(j["cell"].get<std::string>());
+      if (j.contains("pulse"))
+        after = j["after"];
+      else
+        ++seen[{j["node"], j["n"]}], cells.insert(j["cell"].get<std::string>());
     }
   };
   read(first);
@@ -372,7 +399,8 @@
   read(second);
   for (auto const& [event, n] : seen) EXPECT_EQ(n, 1) << event.first << " " << event.second;
   EXPECT_GT(seen.size(), lines_after_pulse);
-  for (std::string const& line : dropped.lines) EXPECT_TRUE(Json::parse(line).contains("pulse") || Json::parse(line)["decision"] == "drop") << line;
+  for (std::string const& line : dropped.lines)
+    EXPECT_TRUE(Json::parse(line).contains("pulse") || Json::parse(line)["decision"] == "drop") << line;
   SlowSink bad;
   t.watch("/decisions?after=node-1", bad);
   t.watch("/decisions?decision=perhaps", bad);
@@ -397,8 +425,10 @@
   for (std::string const& line : slow.lines) {
     Json const j = Json::parse(line);
     if (!j.contains("gap")) continue;
-    if (j.contains("lost")) ++lost;
-    else again += j["node"] == "node-3";
+    if (j.contains("lost"))
+      ++lost;
+    else
+      again += j["node"] == "node-3";
   }
   EXPECT_GE(lost, 1u);
   EXPECT_EQ(again, 1u);
@@ -424,9 +454,16 @@
   std::vector<std::pair<std::string, std::string>> said;
   for (std::string const& line : verdicts.lines) {
     Json const j = Json::parse(line, nullptr, false);
-    if (j.is_object() && j.contains("verdict")) said.emplace_back(j["verdict"], j.value("step", std::to_string(j.value("revision", 0))));
+    if (j.is_object() && j.contains("verdict"))
+      said.emplace_back(j["verdict"], j.value("step", std::to_string(j.value("revision", 0))));
   }
-  EXPECT_EQ(said, (std::vector<std::pair<std::string, std::string>>{{"acknowledged", "2"}, {"refused", "parse_json"}, {"refused", "check_references"}, {"acknowledged", "2"}, {"refused", "check_if_match"}, {"acknowledged", "3"}, {"acknowledged", "4"}}));
+  EXPECT_EQ(said, (std::vector<std::pair<std::string, std::string>>{{"acknowledged", "2"},
+                                                                    {"refused", "parse_json"},
+                                                                    {"refused", "check_references"},
+                                                                    {"acknowledged", "2"},
+                                                                    {"refused", "check_if_match"},
+                                                                    {"acknowledged", "3"},
+                                                                    {"acknowledged", "4"}}));
   EXPECT_EQ(verdicts.lines.back(), "over");
   EXPECT_EQ(Json::parse(reply.body)["lines"], 7);
 }
--- a/source/programs/proxy.hpp
+++ b/source/programs/proxy.hpp
@@ -46,7 +46,16 @@
 template <Surroundings W, BackendEdge B>
 class Proxy {
  public:
-  Proxy(W& w, B& backends, ProxySettings s) : w_(w), edge_(backends), s_(std::move(s)), leases_(w), life_(w.chance()()), holder_(s_.id + "#" + std::to_string(life_)), started_(w.now()), tick_(w.now()), journal_(s_.id, life_, s_.decisions_kept) {}
+  Proxy(W& w, B& backends, ProxySettings s)
+      : w_(w),
+        edge_(backends),
+        s_(std::move(s)),
+        leases_(w),
+        life_(w.chance()()),
+        holder_(s_.id + "#" + std::to_string(life_)),
+        started_(w.now()),
+        tick_(w.now()),
+        journal_(s_.id, life_, s_.decisions_kept) {}
 
   void start(Desk& desk) {
     desk.on<Meet>([this](Meet q) { return meet(std::move(q)); });
@@ -66,7 +75,9 @@
   }
 
   bool ready() const { return fresh_ && viewed_ && !leaving_; }
-  bool idle() const { return (calls_in_flight_ == 0 && carried_in_flight_ == 0) || broken_on_purpose("leaves_at_once"); }
+  bool idle() const {
+    return (calls_in_flight_ == 0 && carried_in_flight_ == 0) || broken_on_purpose("leaves_at_once");
+  }
   void leave() {
     leaving_ = true;
     left_at_ = w_.now();
@@ -93,29 +104,40 @@
     CallChart chart;
     Instant const start = w_.now();
     std::shared_ptr<Rules const> const rules = rules_;
-    if (!ready()) co_return dropped(chart, id, *rules, "", 503, Mishap{"admit", s_.id, leaving_ ? "node is leaving" : "node is not ready", Proof::not_run});
-    if (calls_in_flight_ >= 4096) co_return dropped(chart, id, *rules, "", 503, Mishap{"admit", s_.id, "backlog full", Proof::not_run});
+    if (!ready())
+      co_return dropped(chart, id, *rules, "", 503,
+                        Mishap{"admit", s_.id, leaving_ ? "node is leaving" : "node is not ready", Proof::not_run});
+    if (calls_in_flight_ >= 4096)
+      co_return dropped(chart, id, *rules, "", 503, Mishap{"admit", s_.id, "backlog full", Proof::not_run});
     Index const s = rules->layout.way_of(q.target);
-    if (s == no_index) co_return dropped(chart, id, *rules, "", 404, Mishap{"find_way", s_.id, "no way for this path", Proof::not_run});
+    if (s == no_index)
+      co_return dropped(chart, id, *rules, "", 404, Mishap{"find_way", s_.id, "no way for this path", Proof::not_run});
     Service const& service = rules->layout.services[s];
     Carry carry;
     carry.service = service.name;
     carry.routing = rules->routing;
     if (service.keyed()) {
       std::string const key = header_of(q, service.key_header);
-      if (key.empty()) co_return dropped(chart, id, *rules, service.name, 400, Mishap{"find_key", s_.id, "no key in header " + service.key_header, Proof::not_run});
+      if (key.empty())
+        co_return dropped(chart, id, *rules, service.name, 400,
+                          Mishap{"find_key", s_.id, "no key in header " + service.key_header, Proof::not_run});
       carry.keyed = true;
       carry.slice = service.slice_of(key);
     }
     Duration patience = service.timeout;
     std::string const asked = header_of(q, "banktide-timeout-ms");
     if (!asked.empty()) {
-      if (asked.size() > 5 || asked.find_first_not_of("0123456789") != std::string::npos || std::stoul(asked) < 1) co_return dropped(chart, id, *rules, service.name, 400, Mishap{"find_deadline", s_.id, "banktide-timeout-ms must be 1..99999", Proof::not_run});
+      if (asked.size() > 5 || asked.find_first_not_of("0123456789") != std::string::npos || std::stoul(asked) < 1)
+        co_return dropped(chart, id, *rules, service.name, 400,
+                          Mishap{"find_deadline", s_.id, "banktide-timeout-ms must be 1..99999", Proof::not_run});
       patience = std::min<Duration>(patience, std::chrono::milliseconds(std::stoul(asked)));
     }
     Choice const choice = choose(*rules, s, carry.slice);
-    if (broken_on_purpose("drops_all")) co_return dropped(chart, id, *rules, service.name, 503, Mishap{"decide", s_.id, "", Proof::not_run});
-    if (!choice.dropped.empty()) co_return dropped(chart, id, *rules, service.name, 503, Mishap{"decide", s_.id, choice.dropped, Proof::not_run}, &carry);
+    if (broken_on_purpose("drops_all"))
+      co_return dropped(chart, id, *rules, service.name, 503, Mishap{"decide", s_.id, "", Proof::not_run});
+    if (!choice.dropped.empty())
+      co_return dropped(chart, id, *rules, service.name, 503, Mishap{"decide", s_.id, choice.dropped, Proof::not_run},
+                        &carry);
     bool const repeatable = service.may_repeat(q.method);
     carry.request = std::move(q);
     strip(carry.request.headers, true);
@@ -142,14 +164,16 @@
     Result<bool> const fits = j ? check_schema(*j, beat_schema) : Result<bool>(tl::unexpected<Mishap>(j.error()));
     if (!fits) {
       note("bad_beat", fits.error());
-      return json_reply(fits.error().step == "parse_json" || fits.error().step == "check_size" ? 400 : 422, {{"error", fits.error().reason}, {"step", fits.error().step}, {"pointer", fits.error().peer}});
+      return json_reply(fits.error().step == "parse_json" || fits.error().step == "check_size" ? 400 : 422,
+                        {{"error", fits.error().reason}, {"step", fits.error().step}, {"pointer", fits.error().peer}});
     }
     std::string const service = (*j)["service"].get<std::string>(), instance = (*j)["instance"].get<std::string>();
     std::pair<std::string, std::string> const key{service, instance};
     std::uint16_t const port = (*j)["port"].get<std::uint16_t>();
     bool const leaving = j->value("leaving", false);
     // A port speaks for one instance: the newest to beat from it.
-    std::erase_if(local_, [&](auto const& l) { return l.second.record.port == port && l.first != key && (touch(), true); });
+    std::erase_if(local_,
+                  [&](auto const& l) { return l.second.record.port == port && l.first != key && (touch(), true); });
     auto it = local_.find(key);
     if (it == local_.end()) {
       if (local_.size() >= 256) return json_reply(503, {{"error", "256 backends beat here already"}, {"step", "beat"}});
@@ -182,7 +206,9 @@
       return no;
     }
     if (path == "/live") return json_reply(200, {{"live", true}});
-    if (path == "/ready") return json_reply(ready() ? 200 : 503, {{"ready", ready()}, {"fresh", fresh_}, {"viewed", viewed_}, {"leaving", leaving_}});
+    if (path == "/ready")
+      return json_reply(ready() ? 200 : 503,
+                        {{"ready", ready()}, {"fresh", fresh_}, {"viewed", viewed_}, {"leaving", leaving_}});
     if (path == "/state") return json_reply(200, state());
     if (path == "/mishaps") return json_reply(200, mishaps());
     return json_reply(404, {{"error", "no such resource"}, {"path", path}});
@@ -199,12 +225,31 @@
     j["catalogue"] = rules_->catalogue_revision;
     j["ready"] = ready();
     j["budget"] = {{"firsts", budget_.firsts()}, {"extras", budget_.extras()}};
-    j["calls"] = {{"taken", last_call_}, {"in_flight", calls_in_flight_}, {"carried_in_flight", carried_in_flight_}, {"extra_tries", extra_tries_}};
+    j["calls"] = {{"taken", last_call_},
+                  {"in_flight", calls_in_flight_},
+                  {"carried_in_flight", carried_in_flight_},
+                  {"extra_tries", extra_tries_}};
     Json leases = Json::array();
-    for (auto const& [slice, l] : leases_.held()) leases.push_back({{"service", slice.service}, {"mapping", slice.mapping}, {"slice", slice.slice}, {"wanted", l.wanted}, {"ends_in_ms", as_ms(l.until - w_.now())}, {"instance", l.instance}, {"epoch", l.epoch}, {"in_flight", l.in_flight}});
+    for (auto const& [slice, l] : leases_.held())
+      leases.push_back({{"service", slice.service},
+                        {"mapping", slice.mapping},
+                        {"slice", slice.slice},
+                        {"wanted", l.wanted},
+                        {"ends_in_ms", as_ms(l.until - w_.now())},
+                        {"instance", l.instance},
+                        {"epoch", l.epoch},
+                        {"in_flight", l.in_flight}});
     j["leases"] = leases;
     Json local = Json::array();
-    for (auto const& [key, l] : local_) local.push_back({{"service", key.first}, {"instance", key.second}, {"port", l.record.port}, {"burden", l.record.burden}, {"in_flight", l.in_flight}, {"standing", l.refused ? "refusing" : w_.now() - l.beaten > s_.beat_expiry ? "silent" : standing_name(l.record.standing)}});
+    for (auto const& [key, l] : local_)
+      local.push_back({{"service", key.first},
+                       {"instance", key.second},
+                       {"port", l.record.port},
+                       {"burden", l.record.burden},
+                       {"in_flight", l.in_flight},
+                       {"standing", l.refused                              ? "refusing"
+                                    : w_.now() - l.beaten > s_.beat_expiry ? "silent"
+                                                                           : standing_name(l.record.standing)}});
     j["local"] = local;
     j["mishaps"] = noted_.last();
     return j;
@@ -231,17 +276,22 @@
 
   // ---- a call's tries
 
-  HttpReply dropped(CallChart& chart, std::uint64_t const id, Rules const& rules, std::string const& service, std::uint16_t const status, Mishap const& m, Carry const* const c = nullptr) {
+  HttpReply dropped(CallChart& chart, std::uint64_t const id, Rules const& rules, std::string const& service,
+                    std::uint16_t const status, Mishap const& m, Carry const* const c = nullptr) {
     chart.step(CallState::dropped);
     bool const unknown = m.proof == Proof::unknown;
     record(id, chart, "drop", service, m, rules, c);
-    HttpReply reply = json_reply(status, {{"error", m.reason}, {"outcome", unknown ? "unknown" : "not-run"}, {"step", m.step}, {"peer", m.peer}});
+    HttpReply reply = json_reply(
+        status,
+        {{"error", m.reason}, {"outcome", unknown ? "unknown" : "not-run"}, {"step", m.step}, {"peer", m.peer}});
     reply.headers.push_back({"banktide-outcome", unknown ? "unknown" : "not-run"});
-    if ((status >= 500 || status == 429) && !broken_on_purpose("no_retry_after")) reply.headers.push_back({"Retry-After", "1"});
+    if ((status >= 500 || status == 429) && !broken_on_purpose("no_retry_after"))
+      reply.headers.push_back({"Retry-After", "1"});
     return reply;
   }
 
-  void record(std::uint64_t const id, CallChart const& chart, char const* const decision, std::string const& service, Mishap const& m, Rules const& rules, Carry const* const c = nullptr, std::string const& cell = "") {
+  void record(std::uint64_t const id, CallChart const& chart, char const* const decision, std::string const& service,
+              Mishap const& m, Rules const& rules, Carry const* const c = nullptr, std::string const& cell = "") {
     CallEvent e;
     e.at_ms = as_ms(w_.now() - started_);
     e.call = id;
@@ -259,7 +309,8 @@
     journal_.append(std::move(e));
   }
 
-  Task<HttpReply> tries(CallChart& chart, std::uint64_t const id, Rules const& rules, Choice const& choice, Carry carry, bool const repeatable, Instant const deadline) {
+  Task<HttpReply> tries(CallChart& chart, std::uint64_t const id, Rules const& rules, Choice const& choice, Carry carry,
+                        bool const repeatable, Instant const deadline) {
     std::set<std::string> tried;
     Mishap last{"pick", s_.cell, "no usable backend", Proof::not_run};
     bool maybe_ran = false;
@@ -284,17 +335,27 @@
       carry.crossed = t->instance.empty();
       carry.budget_ms = static_cast<std::uint32_t>(left);
       chart.step(CallState::carrying);
-      record(id, chart, carry.crossed ? "cross" : "stay", carry.service, Mishap{"carry", t->node, n > 0 ? "after a failed try" : choice.home ? "home of the slice" : choice.settled ? "catalogue" : carry.crossed ? "no usable backend here" : "local first", Proof::unknown}, rules, &carry, t->cell);
+      record(id, chart, carry.crossed ? "cross" : "stay", carry.service,
+             Mishap{"carry", t->node,
+                    n > 0            ? "after a failed try"
+                    : choice.home    ? "home of the slice"
+                    : choice.settled ? "catalogue"
+                    : carry.crossed  ? "no usable backend here"
+                                     : "local first",
+                    Proof::unknown},
+             rules, &carry, t->cell);
       CarryReply r = co_await carry_to(*t, carry, deadline);
       chart.step(CallState::waiting);
       if (r.outcome == Outcome::answered && !(broken_on_purpose("no_budget") && repeatable && n == 0)) {
         chart.step(CallState::answered);
-        record(id, chart, carry.crossed ? "cross" : "stay", carry.service, Mishap{"answer", t->node, std::to_string(r.reply.status), Proof::unknown}, rules, &carry, t->cell);
+        record(id, chart, carry.crossed ? "cross" : "stay", carry.service,
+               Mishap{"answer", t->node, std::to_string(r.reply.status), Proof::unknown}, rules, &carry, t->cell);
         r.reply.headers.push_back({"banktide-outcome", "answered"});
         if (broken_on_purpose("swaps_answers") && w_.chance()() % 50 == 0) std::swap(r.reply.body, swapped_);
         co_return std::move(r.reply);
       }
-      last = Mishap{r.step, r.peer.empty() ? t->node : r.peer, r.reason, r.outcome == Outcome::not_run ? Proof::not_run : Proof::unknown};
+      last = Mishap{r.step, r.peer.empty() ? t->node : r.peer, r.reason,
+                    r.outcome == Outcome::not_run ? Proof::not_run : Proof::unknown};
       note("carry", last);
       if (r.outcome == Outcome::unknown) {
         maybe_ran = true;
@@ -310,15 +371,19 @@
   // The cells that have a backend of the service, by this view.
   std::set<std::string> offering(std::string const& service, Instant const now) const {
     std::set<std::string> cells;
-    for (auto it = view_.backends.lower_bound({service, ""}); it != view_.backends.end() && it->first.first == service && cells.empty(); ++it)
+    for (auto it = view_.backends.lower_bound({service, ""});
+         it != view_.backends.end() && it->first.first == service && cells.empty(); ++it)
       if (fit(it->second, now)) cells.insert(s_.cell);
     for (auto const& [name, c] : view_.cells)
-      if (name != s_.cell && !c.gateways.empty() && std::find(c.offers.begin(), c.offers.end(), service) != c.offers.end()) cells.insert(name);
+      if (name != s_.cell && !c.gateways.empty() &&
+          std::find(c.offers.begin(), c.offers.end(), service) != c.offers.end())
+        cells.insert(name);
     return cells;
   }
 
   Choice choose(Rules const& rules, Index const service, std::uint32_t const slice) const {
-    return choose_cells(rules.layout, rules.catalogue, s_.cell, service, slice, [&] { return offering(rules.layout.services[service].name, w_.now()); });
+    return choose_cells(rules.layout, rules.catalogue, s_.cell, service, slice,
+                        [&] { return offering(rules.layout.services[service].name, w_.now()); });
   }
 
   bool fit(BackendRecord const& b, Instant const now) const {
@@ -333,13 +398,17 @@
     return true;
   }
 
-  bool usable(Local const& l, Instant const now) const { return (l.record.standing == Standing::fit || broken_on_purpose("drain_unheard")) && !l.refused && now - l.beaten <= s_.beat_expiry; }
+  bool usable(Local const& l, Instant const now) const {
+    return (l.record.standing == Standing::fit || broken_on_purpose("drain_unheard")) && !l.refused &&
+           now - l.beaten <= s_.beat_expiry;
+  }
 
   // The one backend of the cell that should have the slice, by this view.
   BackendRecord const* owner_of(std::string const& service, std::uint32_t const slice, Instant const now) const {
     BackendRecord const* best = nullptr;
     std::uint64_t top = 0;
-    for (auto it = view_.backends.lower_bound({service, ""}); it != view_.backends.end() && it->first.first == service; ++it) {
+    for (auto it = view_.backends.lower_bound({service, ""}); it != view_.backends.end() && it->first.first == service;
+         ++it) {
       if (!fit(it->second, now)) continue;
       std::uint64_t const score = digest_of(it->second.instance + "/" + std::to_string(slice));
       if (best == nullptr || score > top) {
@@ -350,9 +419,13 @@
     return best;
   }
 
-  Target to_backend(BackendRecord const& b) const { return Target{b.node == s_.id ? s_.address : view_.members.at(b.node).address, b.instance, s_.cell, "b:" + b.service + "/" + b.instance}; }
+  Target to_backend(BackendRecord const& b) const {
+    return Target{b.node == s_.id ? s_.address : view_.members.at(b.node).address, b.instance, s_.cell,
+                  "b:" + b.service + "/" + b.instance};
+  }
 
-  std::optional<Target> pick_target(std::string const& service, bool const keyed, std::uint32_t const slice, Choice const& choice, std::set<std::string> const& tried, bool const may_cross) {
+  std::optional<Target> pick_target(std::string const& service, bool const keyed, std::uint32_t const slice,
+                                    Choice const& choice, std::set<std::string> const& tried, bool const may_cross) {
     Instant const now = w_.now();
     std::vector<Target> targets, ejected;
     std::vector<Candidate> candidates;
@@ -364,7 +437,8 @@
       return t;
     }
     if (choice.stay && !(broken_on_purpose("crosses_first") && may_cross && !view_.cells.empty())) {
-      for (auto it = view_.backends.lower_bound({service, ""}); it != view_.backends.end() && it->first.first == service; ++it) {
+      for (auto it = view_.backends.lower_bound({service, ""});
+           it != view_.backends.end() && it->first.first == service; ++it) {
         BackendRecord const& b = it->second;
         if (!fit(b, now)) continue;
         Target t = to_backend(b);
@@ -373,15 +447,18 @@
           ejected.push_back(std::move(t));
           continue;
         }
-        candidates.push_back(Candidate{static_cast<double>(b.burden) + marks_.at(t.mark, now).in_flight, marks_.entry(t.mark, now)});
+        candidates.push_back(
+            Candidate{static_cast<double>(b.burden) + marks_.at(t.mark, now).in_flight, marks_.entry(t.mark, now)});
         targets.push_back(std::move(t));
       }
       if (!targets.empty()) return targets[pick(candidates, w_.chance())];
     }
     if (may_cross) {
       for (auto const& [name, cell] : view_.cells) {
-        if (choice.settled && std::find(choice.others.begin(), choice.others.end(), name) == choice.others.end()) continue;
-        if (name == s_.cell || std::find(cell.offers.begin(), cell.offers.end(), service) == cell.offers.end()) continue;
+        if (choice.settled && std::find(choice.others.begin(), choice.others.end(), name) == choice.others.end())
+          continue;
+        if (name == s_.cell || std::find(cell.offers.begin(), cell.offers.end(), service) == cell.offers.end())
+          continue;
         if (tried.contains("c:" + name) || marks_.ejected("c:" + name + "/" + service, now)) continue;
         for (Member const& g : cell.gateways) {
           Target t{g.address, "", name, "g:" + g.address};
@@ -390,7 +467,8 @@
             ejected.push_back(std::move(t));
             continue;
           }
-          candidates.push_back(Candidate{static_cast<double>(marks_.at(t.mark, now).in_flight), marks_.entry(t.mark, now)});
+          candidates.push_back(
+              Candidate{static_cast<double>(marks_.at(t.mark, now).in_flight), marks_.entry(t.mark, now)});
           targets.push_back(std::move(t));
         }
       }
@@ -444,7 +522,9 @@
     return w_.now() < waking_until_ ? slept_ : Duration{};
   }
 
-  static CarryReply not_run(std::string step, std::string peer, std::string reason) { return CarryReply{Outcome::not_run, {}, std::move(step), std::move(peer), std::move(reason)}; }
+  static CarryReply not_run(std::string step, std::string peer, std::string reason) {
+    return CarryReply{Outcome::not_run, {}, std::move(step), std::move(peer), std::move(reason)};
+  }
 
   Task<CarryReply> carried(Carry c) {
     if (!fresh_) co_return not_run("admit", s_.id, "node is not ready");
@@ -452,13 +532,16 @@
     if (carried_in_flight_ >= 4096) co_return not_run("admit", s_.id, "backlog full");
     // What it lost on its way, in a frozen process or a held-up link, is gone
     // from its time; past its deadline it doesn't run.
-    std::int64_t const late = broken_on_purpose("runs_late") ? 0 : as_ms(transit_.late(c.sender, c.sent_us, w_.now()).value_or(overslept()));
+    std::int64_t const late =
+        broken_on_purpose("runs_late") ? 0 : as_ms(transit_.late(c.sender, c.sent_us, w_.now()).value_or(overslept()));
     if (late >= static_cast<std::int64_t>(c.budget_ms)) co_return not_run("admit", s_.id, "came after its deadline");
     c.budget_ms -= static_cast<std::uint32_t>(late);
     ++carried_in_flight_;
     CarryReply r;
-    if (!c.instance.empty()) r = co_await execute(std::move(c));
-    else r = co_await pass_on(std::move(c));
+    if (!c.instance.empty())
+      r = co_await execute(std::move(c));
+    else
+      r = co_await pass_on(std::move(c));
     --carried_in_flight_;
     co_return r;
   }
@@ -487,17 +570,21 @@
     if (s == no_index) co_return not_run("backend", s_.id, "service is in no layout here");
     Service const& service = rules_->layout.services[s];
     std::string const named = service.keyed() ? header_of(c.request, service.key_header) : "";
-    if (service.keyed() != c.keyed || (c.keyed && (named.empty() || service.slice_of(named) != c.slice))) co_return not_run("slice", s_.id, "layouts differ on the key's slice");
+    if (service.keyed() != c.keyed || (c.keyed && (named.empty() || service.slice_of(named) != c.slice)))
+      co_return not_run("slice", s_.id, "layouts differ on the key's slice");
     Choice const choice = choose(*rules_, s, c.slice);
-    if (!choice.stay && !choice.home && !broken_on_purpose("old_catalogue")) co_return not_run("catalogue", s_.id, "the catalogue here has it elsewhere");
+    if (!choice.stay && !choice.home && !broken_on_purpose("old_catalogue"))
+      co_return not_run("catalogue", s_.id, "the catalogue here has it elsewhere");
     auto const it = local_.find(key);
-    if (it == local_.end() || !usable(it->second, now)) co_return not_run("backend", s_.id, "backend is gone, leaving or silent");
+    if (it == local_.end() || !usable(it->second, now))
+      co_return not_run("backend", s_.id, "backend is gone, leaving or silent");
     if (it->second.in_flight >= s_.backend_limit) co_return not_run("backlog", s_.id, "backend has its fill");
     Slice const slice{c.service, service.mapping(), c.slice};
     std::uint64_t epoch = 0;
     if (c.keyed) {
       auto const lease = leases_.held().find(slice);
-      if (lease != leases_.held().end() && lease->second.in_flight >= s_.slice_limit) co_return not_run("backlog", s_.id, "slice has its fill");
+      if (lease != leases_.held().end() && lease->second.in_flight >= s_.slice_limit)
+        co_return not_run("backlog", s_.id, "slice has its fill");
       Result<std::uint64_t> const admitted = leases_.admit(slice, c.instance, deadline);
       if (!admitted) co_return not_run(admitted.error().step, s_.id, admitted.error().reason);
       epoch = *admitted;
@@ -521,8 +608,11 @@
       if (after->second.in_flight > 0) --after->second.in_flight;
       if (!reply && reply.error().step == "connect") after->second.refused = true;
     }
-    if (!reply) co_return CarryReply{unknown ? Outcome::unknown : Outcome::not_run, {}, reply.error().step, s_.id, reply.error().reason};
-    bool const marked = std::any_of(reply->headers.begin(), reply->headers.end(), [](Header const& h) { return h.name == "banktide-not-run"; });
+    if (!reply)
+      co_return CarryReply{
+          unknown ? Outcome::unknown : Outcome::not_run, {}, reply.error().step, s_.id, reply.error().reason};
+    bool const marked = std::any_of(reply->headers.begin(), reply->headers.end(),
+                                    [](Header const& h) { return h.name == "banktide-not-run"; });
     if (marked) co_return not_run("backend_said", s_.id, "backend says it did not run");
     strip(reply->headers, false);
     co_return CarryReply{Outcome::answered, std::move(*reply), "", "", ""};
@@ -537,10 +627,13 @@
     for (Header const& h : headers)
       if (lower(h.name) == "connection") named += "," + lower(h.value) + ",";
     std::erase(named, ' ');
-    static std::set<std::string> const hop{"connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "content-length"};
+    static std::set<std::string> const hop{
+        "connection", "keep-alive",        "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+        "trailer",    "transfer-encoding", "upgrade",          "content-length"};
     std::erase_if(headers, [&](Header const& h) {
       std::string const n = lower(h.name);
-      return hop.contains(n) || n.starts_with("banktide-") || (of_request && (n == "host" || n == "expect")) || named.find("," + n + ",") != std::string::npos;
+      return hop.contains(n) || n.starts_with("banktide-") || (of_request && (n == "host" || n == "expect")) ||
+             named.find("," + n + ",") != std::string::npos;
     });
   }
 
@@ -576,7 +669,8 @@
 
   void learn(std::vector<RegistryEntry> const& entries) {
     for (RegistryEntry const& e : entries)
-      if (directory_.size() < 256 && std::find(directory_.begin(), directory_.end(), e) == directory_.end()) directory_.push_back(e);
+      if (directory_.size() < 256 && std::find(directory_.begin(), directory_.end(), e) == directory_.end())
+        directory_.push_back(e);
   }
 
   Task<MeetReply> meet(Meet q) {
@@ -587,7 +681,8 @@
   Task<void> keep_meeting() {
     while (true) {
       Meet const question{directory_};
-      auto const replies = co_await ask_all<Meet>(w_, s_.seeds, question, w_.now() + 500ms, [](auto const&) { return false; });
+      auto const replies =
+          co_await ask_all<Meet>(w_, s_.seeds, question, w_.now() + 500ms, [](auto const&) { return false; });
       for (auto const& [i, r] : replies)
         if (r) {
           learn(r->registries);
@@ -610,7 +705,9 @@
       dirty_ = false;
       last = w_.now();
       Join q;
-      q.self = Member{s_.id, s_.cell, s_.address, s_.gateway ? Role::gateway : Role::node, incarnation_, leaving_ ? Standing::leaving : Standing::fit};
+      q.self = Member{s_.id,        s_.cell,
+                      s_.address,   s_.gateway ? Role::gateway : Role::node,
+                      incarnation_, leaving_ ? Standing::leaving : Standing::fit};
       for (auto const& [key, l] : local_) {
         BackendRecord b = l.record;
         b.burden = b.burden / 4 * 4;
@@ -621,8 +718,10 @@
         incarnation_ = r->incarnation;
         dirty_ = true;
       }
-      if (!r) co_await sleep_for(w_, 200ms);
-      else co_await sleep_for(w_, 10ms);
+      if (!r)
+        co_await sleep_for(w_, 200ms);
+      else
+        co_await sleep_for(w_, 10ms);
     }
   }
 
@@ -651,14 +750,18 @@
     }
     if (catalogue.revision > 0) {
       Result<Catalogue> c = Catalogue::read(catalogue.bytes, next->layout, true);
-      if (c) next->catalogue = std::move(*c);
-      else note("catalogue", c.error());
+      if (c)
+        next->catalogue = std::move(*c);
+      else
+        note("catalogue", c.error());
       next->catalogue_revision = catalogue.revision;
     }
     bool const back = broken_on_purpose("slips_back") && next->routing % 7 == 0;
     std::shared_ptr<Rules const> const former = std::exchange(older_, rules_);
     rules_ = back ? former : next;
-    log_info("in_force", {{"routing", std::to_string(routing.revision)}, {"catalogue", std::to_string(catalogue.revision)}, {"at_ms", std::to_string(as_ms(w_.now().time_since_epoch()))}});
+    log_info("in_force", {{"routing", std::to_string(routing.revision)},
+                          {"catalogue", std::to_string(catalogue.revision)},
+                          {"at_ms", std::to_string(as_ms(w_.now().time_since_epoch()))}});
   }
 
   Task<Told> news(News q) {
@@ -721,7 +824,8 @@
   Task<bool> catch_up_layouts(std::vector<Address> const from) {
     bool const fresh = !fresh_;
     LayoutsAsk const question{held_[0].revision, held_[1].revision, fresh};
-    auto const replies = co_await ask_all<LayoutsAsk>(w_, from, question, w_.now() + (fresh ? 1000ms : 400ms), [](auto const&) { return false; });
+    auto const replies = co_await ask_all<LayoutsAsk>(w_, from, question, w_.now() + (fresh ? 1000ms : 400ms),
+                                                      [](auto const&) { return false; });
     bool known = false;
     for (auto const& [i, r] : replies) {
       if (!r || !r->known) continue;
@@ -745,9 +849,11 @@
       bool const followed = !own.empty() && co_await catch_up(own);
       std::vector<Address> from, others;
       for (RegistryEntry const& e : directory_) (e.cell == s_.cell ? from : others).push_back(e.address);
-      if ((!followed || unvouched) && !broken_on_purpose("own_registry_only")) from.insert(from.end(), others.begin(), others.end());
+      if ((!followed || unvouched) && !broken_on_purpose("own_registry_only"))
+        from.insert(from.end(), others.begin(), others.end());
       bool const layouts = co_await catch_up_layouts(from);
-      if (!followed && !viewed_ && !others.empty() && w_.now() - started_ > 3s) co_await borrow_view(others[w_.chance()() % others.size()]);
+      if (!followed && !viewed_ && !others.empty() && w_.now() - started_ > 3s)
+        co_await borrow_view(others[w_.chance()() % others.size()]);
       co_await sleep_for(w_, followed && layouts ? 20ms : 150ms);
     }
   }
@@ -788,7 +894,8 @@
       std::vector<std::string> ids;
       for (auto const& [id, m] : view_.members) ids.push_back(id);
       std::vector<std::string> const order = ring_order(ids);
-      for (std::string const& id : watchers_of(s_.id, order)) tell(w_, view_.members.at(id).address, Beat{s_.id, s_.address, incarnation_, at_});
+      for (std::string const& id : watchers_of(s_.id, order))
+        tell(w_, view_.members.at(id).address, Beat{s_.id, s_.address, incarnation_, at_});
       Address const registry = own_registry();
       for (auto const& [id, m] : view_.members) {
         std::vector<std::string> const watchers = watchers_of(id, order);
@@ -797,7 +904,9 @@
           heard_[id] = now;
           continue;
         }
-        if (now - heard_.try_emplace(id, now).first->second > suspect_after && m.standing == Standing::fit && m.role != Role::registry && !registry.empty()) tell(w_, registry, Suspect{id, m.incarnation, s_.id});
+        if (now - heard_.try_emplace(id, now).first->second > suspect_after && m.standing == Standing::fit &&
+            m.role != Role::registry && !registry.empty())
+          tell(w_, registry, Suspect{id, m.incarnation, s_.id});
       }
       std::erase_if(heard_, [&](auto const& h) { return !view_.members.contains(h.first); });
       std::erase_if(drained_, [&](auto const& d) { return d.second < now; });
@@ -862,7 +971,8 @@
         for (std::uint32_t slice = 0; slice < service.slices; ++slice) {
           if (!choose(*rules, s, slice).stay) continue;
           BackendRecord const* const owner = owner_of(service.name, slice, now);
-          if (owner != nullptr && owner->node == s_.id) wanted[Slice{service.name, service.mapping(), slice}] = owner->instance;
+          if (owner != nullptr && owner->node == s_.id)
+            wanted[Slice{service.name, service.mapping(), slice}] = owner->instance;
         }
       }
       std::vector<Address> registries;
@@ -882,7 +992,8 @@
   Json mishaps() const {
     Json j = Json::array();
     std::optional<std::vector<Noted>> const all = noted_.since(noted_.trimmed());
-    for (Noted const& n : *all) j.push_back({{"at_ms", n.at_ms}, {"what", n.what}, {"step", n.step}, {"peer", n.peer}, {"reason", n.reason}});
+    for (Noted const& n : *all)
+      j.push_back({{"at_ms", n.at_ms}, {"what", n.what}, {"step", n.step}, {"peer", n.peer}, {"reason", n.reason}});
     return Json{{"mishaps", j}, {"trimmed", noted_.trimmed()}};
   }
 
--- a/source/programs/proxy_main.cpp
+++ b/source/programs/proxy_main.cpp
@@ -39,7 +39,8 @@
   Desk desk;
   Result<Address> const bound = world.listen(s.text("address"));
   if (!bound) {
-    log_warn("start_failed", {{"step", bound.error().step}, {"peer", bound.error().peer}, {"reason", bound.error().reason}});
+    log_warn("start_failed",
+             {{"step", bound.error().step}, {"peer", bound.error().peer}, {"reason", bound.error().reason}});
     return 1;
   }
   using Edge = HttpCaller<SocketWorld>;
@@ -51,7 +52,8 @@
   settings.decisions_kept = s.number("decisions-kept");
   Proxy<SocketWorld, Edge> proxy(world, edge, settings);
   HttpListener callers(world.io(), s.text("caller"), [&](HttpRequest q) { return proxy.call(std::move(q)); });
-  HttpListener local(world.io(), s.text("local"), [&](HttpRequest q) -> Task<HttpReply> { co_return proxy.platform(q); });
+  HttpListener local(world.io(), s.text("local"),
+                     [&](HttpRequest q) -> Task<HttpReply> { co_return proxy.platform(q); });
   process.on_thread([&]() {
     world.serve(desk);
     proxy.start(desk);
@@ -60,17 +62,25 @@
   for (HttpListener* const l : {&local, &callers}) {
     Result<bool> const open = l->open();
     if (!open) {
-      log_warn("start_failed", {{"step", open.error().step}, {"peer", open.error().peer}, {"reason", open.error().reason}});
+      log_warn("start_failed",
+               {{"step", open.error().step}, {"peer", open.error().peer}, {"reason", open.error().reason}});
       return 1;
     }
   }
-  log_info("started", {{"address", *bound}, {"caller", s.text("caller")}, {"local", s.text("local")}, {"gateway", s.flag("gateway") ? "yes" : "no"}});
+  log_info("started", {{"address", *bound},
+                       {"caller", s.text("caller")},
+                       {"local", s.text("local")},
+                       {"gateway", s.flag("gateway") ? "yes" : "no"}});
   auto const reload = [&] {
     Process::reload(s, define, argc, argv, [&](std::string const& name, Settings const& fresh) {
-      if (name == "beat-expiry-ms") settings.beat_expiry = std::chrono::milliseconds(fresh.number(name));
-      else if (name == "backend-limit") settings.backend_limit = static_cast<std::uint32_t>(fresh.number(name));
-      else if (name == "slice-limit") settings.slice_limit = static_cast<std::uint32_t>(fresh.number(name));
-      else return false;
+      if (name == "beat-expiry-ms")
+        settings.beat_expiry = std::chrono::milliseconds(fresh.number(name));
+      else if (name == "backend-limit")
+        settings.backend_limit = static_cast<std::uint32_t>(fresh.number(name));
+      else if (name == "slice-limit")
+        settings.slice_limit = static_cast<std::uint32_t>(fresh.number(name));
+      else
+        return false;
       proxy.tune(settings);
       return true;
     });
--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -41,7 +41,10 @@
 
 inline std::string header_of(HttpRequest const& q, std::string_view const name) {
   for (Header const& h : q.headers)
-    if (h.name.size() == name.size() && std::equal(h.name.begin(), h.name.end(), name.begin(), [](char a, char b) { return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b)); })) return h.value;
+    if (h.name.size() == name.size() && std::equal(h.name.begin(), h.name.end(), name.begin(), [](char a, char b) {
+          return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b));
+        }))
+      return h.value;
   return "";
 }
 
@@ -59,8 +62,20 @@
   j["members"] = Json::array();
   j["backends"] = Json::array();
   j["cells"] = Json::array();
-  for (auto const& [id, m] : v.members) j["members"].push_back({{"id", m.id}, {"cell", m.cell}, {"address", m.address}, {"role", role_name(m.role)}, {"incarnation", m.incarnation}, {"standing", standing_name(m.standing)}});
-  for (auto const& [key, b] : v.backends) j["backends"].push_back({{"service", b.service}, {"instance", b.instance}, {"node", b.node}, {"port", b.port}, {"burden", b.burden}, {"standing", standing_name(b.standing)}});
+  for (auto const& [id, m] : v.members)
+    j["members"].push_back({{"id", m.id},
+                            {"cell", m.cell},
+                            {"address", m.address},
+                            {"role", role_name(m.role)},
+                            {"incarnation", m.incarnation},
+                            {"standing", standing_name(m.standing)}});
+  for (auto const& [key, b] : v.backends)
+    j["backends"].push_back({{"service", b.service},
+                             {"instance", b.instance},
+                             {"node", b.node},
+                             {"port", b.port},
+                             {"burden", b.burden},
+                             {"standing", standing_name(b.standing)}});
   for (auto const& [name, c] : v.cells) {
     Json gateways = Json::array();
     for (Member const& g : c.gateways) gateways.push_back({{"id", g.id}, {"address", g.address}});
@@ -99,7 +114,8 @@
 template <Surroundings W>
 class Registry {
  public:
-  Registry(W& w, RegistrySettings s) : w_(w), s_(std::move(s)), register_(w, s_.voters), lease_(w), epoch_(w.chance()() | 1), started_(w.now()) {
+  Registry(W& w, RegistrySettings s)
+      : w_(w), s_(std::move(s)), register_(w, s_.voters), lease_(w), epoch_(w.chance()() | 1), started_(w.now()) {
     Member self{s_.id, s_.cell, s_.address, Role::registry, 1, Standing::fit};
     publish_member(self);
   }
@@ -142,13 +158,17 @@
   Task<Verdict> settle(Proposal p) {
     Verdict v;
     v.reg = p.reg;
-    if (p.request.size() > 128) co_return refused(v, 400, Mishap{"check_request", "", "banktide-request is over 128 bytes", Proof::not_run});
+    if (p.request.size() > 128)
+      co_return refused(v, 400, Mishap{"check_request", "", "banktide-request is over 128 bytes", Proof::not_run});
     if (p.request.empty()) p.request = "auto-" + std::to_string(w_.chance()()) + std::to_string(w_.chance()());
     v.request = p.request;
     std::optional<Revision> expected;
     if (!p.match.empty()) {
-      std::string const digits = p.match.size() > 2 && p.match.front() == '"' && p.match.back() == '"' ? p.match.substr(1, p.match.size() - 2) : p.match;
-      if (digits.empty() || digits.size() > 19 || digits.find_first_not_of("0123456789") != std::string::npos) co_return refused(v, 400, Mishap{"check_if_match", "", "If-Match must be a revision", Proof::not_run});
+      std::string const digits = p.match.size() > 2 && p.match.front() == '"' && p.match.back() == '"'
+                                     ? p.match.substr(1, p.match.size() - 2)
+                                     : p.match;
+      if (digits.empty() || digits.size() > 19 || digits.find_first_not_of("0123456789") != std::string::npos)
+        co_return refused(v, 400, Mishap{"check_if_match", "", "If-Match must be a revision", Proof::not_run});
       expected = std::stoull(digits);
     }
     Layout layout;
@@ -156,15 +176,22 @@
     } else if (p.reg == Register::routing) {
       Result<Layout> const l = Layout::read(p.bytes);
       if (!l) co_return bad_revision(v, l.error());
-      Result<Held> const catalogue = co_await register_.read(Register::catalogue, held(Register::catalogue), w_.now() + 2s);
+      Result<Held> const catalogue =
+          co_await register_.read(Register::catalogue, held(Register::catalogue), w_.now() + 2s);
       if (!catalogue) co_return not_taken(v, catalogue.error());
       take(Register::catalogue, *catalogue);
-      Result<Catalogue> const c = catalogue->revision > 0 ? Catalogue::read(catalogue->bytes, *l) : Result<Catalogue>(Catalogue{});
-      if (!c) co_return bad_revision(v, Mishap{"check_catalogue", c.error().peer, "catalogue revision " + std::to_string(catalogue->revision) + " would not fit: " + c.error().reason, Proof::not_run});
+      Result<Catalogue> const c =
+          catalogue->revision > 0 ? Catalogue::read(catalogue->bytes, *l) : Result<Catalogue>(Catalogue{});
+      if (!c)
+        co_return bad_revision(v, Mishap{"check_catalogue", c.error().peer,
+                                         "catalogue revision " + std::to_string(catalogue->revision) +
+                                             " would not fit: " + c.error().reason,
+                                         Proof::not_run});
     } else {
       Result<Held> const routing = co_await register_.read(Register::routing, held(Register::routing), w_.now() + 2s);
       if (!routing) co_return not_taken(v, routing.error());
-      if (routing->revision == 0) co_return bad_revision(v, Mishap{"check_references", "", "there is no routing revision yet", Proof::not_run});
+      if (routing->revision == 0)
+        co_return bad_revision(v, Mishap{"check_references", "", "there is no routing revision yet", Proof::not_run});
       take(Register::routing, *routing);
       Result<Layout> l = Layout::read(routing->bytes);
       if (!l) co_return bad_revision(v, l.error());
@@ -173,21 +200,24 @@
       if (!c) co_return bad_revision(v, c.error());
     }
     Revision newest = 0;
-    Result<Held> done = co_await register_.change(p.reg, p.request, w_.now() + 5s, [&](Held const& now) -> Result<Held> {
-      newest = now.revision;
-      if (expected && *expected != now.revision) return mishap("check_if_match", "", "the newest revision is " + std::to_string(now.revision), Proof::not_run);
-      Held next = now;
-      if (p.change) {
-        Result<std::string> edited = edit_catalogue(now.bytes, *p.change, layout);
-        if (!edited) return tl::unexpected<Mishap>(edited.error());
-        next.bytes = std::move(*edited);
-      } else {
-        next.bytes = p.bytes;
-      }
-      next.revision = now.revision + 1;
-      next.digest = digest_of(next.bytes);
-      return next;
-    });
+    Result<Held> done =
+        co_await register_.change(p.reg, p.request, w_.now() + 5s, [&](Held const& now) -> Result<Held> {
+          newest = now.revision;
+          if (expected && *expected != now.revision)
+            return mishap("check_if_match", "", "the newest revision is " + std::to_string(now.revision),
+                          Proof::not_run);
+          Held next = now;
+          if (p.change) {
+            Result<std::string> edited = edit_catalogue(now.bytes, *p.change, layout);
+            if (!edited) return tl::unexpected<Mishap>(edited.error());
+            next.bytes = std::move(*edited);
+          } else {
+            next.bytes = p.bytes;
+          }
+          next.revision = now.revision + 1;
+          next.digest = digest_of(next.bytes);
+          return next;
+        });
     v.revision = newest;
     bool const checked = !done && done.error().step.starts_with("check_") && done.error().proof == Proof::not_run;
     if (checked && done.error().step == "check_if_match") co_return refused(v, 412, done.error());
@@ -208,7 +238,8 @@
       if (id == p.request) v.revision = revision;
     v.status = 200;
     v.word = "acknowledged";
-    log_info("revision_acknowledged", {{"register", register_name(p.reg)}, {"revision", std::to_string(v.revision)}, {"request", p.request}});
+    log_info("revision_acknowledged",
+             {{"register", register_name(p.reg)}, {"revision", std::to_string(v.revision)}, {"request", p.request}});
     co_return v;
   }
 
@@ -233,16 +264,33 @@
     co_return all;
   }
   static void merge(DecisionsReply& all, DecisionsReply more) {
-    all.events.insert(all.events.end(), std::make_move_iterator(more.events.begin()), std::make_move_iterator(more.events.end()));
+    all.events.insert(all.events.end(), std::make_move_iterator(more.events.begin()),
+                      std::make_move_iterator(more.events.end()));
     all.gaps.insert(all.gaps.end(), more.gaps.begin(), more.gaps.end());
     all.next.insert(more.next.begin(), more.next.end());
   }
 
   // This cell as its registry sees it, with every node's own state.
   Task<StateReply> state(StateAsk q) {
-    Json j = {{"registry", s_.id}, {"cell", s_.cell}, {"epoch", epoch_}, {"position", journal_.last()}, {"routing", held(Register::routing).revision}, {"catalogue", held(Register::catalogue).revision}, {"vouched", vouched()}, {"ready", ready()}, {"nodes", Json::array()}, {"silent", Json::array()}, {"grants", Json::array()}};
+    Json j = {{"registry", s_.id},
+              {"cell", s_.cell},
+              {"epoch", epoch_},
+              {"position", journal_.last()},
+              {"routing", held(Register::routing).revision},
+              {"catalogue", held(Register::catalogue).revision},
+              {"vouched", vouched()},
+              {"ready", ready()},
+              {"nodes", Json::array()},
+              {"silent", Json::array()},
+              {"grants", Json::array()}};
     for (auto const& [slice, g] : lease_.grants())
-      if (g.until > w_.now()) j["grants"].push_back({{"service", slice.service}, {"mapping", slice.mapping}, {"slice", slice.slice}, {"holder", g.holder}, {"epoch", g.epoch}, {"ends_in_ms", as_ms(g.until - w_.now())}});
+      if (g.until > w_.now())
+        j["grants"].push_back({{"service", slice.service},
+                               {"mapping", slice.mapping},
+                               {"slice", slice.slice},
+                               {"holder", g.holder},
+                               {"epoch", g.epoch},
+                               {"ends_in_ms", as_ms(g.until - w_.now())}});
     if (q.with_nodes) {
       std::vector<Address> nodes;
       std::vector<std::string> ids;
@@ -252,7 +300,8 @@
           ids.push_back(id);
         }
       StateAsk const question{false};
-      auto const replies = co_await ask_all<StateAsk>(w_, nodes, question, w_.now() + 400ms, [](auto const&) { return false; });
+      auto const replies =
+          co_await ask_all<StateAsk>(w_, nodes, question, w_.now() + 400ms, [](auto const&) { return false; });
       std::set<std::string> silent(ids.begin(), ids.end());
       for (auto const& [i, r] : replies) {
         Json const node = r ? Json::parse(r->json, nullptr, false) : Json();
@@ -276,7 +325,8 @@
         silent.insert(e.cell);
       }
     StateAsk const question{true};
-    auto const replies = co_await ask_all<StateAsk>(w_, others, question, w_.now() + 800ms, [](auto const&) { return false; });
+    auto const replies =
+        co_await ask_all<StateAsk>(w_, others, question, w_.now() + 800ms, [](auto const&) { return false; });
     StateReply const own = co_await state(question);
     Json j = {{"cells", Json::array({Json::parse(own.json)})}};
     for (auto const& [i, r] : replies) {
@@ -294,7 +344,9 @@
     Json const fleet = co_await whole_fleet();
     Result<Layout> const layout = Layout::read(held(Register::routing).bytes);
     if (!layout) co_return Json{{"slices", Json::array()}, {"error", "there is no routing revision yet"}};
-    Result<Catalogue> const catalogue = held(Register::catalogue).revision > 0 ? Catalogue::read(held(Register::catalogue).bytes, *layout, true) : Result<Catalogue>(Catalogue{});
+    Result<Catalogue> const catalogue = held(Register::catalogue).revision > 0
+                                            ? Catalogue::read(held(Register::catalogue).bytes, *layout, true)
+                                            : Result<Catalogue>(Catalogue{});
     co_return slice_moves(fleet, *layout, catalogue ? *catalogue : Catalogue{});
   }
 
@@ -302,7 +354,9 @@
   Task<HttpReply> operate(HttpRequest q) {
     std::string const path = q.target.substr(0, q.target.find('?'));
     if (path == "/live") co_return json_reply(200, {{"live", true}});
-    if (path == "/ready") co_return json_reply(ready() ? 200 : 503, {{"ready", ready()}, {"vouched", vouched()}, {"warm", warm()}, {"leaving", leaving_}});
+    if (path == "/ready")
+      co_return json_reply(ready() ? 200 : 503,
+                           {{"ready", ready()}, {"vouched", vouched()}, {"warm", warm()}, {"leaving", leaving_}});
     if (path == "/fleet" && q.method == "GET") co_return json_reply(200, fleet());
     if (path == "/mishaps" && q.method == "GET") co_return json_reply(200, mishaps());
     if (path == "/nodes" && q.method == "GET") co_return json_reply(200, co_await whole_fleet());
@@ -339,14 +393,18 @@
     if (h->revision == 0) co_return json_reply(404, {{"error", "nothing was ever put"}, {"revision", 0}});
     HttpReply reply;
     reply.status = 200;
-    reply.headers = {{"Content-Type", "application/json"}, {"ETag", quoted(h->revision)}, {"banktide-revision", std::to_string(h->revision)}};
+    reply.headers = {{"Content-Type", "application/json"},
+                     {"ETag", quoted(h->revision)},
+                     {"banktide-revision", std::to_string(h->revision)}};
     reply.body = h->bytes;
     co_return reply;
   }
 
   HttpReply not_vouched(Mishap const& m) {
     note("register", m);
-    HttpReply reply = json_reply(503, {{"error", "no majority vouches for a reading"}, {"step", m.step}, {"peer", m.peer}, {"reason", m.reason}});
+    HttpReply reply = json_reply(
+        503,
+        {{"error", "no majority vouches for a reading"}, {"step", m.step}, {"peer", m.peer}, {"reason", m.reason}});
     reply.headers.push_back({"Retry-After", "1"});
     return reply;
   }
@@ -396,7 +454,8 @@
   Json mishaps() const {
     Json j = Json::array();
     std::optional<std::vector<Noted>> const all = noted_.since(noted_.trimmed());
-    for (Noted const& n : *all) j.push_back({{"at_ms", n.at_ms}, {"what", n.what}, {"step", n.step}, {"peer", n.peer}, {"reason", n.reason}});
+    for (Noted const& n : *all)
+      j.push_back({{"at_ms", n.at_ms}, {"what", n.what}, {"step", n.step}, {"peer", n.peer}, {"reason", n.reason}});
     return Json{{"mishaps", j}, {"trimmed", noted_.trimmed()}};
   }
 
@@ -450,8 +509,10 @@
   Task<void> find_floor() {
     while (!lease_.floored()) {
       Result<std::uint64_t> const round = co_await register_.rise(Register::routing, w_.now() + 2s);
-      if (round) lease_.set_floor(broken_on_purpose("epochs_start_again") ? 1 : *round << 20);
-      else co_await sleep_for(w_, 200ms);
+      if (round)
+        lease_.set_floor(broken_on_purpose("epochs_start_again") ? 1 : *round << 20);
+      else
+        co_await sleep_for(w_, 200ms);
     }
   }
 
@@ -466,7 +527,8 @@
 
   void learn(std::vector<RegistryEntry> const& entries) {
     for (RegistryEntry const& e : entries)
-      if (directory_.size() < 256 && std::find(directory_.begin(), directory_.end(), e) == directory_.end()) directory_.push_back(e);
+      if (directory_.size() < 256 && std::find(directory_.begin(), directory_.end(), e) == directory_.end())
+        directory_.push_back(e);
   }
 
   Task<MeetReply> meet(Meet q) {
@@ -478,9 +540,11 @@
     while (true) {
       std::vector<Address> peers = s_.seeds;
       for (RegistryEntry const& e : directory_)
-        if (e.address != s_.address && std::find(peers.begin(), peers.end(), e.address) == peers.end()) peers.push_back(e.address);
+        if (e.address != s_.address && std::find(peers.begin(), peers.end(), e.address) == peers.end())
+          peers.push_back(e.address);
       Meet const question{directory_};
-      auto const replies = co_await ask_all<Meet>(w_, peers, question, w_.now() + 500ms, [](auto const&) { return false; });
+      auto const replies =
+          co_await ask_all<Meet>(w_, peers, question, w_.now() + 500ms, [](auto const&) { return false; });
       for (auto const& [i, r] : replies)
         if (r) learn(r->registries);
       co_await sleep_for(w_, directory_.size() < 2 ? 200ms : 1000ms);
@@ -489,7 +553,8 @@
 
   Task<Told> cell_told(CellTold q) {
     auto const it = view_.cells.find(q.entry.cell);
-    if (q.entry.cell != s_.cell && (it == view_.cells.end() || !(it->second == q.entry))) publish(Change{0, std::nullopt, std::nullopt, q.entry});
+    if (q.entry.cell != s_.cell && (it == view_.cells.end() || !(it->second == q.entry)))
+      publish(Change{0, std::nullopt, std::nullopt, q.entry});
     co_return Told{};
   }
 
@@ -569,8 +634,10 @@
     reply.at = position();
     std::optional<std::vector<Change>> changes;
     if (q.have.epoch == epoch_) changes = journal_.since(q.have.seq);
-    if (changes) reply.changes = std::move(*changes);
-    else reply.snapshot = view_.snapshot(position());
+    if (changes)
+      reply.changes = std::move(*changes);
+    else
+      reply.snapshot = view_.snapshot(position());
     co_return reply;
   }
 
@@ -581,13 +648,16 @@
     reply.epoch = epoch_;
     if (q.self.cell != s_.cell || q.self.id.empty() || q.self.id == s_.id || q.backends.size() > 1000) co_return reply;
     auto const it = view_.members.find(q.self.id);
-    if (it != view_.members.end() && q.self.standing == Standing::fit && it->second.standing == Standing::suspected && q.self.incarnation <= it->second.incarnation) {
+    if (it != view_.members.end() && q.self.standing == Standing::fit && it->second.standing == Standing::suspected &&
+        q.self.incarnation <= it->second.incarnation) {
       reply.incarnation = it->second.incarnation + 1;  // refute with this
       co_return reply;
     }
     heard_[q.self.id] = w_.now();
     if (it == view_.members.end() || !(it->second == q.self)) {
-      log_info("member", {{"id", q.self.id}, {"standing", standing_name(q.self.standing)}, {"incarnation", std::to_string(q.self.incarnation)}});
+      log_info("member", {{"id", q.self.id},
+                          {"standing", standing_name(q.self.standing)},
+                          {"incarnation", std::to_string(q.self.incarnation)}});
       publish_member(q.self);
     }
     std::set<std::pair<std::string, std::string>> named;
@@ -622,7 +692,8 @@
 
   Task<Told> suspect(Suspect q) {
     auto const it = view_.members.find(q.id);
-    if (it != view_.members.end() && it->second.incarnation == q.incarnation && it->second.standing == Standing::fit && it->second.role != Role::registry) {
+    if (it != view_.members.end() && it->second.incarnation == q.incarnation && it->second.standing == Standing::fit &&
+        it->second.role != Role::registry) {
       Member m = it->second;
       m.standing = Standing::suspected;
       suspected_[m.id] = w_.now();
@@ -640,7 +711,8 @@
       bool const overslept = now - last > 800ms;  // we were frozen: nobody else was silent
       last = now;
       std::vector<std::string> const order = ring();
-      for (std::string const& id : watchers_of(s_.id, order)) tell(w_, view_.members.at(id).address, Beat{s_.id, s_.address, 1, warm() ? position() : Position{}});
+      for (std::string const& id : watchers_of(s_.id, order))
+        tell(w_, view_.members.at(id).address, Beat{s_.id, s_.address, 1, warm() ? position() : Position{}});
       std::vector<Member> dead;
       for (auto const& [id, m] : view_.members) {
         if (m.role == Role::registry) continue;
@@ -651,7 +723,9 @@
         if (!watched) {
           heard_[id] = std::max(heard_[id], now - suspect_after / 2);
         } else if (heard_.try_emplace(id, now).first->second + suspect_after < now && m.standing == Standing::fit) {
-          spawn(w_, [](Registry& self, Suspect q) -> Task<void> { co_await self.suspect(std::move(q)); }(*this, Suspect{id, m.incarnation, s_.id}));
+          spawn(w_, [](Registry& self, Suspect q) -> Task<void> {
+            co_await self.suspect(std::move(q));
+          }(*this, Suspect{id, m.incarnation, s_.id}));
         }
         if (m.standing == Standing::suspected && now - suspected_[id] > dead_after) dead.push_back(m);
         if (m.standing == Standing::leaving && now - heard_[id] > suspect_after && watched) dead.push_back(m);
--- a/source/programs/registry_main.cpp
+++ b/source/programs/registry_main.cpp
@@ -34,15 +34,19 @@
   Desk desk;
   Result<Address> const bound = world.listen(s.text("address"));
   if (!bound) {
-    log_warn("start_failed", {{"step", bound.error().step}, {"peer", bound.error().peer}, {"reason", bound.error().reason}});
+    log_warn("start_failed",
+             {{"step", bound.error().step}, {"peer", bound.error().peer}, {"reason", bound.error().reason}});
     return 1;
   }
-  Registry<SocketWorld> registry(world, RegistrySettings{s.text("id"), s.text("cell"), *bound, s.list("seed"), s.list("voter")});
+  Registry<SocketWorld> registry(
+      world, RegistrySettings{s.text("id"), s.text("cell"), *bound, s.list("seed"), s.list("voter")});
   HttpListener operators(world.io(), s.text("operator"), [&](HttpRequest q) { return registry.operate(std::move(q)); });
   OperatorStreams<SocketWorld> streams(registry);
   operators.on_lines_in("/changes", [&](HttpRequest q, LinesIn& in) { return streams.changes(std::move(q), in); });
-  operators.on_lines_out("/verdicts", [&](HttpRequest q, LinesOut& out) { return streams.verdicts(std::move(q), out); });
-  operators.on_lines_out("/decisions", [&](HttpRequest q, LinesOut& out) { return streams.decisions(std::move(q), out); });
+  operators.on_lines_out("/verdicts",
+                         [&](HttpRequest q, LinesOut& out) { return streams.verdicts(std::move(q), out); });
+  operators.on_lines_out("/decisions",
+                         [&](HttpRequest q, LinesOut& out) { return streams.decisions(std::move(q), out); });
   process.on_thread([&]() {
     world.serve(desk);
     registry.start(desk);
@@ -50,10 +54,14 @@
   });
   Result<bool> const open = operators.open();
   if (!open) {
-    log_warn("start_failed", {{"step", open.error().step}, {"peer", open.error().peer}, {"reason", open.error().reason}});
+    log_warn("start_failed",
+             {{"step", open.error().step}, {"peer", open.error().peer}, {"reason", open.error().reason}});
     return 1;
   }
   log_info("started", {{"address", *bound}, {"operator", s.text("operator")}});
-  process.until_told_to_go([&] { registry.leave(); }, [&] { return registry.idle(); }, [&] { Process::reload(s, define, argc, argv, [](std::string const&, Settings const&) { return false; }); }, 5500ms);
+  process.until_told_to_go(
+      [&] { registry.leave(); }, [&] { return registry.idle(); },
+      [&] { Process::reload(s, define, argc, argv, [](std::string const&, Settings const&) { return false; }); },
+      5500ms);
   std::_Exit(0);
 }
--- a/source/programs/settings.hpp
+++ b/source/programs/settings.hpp
@@ -17,18 +17,30 @@
 class Settings {
  public:
   explicit Settings(std::string const& program) : program_(program), options_(program + " options") {
-    options_.add_options()("help", "print this and exit")("version", "print the version and exit")("check", "check the settings and exit")("settings", po::value<std::string>(), "JSON file with the same names as these flags");
+    options_.add_options()("help", "print this and exit")("version", "print the version and exit")(
+        "check", "check the settings and exit")("settings", po::value<std::string>(),
+                                                "JSON file with the same names as these flags");
     text("log-level", "INFO", "TRACE, DEBUG, INFO, WARN, ERROR or OFF");
   }
 
   std::string const& program() const { return program_; }
-  void text(std::string const& name, std::string const& standard, std::string const& what) { options_.add_options()(name.c_str(), standard.empty() ? po::value<std::string>() : po::value<std::string>()->default_value(standard), what.c_str()); }
-  void list(std::string const& name, std::string const& what) { options_.add_options()(name.c_str(), po::value<std::vector<std::string>>()->composing(), what.c_str()); }
-  void number(std::string const& name, std::uint64_t const standard, std::uint64_t const least, std::uint64_t const most, std::string const& what) {
+  void text(std::string const& name, std::string const& standard, std::string const& what) {
+    options_.add_options()(
+        name.c_str(), standard.empty() ? po::value<std::string>() : po::value<std::string>()->default_value(standard),
+        what.c_str());
+  }
+  void list(std::string const& name, std::string const& what) {
+    options_.add_options()(name.c_str(), po::value<std::vector<std::string>>()->composing(), what.c_str());
+  }
+  void number(std::string const& name, std::uint64_t const standard, std::uint64_t const least,
+              std::uint64_t const most, std::string const& what) {
     options_.add_options()(name.c_str(), po::value<std::uint64_t>()->default_value(standard), what.c_str());
     ranges_[name] = {least, most};
   }
-  void flag(std::string const& name, std::string const& what) { options_.add_options()(name.c_str(), po::value<bool>()->default_value(false)->implicit_value(true)->zero_tokens(), what.c_str()); }
+  void flag(std::string const& name, std::string const& what) {
+    options_.add_options()(name.c_str(), po::value<bool>()->default_value(false)->implicit_value(true)->zero_tokens(),
+                           what.c_str());
+  }
 
   // Words without a flag belong to this list.
   void trailing(std::string const& name) { trailing_.add(name.c_str(), -1); }
@@ -57,7 +69,8 @@
   std::vector<std::string> changed_from(Settings const& old) const {
     std::vector<std::string> names;
     for (auto const& o : options_.options())
-      if (o->long_name() != "settings" && shown(o->long_name()) != old.shown(o->long_name())) names.push_back(o->long_name());
+      if (o->long_name() != "settings" && shown(o->long_name()) != old.shown(o->long_name()))
+        names.push_back(o->long_name());
     return names;
   }
 
@@ -73,8 +86,10 @@
     if (values_.count("settings")) read_file(values_["settings"].as<std::string>(), errors);
     po::notify(values_);
     for (auto const& [name, range] : ranges_)
-      if (values_.count(name) && (number(name) < range.first || number(name) > range.second)) errors.push_back(name + ": must be " + std::to_string(range.first) + ".." + std::to_string(range.second));
-    if (log4cplus::getLogLevelManager().fromString(text("log-level")) == log4cplus::NOT_SET_LOG_LEVEL) errors.push_back("log-level: no such level");
+      if (values_.count(name) && (number(name) < range.first || number(name) > range.second))
+        errors.push_back(name + ": must be " + std::to_string(range.first) + ".." + std::to_string(range.second));
+    if (log4cplus::getLogLevelManager().fromString(text("log-level")) == log4cplus::NOT_SET_LOG_LEVEL)
+      errors.push_back("log-level: no such level");
     for (std::function<void(std::vector<std::string>&)> const& check : checks_) check(errors);
     return errors;
   }
@@ -84,7 +99,9 @@
     checks_.push_back([this, name](std::vector<std::string>& errors) {
       std::string const v = text(name);
       bool good = !v.empty() && v.size() <= 63;
-      for (char const c : v) good = good && (std::islower(static_cast<unsigned char>(c)) || std::isdigit(static_cast<unsigned char>(c)) || c == '-' || c == '.' || c == '_');
+      for (char const c : v)
+        good = good && (std::islower(static_cast<unsigned char>(c)) || std::isdigit(static_cast<unsigned char>(c)) ||
+                        c == '-' || c == '.' || c == '_');
       if (!good) errors.push_back(name + ": needed, 1..63 of a-z 0-9 . _ -");
     });
   }
@@ -105,7 +122,9 @@
   std::string text(std::string const& name) const { return values_.count(name) ? values_[name].as<std::string>() : ""; }
   std::uint64_t number(std::string const& name) const { return values_[name].as<std::uint64_t>(); }
   bool flag(std::string const& name) const { return values_[name].as<bool>(); }
-  std::vector<std::string> list(std::string const& name) const { return values_.count(name) ? values_[name].as<std::vector<std::string>>() : std::vector<std::string>{}; }
+  std::vector<std::string> list(std::string const& name) const {
+    return values_.count(name) ? values_[name].as<std::vector<std::string>>() : std::vector<std::string>{};
+  }
 
  private:
   std::string shown(std::string const& name) const {
@@ -150,8 +169,10 @@
       if (values_.count(name) && !values_[name].defaulted()) continue;
       po::option o;
       o.string_key = name;
-      if (v.is_array()) o.value = v.get<std::vector<std::string>>();
-      else o.value = {v.is_string() ? v.get<std::string>() : v.dump()};
+      if (v.is_array())
+        o.value = v.get<std::vector<std::string>>();
+      else
+        o.value = {v.is_string() ? v.get<std::string>() : v.dump()};
       parsed.options.push_back(std::move(o));
     }
     try {
@@ -175,7 +196,8 @@
 #include <filesystem>
 namespace banktide {
 TEST(Settings, every_error_is_told_at_once_flags_win_and_changes_are_named) {
-  std::filesystem::path const file = std::filesystem::temp_directory_path() / ("banktide-settings-" + std::to_string(::getpid()) + ".json");
+  std::filesystem::path const file =
+      std::filesystem::temp_directory_path() / ("banktide-settings-" + std::to_string(::getpid()) + ".json");
   auto const load = [&](Settings& s, std::string const& json, std::vector<char const*> flags) {
     std::ofstream(file) << json;
     s.text("id", "", "");
--- a/source/programs/shell_main.cpp
+++ b/source/programs/shell_main.cpp
@@ -24,13 +24,19 @@
 
 constexpr Question questions[] = {
     {"members", "/fleet", "members", "id cell role standing incarnation address", "processes of the registry's cell"},
-    {"backends", "/fleet", "backends", "service instance node port burden standing", "backends of the registry's cell, with their burden"},
+    {"backends", "/fleet", "backends", "service instance node port burden standing",
+     "backends of the registry's cell, with their burden"},
     {"cells", "/fleet", "cells", "cell gateways offers", "the other cells, as this one sees them"},
-    {"nodes", "/nodes", "nodes", "node cell gateway ready routing catalogue mishaps", "every node, and the revisions it has in force"},
-    {"standings", "/nodes", "local", "cell node service instance standing burden in_flight", "every backend, as the node beside it knows it"},
-    {"leases", "/nodes", "leases", "cell node service slice instance epoch in_flight wanted ends_in_ms", "every slice's lease"},
-    {"budget", "/nodes", "budget", "cell node firsts extras extra_tries taken in_flight", "calls, and the extra tries of the last 10 s"},
-    {"moves", "/moves", "slices", "service slices should by cell node state in_flight waits_for", "where each slice is, and what a move waits for"},
+    {"nodes", "/nodes", "nodes", "node cell gateway ready routing catalogue mishaps",
+     "every node, and the revisions it has in force"},
+    {"standings", "/nodes", "local", "cell node service instance standing burden in_flight",
+     "every backend, as the node beside it knows it"},
+    {"leases", "/nodes", "leases", "cell node service slice instance epoch in_flight wanted ends_in_ms",
+     "every slice's lease"},
+    {"budget", "/nodes", "budget", "cell node firsts extras extra_tries taken in_flight",
+     "calls, and the extra tries of the last 10 s"},
+    {"moves", "/moves", "slices", "service slices should by cell node state in_flight waits_for",
+     "where each slice is, and what a move waits for"},
     {"ways", "/routing", "ways", "prefix service", "ways of the newest routing revision"},
     {"routing", "/routing", "", "", "the newest routing revision, as it was sent"},
     {"catalogue", "/catalogue", "", "", "the newest catalogue, as it was sent"},
@@ -87,14 +93,16 @@
     for (std::size_t i = 0; i < line.size(); ++i) widths[i] = std::max(widths[i], line[i].size());
   for (std::vector<std::string> const& line : lines) {
     std::string out;
-    for (std::size_t i = 0; i < line.size(); ++i) out += line[i] + (i + 1 < line.size() ? std::string(widths[i] - line[i].size() + 2, ' ') : "");
+    for (std::size_t i = 0; i < line.size(); ++i)
+      out += line[i] + (i + 1 < line.size() ? std::string(widths[i] - line[i].size() + 2, ' ') : "");
     std::cout << out << "\n";
   }
 }
 
 class Shell {
  public:
-  Shell(Process& p, SocketWorld& w, std::vector<Address> doors, bool const json) : process_(p), world_(w), caller_(w), doors_(std::move(doors)), json_(json) {}
+  Shell(Process& p, SocketWorld& w, std::vector<Address> doors, bool const json)
+      : process_(p), world_(w), caller_(w), doors_(std::move(doors)), json_(json) {}
 
   int run(std::vector<std::string> const& words) {
     if (words.empty()) return 0;
@@ -110,9 +118,10 @@
  private:
   int help() {
     for (Question const& q : questions) std::cout << "  " << std::left << std::setw(11) << q.name << q.what << "\n";
-    std::cout << "  decisions [service=S] [decision=stay|cross|drop] [cell=C] [after=WORD] [lines=N]   calls as they are decided\n"
-                 "  send FILE|-         changes, a JSON object a line, each with its verdict as it falls\n"
-                 "  put routing|catalogue FILE   a whole new revision\n";
+    std::cout
+        << "  decisions [service=S] [decision=stay|cross|drop] [cell=C] [after=WORD] [lines=N]   calls as they are decided\n"
+           "  send FILE|-         changes, a JSON object a line, each with its verdict as it falls\n"
+           "  put routing|catalogue FILE   a whole new revision\n";
     return 0;
   }
 
@@ -131,7 +140,10 @@
     for (Address const& door : doors_) {
       std::promise<Result<HttpReply>> p;
       process_.on_thread([&]() {
-        asio::co_spawn(world_.executor(), caller_.run_at(door, q, world_.now() + 8s), [&](std::exception_ptr e, Result<HttpReply> got) { p.set_value(e ? Result<HttpReply>(mishap("http", door, "exception")) : std::move(got)); });
+        asio::co_spawn(world_.executor(), caller_.run_at(door, q, world_.now() + 8s),
+                       [&](std::exception_ptr e, Result<HttpReply> got) {
+                         p.set_value(e ? Result<HttpReply>(mishap("http", door, "exception")) : std::move(got));
+                       });
         return true;
       });
       r = p.get_future().get();
@@ -154,8 +166,10 @@
     Json const answer = Json::parse(r->body, nullptr, false);
     if (!answer.is_object()) return failed("read_answer", door_, "not an object");
     Json const found = rows_of(answer, rows);
-    if (json_) std::cout << found.dump(1) << "\n";
-    else print_table(found, question.columns);
+    if (json_)
+      std::cout << found.dump(1) << "\n";
+    else
+      print_table(found, question.columns);
     Json silent = answer.value("silent", Json::array());
     for (Json const& cell : answer.value("cells", Json::array()))
       for (Json const& s : cell.value("silent", Json::array())) silent.push_back(s);
@@ -164,7 +178,8 @@
   }
 
   int put(std::vector<std::string> const& words) {
-    if (words.size() != 3 || (words[1] != "routing" && words[1] != "catalogue")) return wrong("put routing|catalogue FILE");
+    if (words.size() != 3 || (words[1] != "routing" && words[1] != "catalogue"))
+      return wrong("put routing|catalogue FILE");
     std::ifstream in(words[2]);
     std::stringstream all;
     all << in.rdbuf();
@@ -184,7 +199,9 @@
       config.set_timeout(std::chrono::hours(24));
       web::http::client::http_client client(web::uri("http://" + doors_.front()), config);
       web::http::http_response r = client.request(web::http::methods::GET, target).get();
-      if (r.status_code() != 200) return failed("answer", doors_.front(), std::to_string(r.status_code()) + " " + r.extract_utf8string(true).get());
+      if (r.status_code() != 200)
+        return failed("answer", doors_.front(),
+                      std::to_string(r.status_code()) + " " + r.extract_utf8string(true).get());
       concurrency::streams::streambuf<unsigned char> in = r.body().streambuf();
       std::string held;
       while (in.getc().get() >= 0) {
@@ -207,8 +224,10 @@
       std::size_t const at = words[i].find('=');
       std::string const name = words[i].substr(0, at);
       if (at == std::string::npos) return wrong("decisions takes name=value");
-      if (name == "lines") left = std::strtoull(words[i].c_str() + at + 1, nullptr, 10);
-      else query += (query.empty() ? "?" : "&") + words[i];
+      if (name == "lines")
+        left = std::strtoull(words[i].c_str() + at + 1, nullptr, 10);
+      else
+        query += (query.empty() ? "?" : "&") + words[i];
     }
     bool const bounded = left > 0;
     return read_lines("/decisions" + query, [&](std::string const& line) {
@@ -218,9 +237,13 @@
       } else if (j.contains("pulse")) {
         return true;
       } else if (j.contains("gap")) {
-        std::cout << "gap " << j.value("node", "") << " " << (j.contains("lost") ? j["lost"].dump() + " lost" : j.value("reason", "")) << "\n";
+        std::cout << "gap " << j.value("node", "") << " "
+                  << (j.contains("lost") ? j["lost"].dump() + " lost" : j.value("reason", "")) << "\n";
       } else {
-        std::cout << j.value("decision", "") << " " << j.value("service", "") << (j.contains("slice") ? "/" + j["slice"].dump() : "") << " at " << j.value("node", "") << " to " << j.value("cell", "") << " " << j.value("peer", "") << " routing " << j.value("routing", 0) << " catalogue " << j.value("catalogue", 0) << ": " << j.value("reason", "") << "\n";
+        std::cout << j.value("decision", "") << " " << j.value("service", "")
+                  << (j.contains("slice") ? "/" + j["slice"].dump() : "") << " at " << j.value("node", "") << " to "
+                  << j.value("cell", "") << " " << j.value("peer", "") << " routing " << j.value("routing", 0)
+                  << " catalogue " << j.value("catalogue", 0) << ": " << j.value("reason", "") << "\n";
       }
       std::cout.flush();
       return !bounded || --left > 0;
@@ -266,7 +289,8 @@
       }
       body.close(std::ios_base::out).wait();
       web::http::http_response r = sent.get();
-      if (r.status_code() != 200) code = failed("send", doors_.front(), std::to_string(r.status_code()) + " " + r.extract_utf8string(true).get());
+      if (r.status_code() != 200)
+        code = failed("send", doors_.front(), std::to_string(r.status_code()) + " " + r.extract_utf8string(true).get());
     } catch (std::exception const& e) {
       code = failed("send", doors_.front(), e.what());
     }
@@ -295,7 +319,8 @@
   ::History* const history = history_init();
   HistEvent event;
   ::history(history, &event, H_SETSIZE, 500);
-  el_set(editor, EL_PROMPT, +[](EditLine*) -> char const* { return "banktide> "; });
+  el_set(
+      editor, EL_PROMPT, +[](EditLine*) -> char const* { return "banktide> "; });
   el_set(editor, EL_EDITOR, "emacs");
   el_set(editor, EL_HIST, ::history, history);
   int code = 0, count = 0;
--- a/source/programs/store_main.cpp
+++ b/source/programs/store_main.cpp
@@ -35,19 +35,23 @@
   std::filesystem::create_directories(s.text("data"), ec);
   Result<std::unique_ptr<SqliteDisk>> disk = SqliteDisk::open(s.text("data") + "/voter.db");
   if (!disk) {
-    log_warn("start_failed", {{"step", disk.error().step}, {"peer", disk.error().peer}, {"reason", disk.error().reason}});
+    log_warn("start_failed",
+             {{"step", disk.error().step}, {"peer", disk.error().peer}, {"reason", disk.error().reason}});
     return 1;
   }
   Process process;
   SocketWorld world;
   Desk desk;
   std::vector<std::string> const voters = s.list("voter");
-  std::size_t const own = static_cast<std::size_t>(std::find(voters.begin(), voters.end(), s.text("address")) - voters.begin());
+  std::size_t const own =
+      static_cast<std::size_t>(std::find(voters.begin(), voters.end(), s.text("address")) - voters.begin());
   Acceptor<SocketWorld, SqliteDisk> acceptor(world, **disk, voters, own);
   Result<bool> loaded = acceptor.load();
-  Result<Address> bound = loaded ? world.listen(s.text("address")) : Result<Address>(tl::unexpected<Mishap>(loaded.error()));
+  Result<Address> bound =
+      loaded ? world.listen(s.text("address")) : Result<Address>(tl::unexpected<Mishap>(loaded.error()));
   if (!bound) {
-    log_warn("start_failed", {{"step", bound.error().step}, {"peer", bound.error().peer}, {"reason", bound.error().reason}});
+    log_warn("start_failed",
+             {{"step", bound.error().step}, {"peer", bound.error().peer}, {"reason", bound.error().reason}});
     return 1;
   }
   acceptor.attach(desk);
@@ -57,6 +61,8 @@
     return true;
   });
   log_info("started", {{"address", *bound}});
-  process.until_told_to_go([] {}, [] { return true; }, [&] { Process::reload(s, define, argc, argv, [](std::string const&, Settings const&) { return false; }); }, 1s);
+  process.until_told_to_go(
+      [] {}, [] { return true; },
+      [&] { Process::reload(s, define, argc, argv, [](std::string const&, Settings const&) { return false; }); }, 1s);
   std::_Exit(0);
 }
--- a/source/protocol/archive.hpp
+++ b/source/protocol/archive.hpp
@@ -21,7 +21,8 @@
 
 class SaveArchive : public cereal::OutputArchive<SaveArchive, cereal::AllowEmptyClassElision> {
  public:
-  explicit SaveArchive(Bytes& out) : cereal::OutputArchive<SaveArchive, cereal::AllowEmptyClassElision>(this), out_(out) {}
+  explicit SaveArchive(Bytes& out)
+      : cereal::OutputArchive<SaveArchive, cereal::AllowEmptyClassElision>(this), out_(out) {}
   void put(void const* const data, std::size_t const n) { out_.append(static_cast<char const*>(data), n); }
 
  private:
@@ -30,7 +31,8 @@
 
 class LoadArchive : public cereal::InputArchive<LoadArchive, cereal::AllowEmptyClassElision> {
  public:
-  explicit LoadArchive(Bytes const& in) : cereal::InputArchive<LoadArchive, cereal::AllowEmptyClassElision>(this), in_(in) {}
+  explicit LoadArchive(Bytes const& in)
+      : cereal::InputArchive<LoadArchive, cereal::AllowEmptyClassElision>(this), in_(in) {}
   void get(void* const data, std::size_t const n) {
     if (n > left()) throw cereal::Exception("truncated");
     std::memcpy(data, in_.data() + at_, n);
@@ -44,11 +46,13 @@
 };
 
 template <class T>
-inline typename std::enable_if<std::is_arithmetic<T>::value, void>::type CEREAL_SAVE_FUNCTION_NAME(SaveArchive& ar, T const& t) {
+inline typename std::enable_if<std::is_arithmetic<T>::value, void>::type CEREAL_SAVE_FUNCTION_NAME(SaveArchive& ar,
+                                                                                                   T const& t) {
   ar.put(std::addressof(t), sizeof(t));
 }
 template <class T>
-inline typename std::enable_if<std::is_arithmetic<T>::value, void>::type CEREAL_LOAD_FUNCTION_NAME(LoadArchive& ar, T& t) {
+inline typename std::enable_if<std::is_arithmetic<T>::value, void>::type CEREAL_LOAD_FUNCTION_NAME(LoadArchive& ar,
+                                                                                                   T& t) {
   if constexpr (std::is_same_v<T, bool>) {
     std::uint8_t raw = 0;
     ar.get(&raw, 1);
@@ -59,9 +63,13 @@
   }
 }
 template <class T>
-inline void CEREAL_SERIALIZE_FUNCTION_NAME(SaveArchive& ar, cereal::NameValuePair<T>& t) { ar(t.value); }
+inline void CEREAL_SERIALIZE_FUNCTION_NAME(SaveArchive& ar, cereal::NameValuePair<T>& t) {
+  ar(t.value);
+}
 template <class T>
-inline void CEREAL_SERIALIZE_FUNCTION_NAME(LoadArchive& ar, cereal::NameValuePair<T>& t) { ar(t.value); }
+inline void CEREAL_SERIALIZE_FUNCTION_NAME(LoadArchive& ar, cereal::NameValuePair<T>& t) {
+  ar(t.value);
+}
 template <class T>
 inline void CEREAL_SAVE_FUNCTION_NAME(SaveArchive& ar, cereal::SizeTag<T> const& t) {
   std::uint32_t const n = static_cast<std::uint32_t>(t.size);
@@ -75,9 +83,13 @@
   t.size = n;
 }
 template <class T>
-inline void CEREAL_SAVE_FUNCTION_NAME(SaveArchive& ar, cereal::BinaryData<T> const& t) { ar.put(t.data, static_cast<std::size_t>(t.size)); }
+inline void CEREAL_SAVE_FUNCTION_NAME(SaveArchive& ar, cereal::BinaryData<T> const& t) {
+  ar.put(t.data, static_cast<std::size_t>(t.size));
+}
 template <class T>
-inline void CEREAL_LOAD_FUNCTION_NAME(LoadArchive& ar, cereal::BinaryData<T>& t) { ar.get(t.data, static_cast<std::size_t>(t.size)); }
+inline void CEREAL_LOAD_FUNCTION_NAME(LoadArchive& ar, cereal::BinaryData<T>& t) {
+  ar.get(t.data, static_cast<std::size_t>(t.size));
+}
 
 template <class T>
 Bytes pack(T const& t) {
--- a/source/protocol/call.hpp
+++ b/source/protocol/call.hpp
@@ -12,19 +12,26 @@
 enum class CallState : std::uint8_t { read, admitted, picking, carrying, waiting, answered, dropped };
 
 inline char const* state_name(CallState const s) {
-  constexpr std::array<char const*, 7> names{"read", "admitted", "picking", "carrying", "waiting", "answered", "dropped"};
+  constexpr std::array<char const*, 7> names{"read",    "admitted", "picking", "carrying",
+                                             "waiting", "answered", "dropped"};
   return names[static_cast<std::size_t>(s)];
 }
 
 inline bool may_step(CallState const from, CallState const to) {
   switch (from) {
-    case CallState::read: return to == CallState::admitted || to == CallState::dropped;
-    case CallState::admitted: return to == CallState::picking || to == CallState::dropped;
-    case CallState::picking: return to == CallState::carrying || to == CallState::dropped;
-    case CallState::carrying: return to == CallState::waiting;
-    case CallState::waiting: return to == CallState::answered || to == CallState::picking || to == CallState::dropped;
+    case CallState::read:
+      return to == CallState::admitted || to == CallState::dropped;
+    case CallState::admitted:
+      return to == CallState::picking || to == CallState::dropped;
+    case CallState::picking:
+      return to == CallState::carrying || to == CallState::dropped;
+    case CallState::carrying:
+      return to == CallState::waiting;
+    case CallState::waiting:
+      return to == CallState::answered || to == CallState::picking || to == CallState::dropped;
     case CallState::answered:
-    case CallState::dropped: return false;
+    case CallState::dropped:
+      return false;
   }
   return false;
 }
@@ -46,7 +53,9 @@
 TEST(CallChart, a_call_ends_once_and_is_never_carried_without_a_pick) {
   CallChart c;
   EXPECT_FALSE(c.step(CallState::carrying));
-  for (CallState const s : {CallState::admitted, CallState::picking, CallState::carrying, CallState::waiting, CallState::picking, CallState::carrying, CallState::waiting, CallState::answered}) EXPECT_TRUE(c.step(s)) << state_name(s);
+  for (CallState const s : {CallState::admitted, CallState::picking, CallState::carrying, CallState::waiting,
+                            CallState::picking, CallState::carrying, CallState::waiting, CallState::answered})
+    EXPECT_TRUE(c.step(s)) << state_name(s);
   for (std::size_t s = 0; s < 7; ++s) EXPECT_FALSE(c.step(static_cast<CallState>(s)));
 }
 #endif
--- a/source/protocol/messages.hpp
+++ b/source/protocol/messages.hpp
@@ -392,7 +392,8 @@
   bool keyed = false;
   std::uint32_t slice = 0;
   Revision routing = 0, catalogue = 0;
-  BANKTIDE_FIELDS(node, n, at_ms, call, state, decision, service, reason, step, peer, cell, keyed, slice, routing, catalogue)
+  BANKTIDE_FIELDS(node, n, at_ms, call, state, decision, service, reason, step, peer, cell, keyed, slice, routing,
+                  catalogue)
 };
 
 // `lost` events between what a reader had and what is still kept; 0: unknown,
@@ -406,7 +407,10 @@
 struct DecisionFilter {
   std::string service, decision, cell;  // empty: any
   bool operator==(DecisionFilter const&) const = default;
-  bool passes(CallEvent const& e) const { return (service.empty() || e.service == service) && (decision.empty() || e.decision == decision) && (cell.empty() || e.cell == cell); }
+  bool passes(CallEvent const& e) const {
+    return (service.empty() || e.service == service) && (decision.empty() || e.decision == decision) &&
+           (cell.empty() || e.cell == cell);
+  }
   BANKTIDE_FIELDS(service, decision, cell)
 };
 
--- a/source/simulation/history.hpp
+++ b/source/simulation/history.hpp
@@ -117,7 +117,8 @@
   bool excused(std::string const& machine, Instant const from, Instant const to) const {
     auto const it = forces.find(machine);
     if (it == forces.end()) return true;
-    auto const at = std::lower_bound(it->second.begin(), it->second.end(), from, [](ForceSeen const& f, Instant const t) { return f.at < t; });
+    auto const at = std::lower_bound(it->second.begin(), it->second.end(), from,
+                                     [](ForceSeen const& f, Instant const t) { return f.at < t; });
     for (auto f = at; f != it->second.end() && f->at <= to; ++f)
       if (f->excused) return true;
     return false;
@@ -134,11 +135,16 @@
     for (RunSeen const& r : runs) {
       int const times = ++n[r.id];
       auto const c = calls.find(r.id);
-      if (c == calls.end()) out.push_back("a run of no call: " + r.id);
-      else if (times > 1 && !c->second.repeatable) out.push_back("ran twice: " + r.id);
-      else if (r.service != c->second.service) out.push_back("ran at the wrong service: " + r.id + " at " + r.service);
-      else if (r.begin > c->second.taken + 2500ms) out.push_back("ran past its deadline: " + r.id + " at " + ms(r.begin));
-      else if (c->second.outcome == "unsent") out.push_back("ran though never sent: " + r.id);
+      if (c == calls.end())
+        out.push_back("a run of no call: " + r.id);
+      else if (times > 1 && !c->second.repeatable)
+        out.push_back("ran twice: " + r.id);
+      else if (r.service != c->second.service)
+        out.push_back("ran at the wrong service: " + r.id + " at " + r.service);
+      else if (r.begin > c->second.taken + 2500ms)
+        out.push_back("ran past its deadline: " + r.id + " at " + ms(r.begin));
+      else if (c->second.outcome == "unsent")
+        out.push_back("ran though never sent: " + r.id);
       if (!allowed.contains(r.service)) out.push_back("ran at a service that was never allowed: " + r.service);
     }
   }
@@ -150,9 +156,11 @@
       if (c.outcome == "not-run" && ran.contains(id)) out.push_back("said not run, and ran: " + id);
       if (c.outcome == "answered" && !c.right) out.push_back("wrong answer: " + id);
       if (c.outcome == "answered" && !ran.contains(id)) out.push_back("answered and never ran: " + id);
-      if (c.status >= 500 && !c.retry_after && c.outcome != "answered") out.push_back("given up with no Retry-After: " + id);
+      if (c.status >= 500 && !c.retry_after && c.outcome != "answered")
+        out.push_back("given up with no Retry-After: " + id);
       if (c.outcome.empty()) out.push_back("never answered: " + id);
-      if (planned_only && (c.outcome == "lost" || c.outcome == "unknown")) out.push_back("a planned restart lost the answer of " + id + ": " + c.outcome + " " + c.why);
+      if (planned_only && (c.outcome == "lost" || c.outcome == "unknown"))
+        out.push_back("a planned restart lost the answer of " + id + ": " + c.outcome + " " + c.why);
     }
   }
 
@@ -166,9 +174,13 @@
       std::uint64_t top = 0;
       std::string top_instance;
       for (RunSeen const* const r : all) {
-        if (last != nullptr && last->instance != r->instance && r->begin < last->end) out.push_back("two backends at once on " + key + ": " + last->instance + " and " + r->instance + " at " + ms(r->begin));
+        if (last != nullptr && last->instance != r->instance && r->begin < last->end)
+          out.push_back("two backends at once on " + key + ": " + last->instance + " and " + r->instance + " at " +
+                        ms(r->begin));
         if (last == nullptr || r->end > last->end) last = r;
-        if (r->epoch < top || (r->epoch == top && top_instance != r->instance && top > 0)) out.push_back("the epoch of " + key + " did not rise: " + std::to_string(r->epoch) + " for " + r->instance + " after " + std::to_string(top) + " for " + top_instance);
+        if (r->epoch < top || (r->epoch == top && top_instance != r->instance && top > 0))
+          out.push_back("the epoch of " + key + " did not rise: " + std::to_string(r->epoch) + " for " + r->instance +
+                        " after " + std::to_string(top) + " for " + top_instance);
         if (r->epoch >= top) {
           top = r->epoch;
           top_instance = r->instance;
@@ -189,7 +201,8 @@
       if (where != cell) continue;
       Json const& e = services[c.service];
       if (!e.contains("slices")) return true;
-      std::uint64_t const slice = digest_of(c.key) % routing["services"][c.service]["key"]["slices"].get<std::uint64_t>();
+      std::uint64_t const slice =
+          digest_of(c.key) % routing["services"][c.service]["key"]["slices"].get<std::uint64_t>();
       for (Json const& range : e["slices"])
         if (range[0].get<std::uint64_t>() <= slice && slice <= range[1].get<std::uint64_t>()) return true;
     }
@@ -198,15 +211,19 @@
 
   // The revisions that may have decided a call: sent before it ran, and not
   // superseded for 2 s when it was made.
-  std::vector<std::size_t> possible(Register const reg, Instant const made, Instant const ran, std::map<Register, std::vector<std::size_t>> const& by) const {
+  std::vector<std::size_t> possible(Register const reg, Instant const made, Instant const ran,
+                                    std::map<Register, std::vector<std::size_t>> const& by) const {
     std::vector<std::size_t> out;
     Revision floor = 0;
     auto const it = by.find(reg);
     if (it == by.end()) return out;
     for (std::size_t const i : it->second)
-      if (revisions[i].revision > 0 && revisions[i].answered < made - 2s) floor = std::max(floor, revisions[i].revision);
+      if (revisions[i].revision > 0 && revisions[i].answered < made - 2s)
+        floor = std::max(floor, revisions[i].revision);
     for (std::size_t const i : it->second)
-      if (revisions[i].sent <= ran && (revisions[i].revision >= floor || (revisions[i].revision == 0 && revisions[i].maybe))) out.push_back(i);
+      if (revisions[i].sent <= ran &&
+          (revisions[i].revision >= floor || (revisions[i].revision == 0 && revisions[i].maybe)))
+        out.push_back(i);
     return out;
   }
 
@@ -220,7 +237,9 @@
     }
     for (RunSeen const& r : runs) {
       auto const c = calls.find(r.id);
-      if (c == calls.end() || excused(r.machine, c->second.sent - 2s, r.begin) || excused(c->second.machine, c->second.sent - 2s, r.begin)) continue;
+      if (c == calls.end() || excused(r.machine, c->second.sent - 2s, r.begin) ||
+          excused(c->second.machine, c->second.sent - 2s, r.begin))
+        continue;
       bool good = false, any = false;
       for (std::size_t const k : possible(Register::catalogue, c->second.sent, r.begin, by)) {
         any = true;
@@ -228,7 +247,8 @@
           if (!good && lets(parsed[k], parsed[l], c->second, r.cell)) good = true;
         if (good) break;
       }
-      if (any && !good) out.push_back(r.id + " ran in " + r.cell + " at " + ms(r.begin) + ", where no catalogue of then lets it");
+      if (any && !good)
+        out.push_back(r.id + " ran in " + r.cell + " at " + ms(r.begin) + ", where no catalogue of then lets it");
     }
   }
 
@@ -240,23 +260,30 @@
       if (r.revision == 0) continue;
       auto const [it, fresh] = bytes.emplace(std::pair(r.reg, r.revision), r.bytes);
       if (!fresh) out.push_back("two revisions with number " + std::to_string(r.revision));
-      if (r.matched && *r.matched + 1 != r.revision) out.push_back("revision " + std::to_string(r.revision) + " was to follow " + std::to_string(*r.matched));
+      if (r.matched && *r.matched + 1 != r.revision)
+        out.push_back("revision " + std::to_string(r.revision) + " was to follow " + std::to_string(*r.matched));
       acked[r.reg].push_back(&r);
       RevisionSeen const*& top = newest[static_cast<std::size_t>(r.reg)];
       if (top == nullptr || r.revision > top->revision) top = &r;
     }
     for (auto& [reg, all] : acked) {
-      std::sort(all.begin(), all.end(), [](RevisionSeen const* a, RevisionSeen const* b) { return a->revision < b->revision; });
+      std::sort(all.begin(), all.end(),
+                [](RevisionSeen const* a, RevisionSeen const* b) { return a->revision < b->revision; });
       Instant latest{};  // of the sendings so far: none may come after an acknowledgement of a later revision
       for (RevisionSeen const* const r : all) {
-        if (r->answered < latest) out.push_back("revision " + std::to_string(r->revision) + " was acknowledged before an older one was sent");
+        if (r->answered < latest)
+          out.push_back("revision " + std::to_string(r->revision) + " was acknowledged before an older one was sent");
         latest = std::max(latest, r->sent);
       }
     }
     for (Register const reg : all_registers) {
       std::size_t const i = static_cast<std::size_t>(reg);
-      bool const maybe = std::any_of(revisions.begin(), revisions.end(), [&](RevisionSeen const& r) { return r.reg == reg && r.maybe && r.bytes == readback[i]; });
-      if (!readback_good[i] || (newest[i] != nullptr && readback[i] != newest[i]->bytes && !maybe)) out.push_back("the " + register_name(reg) + " read back is not the newest acknowledged: " + (readback_good[i] ? readback[i].substr(0, 60) : "no reading"));
+      bool const maybe = std::any_of(revisions.begin(), revisions.end(), [&](RevisionSeen const& r) {
+        return r.reg == reg && r.maybe && r.bytes == readback[i];
+      });
+      if (!readback_good[i] || (newest[i] != nullptr && readback[i] != newest[i]->bytes && !maybe))
+        out.push_back("the " + register_name(reg) + " read back is not the newest acknowledged: " +
+                      (readback_good[i] ? readback[i].substr(0, 60) : "no reading"));
     }
     // In force within 2 s of the acknowledgement, or of the moment from which
     // the machine could hear of it; no step back.
@@ -272,7 +299,8 @@
           if (mine < top) {
             if (back_since == Instant{}) back_since = f.at;
             if (f.at - back_since > 250ms && !told_back) {
-              out.push_back(machine + " slipped back from " + register_name(reg) + " " + std::to_string(top) + " to " + std::to_string(mine) + " at " + ms(f.at));
+              out.push_back(machine + " slipped back from " + register_name(reg) + " " + std::to_string(top) + " to " +
+                            std::to_string(mine) + " at " + ms(f.at));
               told_back = true;
             }
           } else {
@@ -281,10 +309,12 @@
           top = std::max(top, mine);
           if (told_late || f.excused || f.at - excused_at <= 2s) continue;
           std::vector<RevisionSeen const*> const& all = acked[reg];
-          auto const from = std::upper_bound(all.begin(), all.end(), mine, [](Revision const m, RevisionSeen const* r) { return m < r->revision; });
+          auto const from = std::upper_bound(all.begin(), all.end(), mine,
+                                             [](Revision const m, RevisionSeen const* r) { return m < r->revision; });
           for (auto r = from; r != all.end() && !told_late; ++r)
             if (f.at - (*r)->answered > 2s) {
-              out.push_back(machine + " has " + register_name(reg) + " " + std::to_string(mine) + " at " + ms(f.at) + ", " + std::to_string((*r)->revision) + " was acknowledged at " + ms((*r)->answered));
+              out.push_back(machine + " has " + register_name(reg) + " " + std::to_string(mine) + " at " + ms(f.at) +
+                            ", " + std::to_string((*r)->revision) + " was acknowledged at " + ms((*r)->answered));
               told_late = true;
             }
         }
@@ -296,11 +326,14 @@
     for (auto const& [at, instance] : drains) left.emplace(instance, at);
     for (RunSeen const& r : runs) {
       auto const d = left.find(r.instance);
-      if (d != left.end() && r.begin - d->second > 2s) out.push_back("new work for " + r.instance + " after its drain: " + r.id);
+      if (d != left.end() && r.begin - d->second > 2s)
+        out.push_back("new work for " + r.instance + " after its drain: " + r.id);
     }
     for (TrySeen const& t : tries) {
       auto const d = left.find(t.instance);
-      if (d != left.end() && t.reached && t.at - d->second > 2s && !excused(t.machine, t.at - 2s, t.at)) out.push_back(t.machine + " sent " + t.id + " to " + t.instance + " at " + ms(t.at) + " after its drain at " + ms(d->second));
+      if (d != left.end() && t.reached && t.at - d->second > 2s && !excused(t.machine, t.at - 2s, t.at))
+        out.push_back(t.machine + " sent " + t.id + " to " + t.instance + " at " + ms(t.at) + " after its drain at " +
+                      ms(d->second));
     }
   }
 
@@ -310,10 +343,13 @@
     std::sort(sent.begin(), sent.end());
     for (std::size_t i = 0; i < extra_tries.size(); ++i) {
       Instant const end = extra_tries[i];
-      std::size_t const extras = static_cast<std::size_t>(std::count_if(extra_tries.begin(), extra_tries.end(), [&](Instant const t) { return t > end - 10s && t <= end; }));
-      std::size_t const firsts = static_cast<std::size_t>(std::upper_bound(sent.begin(), sent.end(), end) - std::lower_bound(sent.begin(), sent.end(), end - 10s));
+      std::size_t const extras = static_cast<std::size_t>(std::count_if(
+          extra_tries.begin(), extra_tries.end(), [&](Instant const t) { return t > end - 10s && t <= end; }));
+      std::size_t const firsts = static_cast<std::size_t>(std::upper_bound(sent.begin(), sent.end(), end) -
+                                                          std::lower_bound(sent.begin(), sent.end(), end - 10s));
       if (extras > firsts / 5 + 20) {
-        out.push_back(std::to_string(extras) + " extra tries to " + std::to_string(firsts) + " calls in the 10 s before " + ms(end));
+        out.push_back(std::to_string(extras) + " extra tries to " + std::to_string(firsts) +
+                      " calls in the 10 s before " + ms(end));
         break;
       }
     }
@@ -323,9 +359,14 @@
     std::map<std::string, std::set<std::string>> ran_in;
     for (RunSeen const& r : runs) ran_in[r.id].insert(r.cell);
     for (auto const& [id, c] : calls) {
-      if (c.must_stay && c.outcome == "not-run") out.push_back(id + " was dropped at " + ms(c.sent) + " in " + c.cell + " beside a backend known to be good: " + c.why);
-      else if (c.must_stay && ran_in.contains(id) && !ran_in[id].contains(c.cell)) out.push_back(id + " left " + c.cell + " at " + ms(c.sent) + " where a backend was known to be good");
-      else if (c.must_serve && c.outcome == "not-run") out.push_back(id + " was dropped at " + ms(c.sent) + " in " + c.cell + ", and another cell could serve it: " + c.why);
+      if (c.must_stay && c.outcome == "not-run")
+        out.push_back(id + " was dropped at " + ms(c.sent) + " in " + c.cell +
+                      " beside a backend known to be good: " + c.why);
+      else if (c.must_stay && ran_in.contains(id) && !ran_in[id].contains(c.cell))
+        out.push_back(id + " left " + c.cell + " at " + ms(c.sent) + " where a backend was known to be good");
+      else if (c.must_serve && c.outcome == "not-run")
+        out.push_back(id + " was dropped at " + ms(c.sent) + " in " + c.cell +
+                      ", and another cell could serve it: " + c.why);
     }
   }
 
@@ -338,10 +379,13 @@
       ++all;
       if (c.outcome == "answered" || c.outcome == "hung-up") continue;
       ++bad;
-      one = id + " " + c.outcome + " " + std::to_string(c.status) + " in " + c.cell + " at " + ms(c.sent) + ": " + c.why;
+      one =
+          id + " " + c.outcome + " " + std::to_string(c.status) + " in " + c.cell + " at " + ms(c.sent) + ": " + c.why;
     }
     if (all == 0) out.push_back("no call in calm");
-    if (bad > 0) out.push_back(std::to_string(bad) + " of " + std::to_string(all) + " calls unserved 15 s after a fault, as " + one);
+    if (bad > 0)
+      out.push_back(std::to_string(bad) + " of " + std::to_string(all) + " calls unserved 15 s after a fault, as " +
+                    one);
   }
 };
 
--- a/source/simulation/sim_fleet.hpp
+++ b/source/simulation/sim_fleet.hpp
@@ -31,7 +31,9 @@
     keep_sampling();
     if (scenario_.fault_every == 0s) settled_ = true;
     keep_sending_revisions();
-    history_.planned_only = !scenario_.only.empty() && std::all_of(scenario_.only.begin(), scenario_.only.end(), [](std::string const& k) { return k.starts_with("roll_"); });
+    history_.planned_only =
+        !scenario_.only.empty() && std::all_of(scenario_.only.begin(), scenario_.only.end(),
+                                               [](std::string const& k) { return k.starts_with("roll_"); });
     busy_until_ = sim_.now;
     Instant const faults_end = sim_.now + scenario_.faults_for;
     if (scenario_.fault_every > 0s) sim_.after(2s, [this, faults_end] { keep_failing(faults_end); });
@@ -56,11 +58,47 @@
 
  private:
   static std::vector<std::string> const& kinds() {
-    static std::vector<std::string> const all{
-        "kill_node", "kill_herd", "kill_gateways", "roll_node", "freeze_node", "roll_registry", "roll_store", "kill_registry", "freeze_registry", "power_core", "power_all", "power_after_vote",
-        "power_two_after_vote", "power_coordinator", "kill_between_rounds", "lose_disk", "lose_disk_after_vote", "stall_disk", "stall_disks", "cut_core", "cut_core_one", "cut_cell", "isolate", "isolate_one_way", "weather",
-        "kill_backend", "replace_backend", "reuse_port", "reuse_port_naive", "reuse_port_intruder", "empty_service", "drain_backend", "drain_then_kill", "drain_then_freeze", "drain_then_cut", "drain_registry_dead",
-        "freeze_backend", "hot_key", "bad_revision", "race", "storm"};
+    static std::vector<std::string> const all{"kill_node",
+                                              "kill_herd",
+                                              "kill_gateways",
+                                              "roll_node",
+                                              "freeze_node",
+                                              "roll_registry",
+                                              "roll_store",
+                                              "kill_registry",
+                                              "freeze_registry",
+                                              "power_core",
+                                              "power_all",
+                                              "power_after_vote",
+                                              "power_two_after_vote",
+                                              "power_coordinator",
+                                              "kill_between_rounds",
+                                              "lose_disk",
+                                              "lose_disk_after_vote",
+                                              "stall_disk",
+                                              "stall_disks",
+                                              "cut_core",
+                                              "cut_core_one",
+                                              "cut_cell",
+                                              "isolate",
+                                              "isolate_one_way",
+                                              "weather",
+                                              "kill_backend",
+                                              "replace_backend",
+                                              "reuse_port",
+                                              "reuse_port_naive",
+                                              "reuse_port_intruder",
+                                              "empty_service",
+                                              "drain_backend",
+                                              "drain_then_kill",
+                                              "drain_then_freeze",
+                                              "drain_then_cut",
+                                              "drain_registry_dead",
+                                              "freeze_backend",
+                                              "hot_key",
+                                              "bad_revision",
+                                              "race",
+                                              "storm"};
     return all;
   }
 
@@ -78,7 +116,9 @@
       if (scenario_.verbose) log_info("sim_mishap", {{"kind", kind}, {"at_ms", at_ms()}});
       fail(kind);
     }
-    sim_.after(scenario_.fault_every / 2 + Duration(sim_.chance() % static_cast<std::uint64_t>(scenario_.fault_every.count())), [this, end] { keep_failing(end); });
+    sim_.after(
+        scenario_.fault_every / 2 + Duration(sim_.chance() % static_cast<std::uint64_t>(scenario_.fault_every.count())),
+        [this, end] { keep_failing(end); });
   }
 
   void busy_for(Duration const d) { busy_until_ = std::max(busy_until_, sim_.now + d); }
@@ -98,7 +138,8 @@
     }
   }
 
-  void fail_machines(std::string const& kind, std::size_t const node, std::size_t const core, Duration const for_a_while) {
+  void fail_machines(std::string const& kind, std::size_t const node, std::size_t const core,
+                     Duration const for_a_while) {
     if (kind == "kill_node") kill_node(node, for_a_while);
     if (kind == "kill_herd") {
       for (std::size_t i = 0; i < nodes_.size(); ++i)
@@ -140,7 +181,8 @@
 
   // A lost disk must be back and voting before the next one may go.
   bool may_lose_a_disk() const {
-    return std::all_of(voters_.begin(), voters_.end(), [](Voter const& v) { return v.process->alive && v.acceptor->phase() == Phase::voting; });
+    return std::all_of(voters_.begin(), voters_.end(),
+                       [](Voter const& v) { return v.process->alive && v.acceptor->phase() == Phase::voting; });
   }
 
   struct Strike {
@@ -158,8 +200,10 @@
       Duration const down = strike_->down;
       bool const before = sim_.chance() % 2 == 0;
       strike_->voters.erase(k);
-      if (before) power_off(k, wipe, down);
-      else sim_.after(0s, [this, k, wipe, down] { power_off(k, wipe, down); });
+      if (before)
+        power_off(k, wipe, down);
+      else
+        sim_.after(0s, [this, k, wipe, down] { power_off(k, wipe, down); });
       return before;
     }
     return false;
@@ -185,11 +229,13 @@
     if (kind == "power_core") power_off(core, false, for_a_while);
     if (kind == "lose_disk" && may_lose_a_disk()) power_off(core, true, for_a_while);
     if (kind == "power_all") {
-      for (std::size_t k = 0; k < voters_.size(); ++k) power_off(k, false, for_a_while + std::chrono::milliseconds(sim_.chance() % 1000));
+      for (std::size_t k = 0; k < voters_.size(); ++k)
+        power_off(k, false, for_a_while + std::chrono::milliseconds(sim_.chance() % 1000));
       busy_for(for_a_while + 1100ms);
     }
     if (kind == "power_after_vote" || kind == "power_two_after_vote" || kind == "lose_disk_after_vote") {
-      strike_ = Strike{{core}, sim_.chance() % 2 ? Prepare::kind : Accept::kind, kind == "lose_disk_after_vote", for_a_while};
+      strike_ =
+          Strike{{core}, sim_.chance() % 2 ? Prepare::kind : Accept::kind, kind == "lose_disk_after_vote", for_a_while};
       if (kind == "power_two_after_vote") strike_->voters.insert((core + 1 + sim_.chance() % 3) % voters_.size());
       busy_for(3s + for_a_while);
       sim_.after(3s, [this] { strike_.reset(); });
@@ -256,7 +302,8 @@
 
   // ---- backends
 
-  void fail_backend(std::string const& kind, std::size_t const backend, std::size_t const core, Duration const for_a_while) {
+  void fail_backend(std::string const& kind, std::size_t const backend, std::size_t const core,
+                    Duration const for_a_while) {
     Backend const b = backends_[backend];
     if (!b.alive || b.leaving) return;
     std::string const cell = nodes_[b.node].cell;
@@ -280,13 +327,14 @@
       Duration const soon = std::chrono::microseconds(sim_.chance() % 1500);
       if (kind == "drain_then_kill") sim_.after(soon, [this, b, for_a_while] { kill_node(b.node, for_a_while); });
       if (kind == "drain_then_freeze") sim_.after(soon, [this, p, for_a_while] { freeze(p, for_a_while); });
-      if (kind == "drain_then_cut") sim_.after(soon, [this, b, for_a_while] {
-        std::vector<std::string> machines;
-        for (Node const& n : nodes_) machines.push_back(n.machine);
-        for (Control const& c : controls_) machines.push_back(c.machine);
-        cut_off(nodes_[b.node].machine, machines, true, true);
-        sim_.after(for_a_while, [this] { sim_.heal(); });
-      });
+      if (kind == "drain_then_cut")
+        sim_.after(soon, [this, b, for_a_while] {
+          std::vector<std::string> machines;
+          for (Node const& n : nodes_) machines.push_back(n.machine);
+          for (Control const& c : controls_) machines.push_back(c.machine);
+          cut_off(nodes_[b.node].machine, machines, true, true);
+          sim_.after(for_a_while, [this] { sim_.heal(); });
+        });
     }
     if (kind == "reuse_port") {
       kill_backend(backend);
@@ -340,13 +388,16 @@
       for (int i = 0; i < 120; ++i)
         sim_.after(std::chrono::milliseconds(sim_.chance() % 1500), [this, i] {
           note();
-          if (i % 6 == 5) put_catalogue();
-          else put_routing();
+          if (i % 6 == 5)
+            put_catalogue();
+          else
+            put_routing();
         });
   }
 
   std::vector<std::pair<Register, std::string>> bad_revisions() {
-    Json unknown_service = catalogue_, unknown_cell = catalogue_, twice = catalogue_, outside = catalogue_, way = routing_, type = routing_, gone = routing_;
+    Json unknown_service = catalogue_, unknown_cell = catalogue_, twice = catalogue_, outside = catalogue_,
+         way = routing_, type = routing_, gone = routing_;
     unknown_service["cells"][d_.cells[0]]["nobody"] = Json::object();
     unknown_cell["cells"]["nowhere"] = Json::object();
     twice["cells"][d_.cells[0]][keyed_]["slices"] = {{0, 5}};
@@ -355,16 +406,32 @@
     way["ways"].push_back({{"prefix", "/x"}, {"service", "nobody"}});
     type["services"][keyed_]["timeout_ms"] = "soon";
     gone["cells"] = {"elsewhere"};
-    std::string const doubled = R"({"cells":["a"],"cells":["b"],"services":{},"ways":[]})", cut = routing_.dump().substr(0, 100);
-    std::vector<std::pair<Register, std::string>> all{{Register::routing, ""}, {Register::routing, "not json"}, {Register::routing, doubled}, {Register::routing, cut}, {Register::routing, "[]"}, {Register::routing, way.dump()}, {Register::routing, type.dump()}, {Register::routing, std::string(300000, ' ')}, {Register::routing, std::string(5000, '[')},
-                                                      {Register::catalogue, "{}"}, {Register::catalogue, unknown_service.dump()}, {Register::catalogue, unknown_cell.dump()}, {Register::catalogue, twice.dump()}, {Register::catalogue, outside.dump()}, {Register::catalogue, "\xff\xfe"}};
-    if (sim_.now - changed_[keyed_] > 8s && catalogue_["cells"].size() > 0 && !settled_) all.emplace_back(Register::routing, gone.dump());
+    std::string const doubled = R"({"cells":["a"],"cells":["b"],"services":{},"ways":[]})",
+                      cut = routing_.dump().substr(0, 100);
+    std::vector<std::pair<Register, std::string>> all{{Register::routing, ""},
+                                                      {Register::routing, "not json"},
+                                                      {Register::routing, doubled},
+                                                      {Register::routing, cut},
+                                                      {Register::routing, "[]"},
+                                                      {Register::routing, way.dump()},
+                                                      {Register::routing, type.dump()},
+                                                      {Register::routing, std::string(300000, ' ')},
+                                                      {Register::routing, std::string(5000, '[')},
+                                                      {Register::catalogue, "{}"},
+                                                      {Register::catalogue, unknown_service.dump()},
+                                                      {Register::catalogue, unknown_cell.dump()},
+                                                      {Register::catalogue, twice.dump()},
+                                                      {Register::catalogue, outside.dump()},
+                                                      {Register::catalogue, "\xff\xfe"}};
+    if (sim_.now - changed_[keyed_] > 8s && catalogue_["cells"].size() > 0 && !settled_)
+      all.emplace_back(Register::routing, gone.dump());
     return all;
   }
 
   Task<void> bad_once(std::shared_ptr<Registry<SimProcess>> registry, HttpRequest q) {
     HttpReply const r = co_await registry->operate(q);
-    if (r.status != 503 && (r.status < 400 || r.status >= 500)) history_.wrongs.push_back("a bad revision was taken: " + q.body.substr(0, 80) + ": " + std::to_string(r.status));
+    if (r.status != 503 && (r.status < 400 || r.status >= 500))
+      history_.wrongs.push_back("a bad revision was taken: " + q.body.substr(0, 80) + ": " + std::to_string(r.status));
   }
 
   // ---- doing it
@@ -393,7 +460,8 @@
     Node& n = nodes_[i];
     if (n.process->run_number != run) return;
     Duration const waited = sim_.now - told;
-    if (!n.process->alive || waited >= 5500ms || (n.proxy->idle() && (waited > 2500ms || broken_on_purpose("leaves_at_once")))) {
+    if (!n.process->alive || waited >= 5500ms ||
+        (n.proxy->idle() && (waited > 2500ms || broken_on_purpose("leaves_at_once")))) {
       n.process->kill();
       sim_.after(300ms, [this, i, run] {
         if (nodes_[i].process->run_number == run && !gone_.contains(nodes_[i].machine)) start_node(i);
@@ -502,7 +570,8 @@
   return out;
 }
 
-inline std::string broken_by(std::string const& deployment, std::uint64_t const seed, std::set<std::string> only, Duration const faults_for = 20s, std::string const& last = "") {
+inline std::string broken_by(std::string const& deployment, std::uint64_t const seed, std::set<std::string> only,
+                             Duration const faults_for = 20s, std::string const& last = "") {
   Scenario s;
   s.seed = seed;
   s.deployment = deployment;
@@ -524,7 +593,9 @@
     History const h = fleet.run();
     EXPECT_EQ(joined(h.broken()), "") << name;
     EXPECT_GT(h.calls.size(), 1000u);
-    for (auto const& [id, c] : h.calls) EXPECT_TRUE(c.outcome == "answered" || c.outcome == "hung-up" || c.service == "promo") << id << " " << c.outcome << " " << c.why;
+    for (auto const& [id, c] : h.calls)
+      EXPECT_TRUE(c.outcome == "answered" || c.outcome == "hung-up" || c.service == "promo")
+          << id << " " << c.outcome << " " << c.why;
   }
 }
 
@@ -553,7 +624,8 @@
 }
 
 TEST(SimFleet, nothing_reaches_another_service_that_took_over_a_dead_backends_address) {
-  for (std::uint64_t const seed : {300, 301}) EXPECT_EQ(broken_by("kibble", seed, {"reuse_port_naive", "reuse_port_intruder"}), "");
+  for (std::uint64_t const seed : {300, 301})
+    EXPECT_EQ(broken_by("kibble", seed, {"reuse_port_naive", "reuse_port_intruder"}), "");
 }
 
 TEST(SimFleet, every_machine_is_rolled_and_no_answer_lost) {
@@ -573,7 +645,8 @@
 }
 
 TEST(SimFleet, the_last_fault_needs_nobody_to_repair_it) {
-  for (std::string const last : {"core_gone", "cell_gone", "disk_lost", "node_gone"}) EXPECT_EQ(broken_by("kibble", 41, {"kill_node"}, 5s, last), "") << last;
+  for (std::string const last : {"core_gone", "cell_gone", "disk_lost", "node_gone"})
+    EXPECT_EQ(broken_by("kibble", 41, {"kill_node"}, 5s, last), "") << last;
 }
 
 TEST(SimFleet, one_key_with_half_the_traffic_leaves_the_others_served) {
@@ -639,15 +712,32 @@
   EXPECT_NE(seen.find(GetParam().rule), std::string::npos) << GetParam().mutant << ": " << seen.substr(0, 1000);
 }
 
-INSTANTIATE_TEST_SUITE_P(Mutants, EachCheckFails,
-                         testing::Values(Broken{"tries_unknown_again", "ran twice", {}}, Broken{"calls_unknown_not_run", "said not run, and ran", {}}, Broken{"no_sync", "two revisions with number", {"power_all", "power_two_after_vote", "power_coordinator"}},
-                                         Broken{"own_registry_only", "was acknowledged at", {"kill_registry", "freeze_registry"}}, Broken{"slips_back", "slipped back", {"kill_node"}}, Broken{"drain_unheard", "after its drain", {"drain_backend", "replace_backend"}},
-                                         Broken{"no_probe", "ran at a service that was never allowed", {"reuse_port_intruder"}}, Broken{"old_catalogue", "where no catalogue of then lets it", {"kill_node"}}, Broken{"swaps_answers", "wrong answer", {"kill_node"}},
-                                         Broken{"leaves_at_once", "a planned restart lost the answer", {"roll_node"}}, Broken{"no_budget", "extra tries to", {"kill_node"}}, Broken{"no_lease", "did not rise", {}},
-                                         Broken{"lease_to_all", "did not rise", {}}, Broken{"release_busy", "two backends at once", {"replace_backend", "drain_backend"}, 800, true}, Broken{"no_lease", "two backends at once", {"replace_backend", "drain_backend"}, 800, true}, Broken{"epochs_start_again", "did not rise", {"power_all"}, 6000},
-                                         Broken{"takes_bad_revisions", "a bad revision was taken", {"bad_revision"}}, Broken{"runs_late", "ran past its deadline", {"freeze_node"}}, Broken{"drops_all", "beside a backend known to be good", {"kill_node"}},
-                                         Broken{"crosses_first", "where a backend was known to be good", {"kill_node"}}, Broken{"no_retry_after", "given up with no Retry-After", {"kill_node"}}, Broken{"drops_all", "calls unserved 15 s after a fault", {"kill_node"}}),
-                         [](testing::TestParamInfo<Broken> const& i) { return std::string(i.param.mutant) + "_" + std::to_string(i.index); });
+INSTANTIATE_TEST_SUITE_P(
+    Mutants, EachCheckFails,
+    testing::Values(
+        Broken{"tries_unknown_again", "ran twice", {}}, Broken{"calls_unknown_not_run", "said not run, and ran", {}},
+        Broken{"no_sync", "two revisions with number", {"power_all", "power_two_after_vote", "power_coordinator"}},
+        Broken{"own_registry_only", "was acknowledged at", {"kill_registry", "freeze_registry"}},
+        Broken{"slips_back", "slipped back", {"kill_node"}},
+        Broken{"drain_unheard", "after its drain", {"drain_backend", "replace_backend"}},
+        Broken{"no_probe", "ran at a service that was never allowed", {"reuse_port_intruder"}},
+        Broken{"old_catalogue", "where no catalogue of then lets it", {"kill_node"}},
+        Broken{"swaps_answers", "wrong answer", {"kill_node"}},
+        Broken{"leaves_at_once", "a planned restart lost the answer", {"roll_node"}},
+        Broken{"no_budget", "extra tries to", {"kill_node"}}, Broken{"no_lease", "did not rise", {}},
+        Broken{"lease_to_all", "did not rise", {}},
+        Broken{"release_busy", "two backends at once", {"replace_backend", "drain_backend"}, 800, true},
+        Broken{"no_lease", "two backends at once", {"replace_backend", "drain_backend"}, 800, true},
+        Broken{"epochs_start_again", "did not rise", {"power_all"}, 6000},
+        Broken{"takes_bad_revisions", "a bad revision was taken", {"bad_revision"}},
+        Broken{"runs_late", "ran past its deadline", {"freeze_node"}},
+        Broken{"drops_all", "beside a backend known to be good", {"kill_node"}},
+        Broken{"crosses_first", "where a backend was known to be good", {"kill_node"}},
+        Broken{"no_retry_after", "given up with no Retry-After", {"kill_node"}},
+        Broken{"drops_all", "calls unserved 15 s after a fault", {"kill_node"}}),
+    [](testing::TestParamInfo<Broken> const& i) {
+      return std::string(i.param.mutant) + "_" + std::to_string(i.index);
+    });
 #endif
 
 }  // namespace banktide
--- a/source/simulation/sim_machines.hpp
+++ b/source/simulation/sim_machines.hpp
@@ -40,9 +40,10 @@
     std::weak_ptr<SimProcess> alive = process->weak_from_this();
     Done const done = [weak, alive](Result<HttpReply> r) {
       std::shared_ptr<SimProcess> const mine = alive.lock();
-      if (mine) mine->run([weak, r = std::move(r)] {
-        if (std::shared_ptr<Shot> const s = weak.lock()) s->give(r);
-      });
+      if (mine)
+        mine->run([weak, r = std::move(r)] {
+          if (std::shared_ptr<Shot> const s = weak.lock()) s->give(r);
+        });
     };
     serve(port, std::move(q), process->global(deadline), done);
     std::optional<Result<HttpReply>> got = co_await shot->wait(deadline);
@@ -54,7 +55,11 @@
 
 class SimMachines {
  public:
-  explicit SimMachines(Scenario s) : scenario_(std::move(s)), sim_(scenario_.seed), net_(sim_), d_(scenario_.deployment == "kibble" ? kibble() : nilewise()) {}
+  explicit SimMachines(Scenario s)
+      : scenario_(std::move(s)),
+        sim_(scenario_.seed),
+        net_(sim_),
+        d_(scenario_.deployment == "kibble" ? kibble() : nilewise()) {}
   SimMachines(SimMachines const&) = delete;
   ~SimMachines() {
     for (auto& [address, p] : net_.at) p->kill();
@@ -178,7 +183,8 @@
     std::vector<Address> seeds;
     for (Address const& a : registry_addresses_)
       if (a != c.address) seeds.push_back(a);
-    c.registry = std::make_shared<Registry<SimProcess>>(*c.process, RegistrySettings{c.id, c.cell, c.address, seeds, voter_addresses_});
+    c.registry = std::make_shared<Registry<SimProcess>>(
+        *c.process, RegistrySettings{c.id, c.cell, c.address, seeds, voter_addresses_});
     c.desk = std::make_shared<Desk>();
     c.registry->start(*c.desk);
     c.process->serve(*c.desk);
@@ -191,9 +197,15 @@
     n.process = process(n.machine, n.address);
     n.edge = std::make_shared<SimEdge>();
     n.edge->process = n.process.get();
-    n.edge->serve = [this, i](std::uint16_t const port, HttpRequest q, Instant const deadline, SimEdge::Done done) { serve(i, port, std::move(q), deadline, std::move(done)); };
-    n.edge->taken = [this, i](std::uint16_t const port) { return std::any_of(backends_.begin(), backends_.end(), [&](Backend const& b) { return b.node == i && b.port == port && b.alive; }); };
-    ProxySettings s{n.id, n.cell, n.address, n.gateway, {registry_addresses_[0], registry_addresses_[1], registry_addresses_[2]}};
+    n.edge->serve = [this, i](std::uint16_t const port, HttpRequest q, Instant const deadline, SimEdge::Done done) {
+      serve(i, port, std::move(q), deadline, std::move(done));
+    };
+    n.edge->taken = [this, i](std::uint16_t const port) {
+      return std::any_of(backends_.begin(), backends_.end(),
+                         [&](Backend const& b) { return b.node == i && b.port == port && b.alive; });
+    };
+    ProxySettings s{
+        n.id, n.cell, n.address, n.gateway, {registry_addresses_[0], registry_addresses_[1], registry_addresses_[2]}};
     s.decisions_kept = 1024;
     n.proxy = std::make_shared<Proxy<SimProcess, SimEdge>>(*n.process, *n.edge, s);
     n.desk = std::make_shared<Desk>();
@@ -219,12 +231,18 @@
     bother_service(service, nodes_[node].cell);
     std::size_t const at = backends_.size() - 1;
     std::uint64_t const life = b.life;
-    if (first_beat == 0s) keep_beating(at, life);
-    else sim_.after(first_beat, [this, at, life] { keep_beating(at, life); });
+    if (first_beat == 0s)
+      keep_beating(at, life);
+    else
+      sim_.after(first_beat, [this, at, life] { keep_beating(at, life); });
     return at;
   }
 
-  static std::string beat_of(Backend const& b) { return Json{{"service", b.service}, {"instance", b.instance}, {"port", b.port}, {"burden", 0}, {"leaving", b.leaving}}.dump(); }
+  static std::string beat_of(Backend const& b) {
+    return Json{
+        {"service", b.service}, {"instance", b.instance}, {"port", b.port}, {"burden", 0}, {"leaving", b.leaving}}
+        .dump();
+  }
 
   void keep_beating(std::size_t const i, std::uint64_t const life) {
     Backend& b = backends_[i];
@@ -257,10 +275,12 @@
       if (r.instance == b.instance) r.end = std::min(r.end, std::max(r.begin, sim_.now));
   }
 
-  void serve(std::size_t const node, std::uint16_t const port, HttpRequest q, Instant const deadline, std::function<void(Result<HttpReply>)> done) {
+  void serve(std::size_t const node, std::uint16_t const port, HttpRequest q, Instant const deadline,
+             std::function<void(Result<HttpReply>)> done) {
     std::string const id = header_of(q, "call-id");
     auto const call = history_.calls.find(id);
-    if (call != history_.calls.end() && call->second.machine == nodes_[node].machine) history_.tries.push_back(TrySeen{sim_.now, id, nodes_[node].machine, header_of(q, "banktide-instance"), true});
+    if (call != history_.calls.end() && call->second.machine == nodes_[node].machine)
+      history_.tries.push_back(TrySeen{sim_.now, id, nodes_[node].machine, header_of(q, "banktide-instance"), true});
     sim_.after(200us, [this, node, port, q = std::move(q), deadline, done] {
       for (std::size_t i = 0; i < backends_.size(); ++i) {
         if (backends_[i].node != node || backends_[i].port != port || !backends_[i].alive) continue;
@@ -271,7 +291,8 @@
     });
   }
 
-  void run_backend(std::size_t const i, HttpRequest const& q, Instant const deadline, std::function<void(Result<HttpReply>)> const& done) {
+  void run_backend(std::size_t const i, HttpRequest const& q, Instant const deadline,
+                   std::function<void(Result<HttpReply>)> const& done) {
     Backend& b = backends_[i];
     if (b.frozen) return;  // silence until the deadline
     bool const right = header_of(q, "banktide-service") == b.service && header_of(q, "banktide-instance") == b.instance;
@@ -288,7 +309,8 @@
     if (slow_key_ && header_of(q, "x-key") == "k0") work = 300ms;
     Instant const end = std::min(sim_.now + work, deadline);
     std::string const id = header_of(q, "call-id"), epoch = header_of(q, "banktide-epoch");
-    history_.runs.push_back(RunSeen{id, b.service, b.instance, header_of(q, "x-key"), nodes_[b.node].cell, nodes_[b.node].machine, sim_.now, end, epoch.empty() ? 0 : std::stoull(epoch)});
+    history_.runs.push_back(RunSeen{id, b.service, b.instance, header_of(q, "x-key"), nodes_[b.node].cell,
+                                    nodes_[b.node].machine, sim_.now, end, epoch.empty() ? 0 : std::stoull(epoch)});
     std::size_t const run = history_.runs.size() - 1;
     std::uint64_t const life = b.life;
     bool const vanish = rough && !history_.planned_only && sim_.chance() % 300 == 0;
@@ -314,7 +336,9 @@
   // ---- what was done to whom
 
   void bother(std::string const& machine) { bothered_[machine] = sim_.now; }
-  void bother_service(std::string const& service, std::string const& cell) { service_bothered_[{service, cell}] = sim_.now; }
+  void bother_service(std::string const& service, std::string const& cell) {
+    service_bothered_[{service, cell}] = sim_.now;
+  }
   Duration unbothered(std::string const& machine) const {
     auto const it = bothered_.find(machine);
     return sim_.now - (it == bothered_.end() ? start_ : it->second);
@@ -324,7 +348,9 @@
     return sim_.now - (it == service_bothered_.end() ? start_ : it->second);
   }
   std::size_t fit_backends(std::string const& service, std::string const& cell) const {
-    return static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(), [&](Backend const& b) { return b.service == service && nodes_[b.node].cell == cell && b.alive && !b.leaving && !b.frozen; }));
+    return static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(), [&](Backend const& b) {
+      return b.service == service && nodes_[b.node].cell == cell && b.alive && !b.leaving && !b.frozen;
+    }));
   }
   std::string core_of(std::string const& cell) const {
     for (Control const& c : controls_)
@@ -333,7 +359,8 @@
   }
   bool cell_unbothered(std::string const& cell, Duration const for_long) const {
     if (unbothered(core_of(cell)) < for_long) return false;
-    return std::all_of(nodes_.begin(), nodes_.end(), [&](Node const& n) { return n.cell != cell || unbothered(n.machine) >= for_long; });
+    return std::all_of(nodes_.begin(), nodes_.end(),
+                       [&](Node const& n) { return n.cell != cell || unbothered(n.machine) >= for_long; });
   }
 
   bool linked(std::string const& a, std::string const& b) const { return sim_.open(a, b) && sim_.open(b, a); }
@@ -343,7 +370,9 @@
     Control const& c = controls_[k];
     if (!c.process->alive || c.process->frozen) return false;
     std::size_t n = 0;
-    for (Voter const& v : voters_) n += v.process->alive && v.acceptor->phase() == Phase::voting && v.disk.stalled_until <= sim_.now && linked(c.machine, v.machine);
+    for (Voter const& v : voters_)
+      n += v.process->alive && v.acceptor->phase() == Phase::voting && v.disk.stalled_until <= sim_.now &&
+           linked(c.machine, v.machine);
     return n >= voters_.size() / 2 + 1;
   }
   // Whether a node could hear of a revision by any path.
--- a/source/simulation/sim_main.cpp
+++ b/source/simulation/sim_main.cpp
@@ -14,7 +14,11 @@
 Json play(Scenario const& scenario) {
   SimFleet fleet(scenario);
   History const h = fleet.run();
-  Json j = {{"seed", scenario.seed}, {"broken", h.broken()}, {"outcomes", Json::object()}, {"mishaps", fleet.mishaps()}, {"after", Json::object()}};
+  Json j = {{"seed", scenario.seed},
+            {"broken", h.broken()},
+            {"outcomes", Json::object()},
+            {"mishaps", fleet.mishaps()},
+            {"after", Json::object()}};
   std::map<std::string, std::uint64_t> outcomes;
   for (auto const& [id, c] : h.calls) ++outcomes[c.outcome];
   j["outcomes"] = outcomes;
@@ -57,7 +61,13 @@
   int status = 0;
   ::waitpid(job.pid, &status, 0);
   Json j = Json::parse(job.said, nullptr, false);
-  if (status != 0 || !j.is_object()) j = {{"seed", seed}, {"broken", {"the run ended with status " + std::to_string(status)}}, {"outcomes", Json::object()}, {"mishaps", Json::object()}, {"after", Json::object()}, {"extras", 0}};
+  if (status != 0 || !j.is_object())
+    j = {{"seed", seed},
+         {"broken", {"the run ended with status " + std::to_string(status)}},
+         {"outcomes", Json::object()},
+         {"mishaps", Json::object()},
+         {"after", Json::object()},
+         {"extras", 0}};
   return j;
 }
 
@@ -96,11 +106,14 @@
   auto const take = [&](Json const& j) {
     std::vector<std::string> const broken = j["broken"];
     bad += !broken.empty();
-    for (std::size_t k = 0; k < broken.size() && k < 5; ++k) std::cout << "seed " << j["seed"] << ": " << broken[k] << "\n";
+    for (std::size_t k = 0; k < broken.size() && k < 5; ++k)
+      std::cout << "seed " << j["seed"] << ": " << broken[k] << "\n";
     if (broken.size() > 5) std::cout << "seed " << j["seed"] << ": and " << broken.size() - 5 << " more\n";
-    for (auto const& [what, n] : j["outcomes"].items()) outcomes[what] += n.get<std::uint64_t>(), calls += n.get<std::uint64_t>();
+    for (auto const& [what, n] : j["outcomes"].items())
+      outcomes[what] += n.get<std::uint64_t>(), calls += n.get<std::uint64_t>();
     for (auto const& [kind, n] : j["mishaps"].items()) mishaps[kind] += n.get<std::uint64_t>();
-    for (auto const& [kind, n] : j["after"].items()) after[kind].first += n[0].get<std::uint64_t>(), after[kind].second += n[1].get<std::uint64_t>();
+    for (auto const& [kind, n] : j["after"].items())
+      after[kind].first += n[0].get<std::uint64_t>(), after[kind].second += n[1].get<std::uint64_t>();
     extras += j["extras"].get<std::uint64_t>();
     std::cout.flush();
   };
