--- a/source/simulation/sim_traffic.hpp
+++ b/source/simulation/sim_traffic.hpp
@@ -9,7 +9,8 @@
 
 class SimTraffic : public SimMachines {
  protected:
-  explicit SimTraffic(Scenario s) : SimMachines(std::move(s)), routing_(Json::parse(d_.routing)), catalogue_(Json::parse(d_.catalogue)) {
+  explicit SimTraffic(Scenario s)
+      : SimMachines(std::move(s)), routing_(Json::parse(d_.routing)), catalogue_(Json::parse(d_.catalogue)) {
     for (auto const& [name, service] : routing_["services"].items())
       if (service.contains("key")) keyed_ = name;
     for (Json const& w : routing_["ways"]) ways_[w["prefix"]] = w["service"];
@@ -18,7 +19,9 @@
       if (kind == Accept::kind) tapped_accept(from);
       if (kind != Carry::kind) return;
       Result<Carry> const c = unpack<Carry>(raw);
-      if (c) history_.tries.push_back(TrySeen{sim_.now, header_of(c->request, "call-id"), from.machine, c->instance, linked(from.machine, net_.machine_of[to])});
+      if (c)
+        history_.tries.push_back(TrySeen{sim_.now, header_of(c->request, "call-id"), from.machine, c->instance,
+                                         linked(from.machine, net_.machine_of[to])});
     };
   }
   virtual ~SimTraffic() = default;
@@ -58,7 +61,8 @@
       return;
     }
     judge(at, c, true);
-    HttpRequest q{parts[1], parts[2] + "/" + c.id, {{"call-id", c.id}}, parts[1] == "POST" ? "{\"id\":\"" + c.id + "\"}" : ""};
+    HttpRequest q{
+        parts[1], parts[2] + "/" + c.id, {{"call-id", c.id}}, parts[1] == "POST" ? "{\"id\":\"" + c.id + "\"}" : ""};
     if (keys > 0) q.headers.push_back({"x-key", c.key});
     history_.calls[c.id] = c;
     std::string const want = c.id + "/" + std::to_string(digest_of(q.body)) + "/" + q.target;
@@ -69,7 +73,8 @@
       history_.calls[id].taken = sim_.now;
       spawn(*p, answer(proxy, q, id, want, at));
     });
-    if (sim_.chance() % 100 == 0) sim_.after(std::chrono::milliseconds(sim_.chance() % 10), [this, id] { over(id, "hung-up"); });
+    if (sim_.chance() % 100 == 0)
+      sim_.after(std::chrono::milliseconds(sim_.chance() % 10), [this, id] { over(id, "hung-up"); });
     sim_.after(5s, [this, id, at] {
       if (!history_.calls[id].outcome.empty()) return;
       judge(at, history_.calls[id], false);
@@ -82,7 +87,8 @@
     if (seen.outcome.empty()) seen.outcome = outcome;
   }
 
-  Task<void> answer(std::shared_ptr<Proxy<SimProcess, SimEdge>> proxy, HttpRequest q, std::string id, std::string want, std::size_t at) {
+  Task<void> answer(std::shared_ptr<Proxy<SimProcess, SimEdge>> proxy, HttpRequest q, std::string id, std::string want,
+                    std::size_t at) {
     HttpReply const r = co_await proxy->call(std::move(q));
     CallSeen& c = history_.calls[id];
     if (!c.outcome.empty()) co_return;
@@ -95,13 +101,16 @@
     }
     if (c.outcome != "answered") c.why = r.body;
     judge(at, c, false);
-    if (scenario_.verbose && c.outcome != "answered") log_info("sim_call", {{"id", id}, {"outcome", c.outcome}, {"cell", c.cell}, {"body", r.body}, {"at_ms", at_ms()}});
+    if (scenario_.verbose && c.outcome != "answered")
+      log_info("sim_call",
+               {{"id", id}, {"outcome", c.outcome}, {"cell", c.cell}, {"body", r.body}, {"at_ms", at_ms()}});
   }
 
   // Whether what the operators last meant is what was acknowledged last.
   bool as_meant() const {
     for (std::size_t i = 0; i < 2; ++i)
-      if (last_put_[i] >= history_.revisions.size() || history_.revisions[last_put_[i]].revision != known_[i]) return false;
+      if (last_put_[i] >= history_.revisions.size() || history_.revisions[last_put_[i]].revision != known_[i])
+        return false;
     return open_puts_ == 0;
   }
 
@@ -111,7 +120,8 @@
     Node const& n = nodes_[at];
     bool stay = false, serve = false;
     Duration const unchanged = sim_.now - std::max(changed_[c.service], diverged_at_);
-    bool const up = as_meant() && c.service != "promo" && unbothered(n.machine) >= 4s && unbothered(core_of(n.cell)) >= 4s;
+    bool const up =
+        as_meant() && c.service != "promo" && unbothered(n.machine) >= 4s && unbothered(core_of(n.cell)) >= 4s;
     bool closed = false;
     for (Json const& name : catalogue_.value("closed", Json::array())) closed = closed || name == c.service;
     if (up && !closed && c.service != keyed_ && unchanged > 8s) {
@@ -120,9 +130,13 @@
         if (services.contains(c.service)) named.insert(cell);
       for (std::string const& cell : d_.cells)
         if (named.empty() || named.contains(cell)) allowed.insert(cell);
-      auto const good = [&](std::string const& cell) { return allowed.contains(cell) && cell_unbothered(cell, 4s) && unbothered_service(c.service, cell) > 4s && fit_backends(c.service, cell) > 0; };
+      auto const good = [&](std::string const& cell) {
+        return allowed.contains(cell) && cell_unbothered(cell, 4s) && unbothered_service(c.service, cell) > 4s &&
+               fit_backends(c.service, cell) > 0;
+      };
       stay = good(n.cell);
-      bool const none = !allowed.contains(n.cell) || (fit_backends(c.service, n.cell) == 0 && unbothered_service(c.service, n.cell) > 6s);
+      bool const none = !allowed.contains(n.cell) ||
+                        (fit_backends(c.service, n.cell) == 0 && unbothered_service(c.service, n.cell) > 6s);
       bool elsewhere = none, any = false;
       for (std::string const& cell : d_.cells) {
         if (cell == n.cell) continue;
@@ -138,8 +152,11 @@
       for (std::string const& cell : d_.cells) {
         bool here = false;
         if (catalogue_["cells"].contains(cell) && catalogue_["cells"][cell].contains(keyed_))
-          for (Json const& range : catalogue_["cells"][cell][keyed_]["slices"]) here = here || (range[0].get<std::uint64_t>() <= slice && slice <= range[1].get<std::uint64_t>());
-        if (here && cores && cell_unbothered(cell, 14s) && unbothered_service(keyed_, cell) > 14s && fit_backends(keyed_, cell) > 0) serve = true;
+          for (Json const& range : catalogue_["cells"][cell][keyed_]["slices"])
+            here = here || (range[0].get<std::uint64_t>() <= slice && slice <= range[1].get<std::uint64_t>());
+        if (here && cores && cell_unbothered(cell, 14s) && unbothered_service(keyed_, cell) > 14s &&
+            fit_backends(keyed_, cell) > 0)
+          serve = true;
       }
     }
     bool const calm = c.service != "promo" && sim_.now >= busy_until_ + 15s && unchanged > 15s;
@@ -156,7 +173,8 @@
 
   // ---- operators
 
-  void put(std::size_t const at, Register const reg, std::string const& bytes, std::optional<Revision> const match = std::nullopt, bool const insist = false) {
+  void put(std::size_t const at, Register const reg, std::string const& bytes,
+           std::optional<Revision> const match = std::nullopt, bool const insist = false) {
     Control& c = controls_[at];
     RevisionSeen r;
     r.reg = reg;
@@ -175,9 +193,10 @@
     if (!p->alive) history_.revisions[n].maybe = false;
     sim_.after(6s, [this, n] { open_puts_ -= history_.revisions[n].answered == Instant{}; });
     p->run([this, p, registry, q, n, at] { spawn(*p, put_once(registry, q, n, at)); });
-    if (insist) sim_.after(1500ms, [this, at, reg, bytes, n] {
-      if (history_.revisions[n].revision == 0) put((at + 1) % controls_.size(), reg, bytes, std::nullopt, true);
-    });
+    if (insist)
+      sim_.after(1500ms, [this, at, reg, bytes, n] {
+        if (history_.revisions[n].revision == 0) put((at + 1) % controls_.size(), reg, bytes, std::nullopt, true);
+      });
   }
 
   Task<void> put_once(std::shared_ptr<Registry<SimProcess>> registry, HttpRequest q, std::size_t n, std::size_t at) {
@@ -247,7 +266,8 @@
       for (auto& [cell, services] : catalogue_["cells"].items()) named = services.erase(service) > 0 || named;
       std::size_t const first = sim_.chance() % d_.cells.size();
       if (!named)
-        for (std::size_t const k : {first, (first + 1) % d_.cells.size()}) catalogue_["cells"][d_.cells[k]][service] = Json::object();
+        for (std::size_t const k : {first, (first + 1) % d_.cells.size()})
+          catalogue_["cells"][d_.cells[k]][service] = Json::object();
       put_catalogue();
     } else if (what == 18) {
       changed_[service] = sim_.now;
@@ -330,7 +350,9 @@
       if (!up || n.process->frozen || n.rolling || sim_.cut_off(n.machine) || sim_.weather) bother(n.machine);
     }
     for (std::size_t k = 0; k < controls_.size(); ++k)
-      if (!controls_[k].process->alive || controls_[k].process->frozen || !voters_[k].process->alive || voters_[k].disk.stalled_until > sim_.now || sim_.cut_off(controls_[k].machine) || sim_.weather) bother(controls_[k].machine);
+      if (!controls_[k].process->alive || controls_[k].process->frozen || !voters_[k].process->alive ||
+          voters_[k].disk.stalled_until > sim_.now || sim_.cut_off(controls_[k].machine) || sim_.weather)
+        bother(controls_[k].machine);
     sim_.after(50ms, [this] { keep_sampling(); });
   }
 
--- a/source/simulation/sim_world.hpp
+++ b/source/simulation/sim_world.hpp
@@ -57,7 +57,8 @@
     return std::any_of(cuts_.begin(), cuts_.end(), [&](auto const& c) { return c.first == m || c.second == m; });
   }
   Duration delay() {
-    Duration const gust = weather ? Duration(std::chrono::milliseconds(chance() % 10 == 0 ? chance() % 300 : chance() % 5)) : 0ms;
+    Duration const gust =
+        weather ? Duration(std::chrono::milliseconds(chance() % 10 == 0 ? chance() % 300 : chance() % 5)) : 0ms;
     return gust + std::chrono::microseconds(100 + chance() % 400 + (chance() % 50 == 0 ? chance() % 5000 : 0));
   }
 
@@ -89,7 +90,9 @@
 
   class Alarm {
    public:
-    explicit Alarm(SimProcess& p) : p_(p), s_(std::make_shared<Pending>()), id_(++p.last_alarm_) { p_.pending_[id_] = s_.get(); }
+    explicit Alarm(SimProcess& p) : p_(p), s_(std::make_shared<Pending>()), id_(++p.last_alarm_) {
+      p_.pending_[id_] = s_.get();
+    }
     Alarm(Alarm const&) = delete;
     ~Alarm() { p_.pending_.erase(id_); }
 
@@ -107,9 +110,10 @@
             std::weak_ptr<SimProcess> self = p->weak_from_this();
             p->sim.at(p->global(t), [weak, self, n] {
               std::shared_ptr<SimProcess> const alive = self.lock();
-              if (alive) alive->run([weak, n] {
-                if (std::shared_ptr<Pending> const st = weak.lock()) fire(st, n, true);
-              });
+              if (alive)
+                alive->run([weak, n] {
+                  if (std::shared_ptr<Pending> const st = weak.lock()) fire(st, n, true);
+                });
             });
           },
           asio::use_awaitable, &p_, s_, until, mine);
@@ -138,13 +142,17 @@
     std::uint64_t const id_;
   };
 
-  SimProcess(Sim& s, SimNet& n, std::string m, Address a, std::uint64_t const incarnation) : sim(s), net(n), machine(std::move(m)), address(std::move(a)), run_number(incarnation), chance_(s.chance()) {}
+  SimProcess(Sim& s, SimNet& n, std::string m, Address a, std::uint64_t const incarnation)
+      : sim(s), net(n), machine(std::move(m)), address(std::move(a)), run_number(incarnation), chance_(s.chance()) {}
   ~SimProcess() { kill(); }
 
   // Each machine's clock has an offset and a speed of its own.
   Instant now() const { return local(sim.now); }
   __extension__ typedef __int128 Wide;
-  Instant local(Instant const t) const { return t + clock_offset + Duration(static_cast<std::int64_t>(Wide(t.time_since_epoch().count()) * clock_ppm / 1000000)); }
+  Instant local(Instant const t) const {
+    return t + clock_offset +
+           Duration(static_cast<std::int64_t>(Wide(t.time_since_epoch().count()) * clock_ppm / 1000000));
+  }
   Instant global(Instant const t) const {
     Wide const ns = (t - clock_offset).time_since_epoch().count();
     return Instant{Duration(static_cast<std::int64_t>(ns * 1000000 / (1000000 + clock_ppm)) + 2000)};
@@ -159,8 +167,10 @@
   // Runs now, later if frozen, never if dead.
   void run(std::function<void()> f) {
     if (!alive) return;
-    if (frozen) held_.push_back(std::move(f));
-    else f();
+    if (frozen)
+      held_.push_back(std::move(f));
+    else
+      f();
   }
   void freeze() { frozen = true; }
   void thaw() {
@@ -256,7 +266,8 @@
   }
 
  private:
-  void fail(std::shared_ptr<Exchange> const& x, Duration const wait, std::string const step, std::string const reason, Proof const proof) {
+  void fail(std::shared_ptr<Exchange> const& x, Duration const wait, std::string const step, std::string const reason,
+            Proof const proof) {
     sim.after(wait, [x, step, reason, proof] {
       x->from->run([x, step, reason, proof] {
         if (x->done) x->done(mishap(step, x->peer, reason, proof));
@@ -289,10 +300,12 @@
     if (x->done && sim.weather && sim.chance() % 100 == 0) {
       x->from->connected.erase(x->peer);
       fail(x, sim.delay(), "wait_for_reply", "connection lost", Proof::unknown);
-    } else if (x->done) back(x, target, std::make_shared<Result<Bytes>>(std::move(reply)), sim.now + 3s);
+    } else if (x->done)
+      back(x, target, std::make_shared<Result<Bytes>>(std::move(reply)), sim.now + 3s);
   }
 
-  void back(std::shared_ptr<Exchange> const& x, std::shared_ptr<SimProcess> const target, std::shared_ptr<Result<Bytes>> const reply, Instant const give_up) {
+  void back(std::shared_ptr<Exchange> const& x, std::shared_ptr<SimProcess> const target,
+            std::shared_ptr<Result<Bytes>> const reply, Instant const give_up) {
     sim.after(sim.delay(), [this, x, target, reply, give_up] {
       if (!sim.open(target->machine, x->from->machine)) {
         if (sim.now < give_up) back(x, target, reply, give_up);
@@ -303,8 +316,10 @@
   }
 };
 
-inline Task<Result<Bytes>> SimProcess::ask_raw(Address const peer, std::uint8_t const kind, Bytes payload, Instant const deadline) {
-  std::shared_ptr<OneShot<SimProcess, Result<Bytes>>> shot = std::make_shared<OneShot<SimProcess, Result<Bytes>>>(*this);
+inline Task<Result<Bytes>> SimProcess::ask_raw(Address const peer, std::uint8_t const kind, Bytes payload,
+                                               Instant const deadline) {
+  std::shared_ptr<OneShot<SimProcess, Result<Bytes>>> shot =
+      std::make_shared<OneShot<SimProcess, Result<Bytes>>>(*this);
   std::shared_ptr<SimNet::Exchange> x = std::make_shared<SimNet::Exchange>();
   x->from = shared_from_this();
   x->peer = peer;
--- a/source/state/catalogue_edit.hpp
+++ b/source/state/catalogue_edit.hpp
@@ -28,14 +28,21 @@
   if (s == no_index) return mishap("check_references", "/service", "no such service", Proof::not_run);
   Service const& service = layout.services[s];
   auto const needs = [&](char const* field) { return change.contains(field); };
-  if (what == "move" && (!needs("slices") || !needs("to"))) return mishap("check_schema", "/change", "a move needs slices and to", Proof::not_run);
-  if (what == "place" && !needs("cells")) return mishap("check_schema", "/change", "a place needs cells", Proof::not_run);
-  if (what == "move" && !service.keyed()) return mishap("check_references", "/service", "service is not keyed", Proof::not_run);
-  if (what == "place" && service.keyed()) return mishap("check_references", "/service", "service is keyed: move its slices", Proof::not_run);
+  if (what == "move" && (!needs("slices") || !needs("to")))
+    return mishap("check_schema", "/change", "a move needs slices and to", Proof::not_run);
+  if (what == "place" && !needs("cells"))
+    return mishap("check_schema", "/change", "a place needs cells", Proof::not_run);
+  if (what == "move" && !service.keyed())
+    return mishap("check_references", "/service", "service is not keyed", Proof::not_run);
+  if (what == "place" && service.keyed())
+    return mishap("check_references", "/service", "service is keyed: move its slices", Proof::not_run);
   if (what == "move") {
     std::uint32_t const first = change["slices"][0], last = change["slices"][1];
-    if (first > last || last >= service.slices) return mishap("check_references", "/slices", "slice range outside 0.." + std::to_string(service.slices - 1), Proof::not_run);
-    if (layout.cells.find(change["to"]) == no_index) return mishap("check_references", "/to", "no such cell", Proof::not_run);
+    if (first > last || last >= service.slices)
+      return mishap("check_references", "/slices", "slice range outside 0.." + std::to_string(service.slices - 1),
+                    Proof::not_run);
+    if (layout.cells.find(change["to"]) == no_index)
+      return mishap("check_references", "/to", "no such cell", Proof::not_run);
     std::map<std::string, std::vector<bool>> owned;
     for (auto const& [cell, services] : j["cells"].items()) {
       if (!services.contains(name)) continue;
@@ -51,11 +58,15 @@
       Json ranges = Json::array();
       for (std::uint32_t i = 0; i < service.slices; ++i) {
         if (!has[i]) continue;
-        if (!ranges.empty() && ranges.back()[1].get<std::uint32_t>() + 1 == i) ranges.back()[1] = i;
-        else ranges.push_back({i, i});
+        if (!ranges.empty() && ranges.back()[1].get<std::uint32_t>() + 1 == i)
+          ranges.back()[1] = i;
+        else
+          ranges.push_back({i, i});
       }
-      if (ranges.empty()) j["cells"][cell].erase(name);
-      else j["cells"][cell][name] = {{"slices", ranges}};
+      if (ranges.empty())
+        j["cells"][cell].erase(name);
+      else
+        j["cells"][cell][name] = {{"slices", ranges}};
     }
   }
   if (what == "place" || what == "leave")
@@ -65,8 +76,10 @@
   if (what == "close" || what == "open") {
     std::set<std::string> closed;
     for (Json const& c : j.value("closed", Json::array())) closed.insert(c.get<std::string>());
-    if (what == "close") closed.insert(name);
-    else closed.erase(name);
+    if (what == "close")
+      closed.insert(name);
+    else
+      closed.erase(name);
     j["closed"] = closed;
   }
   std::string const out = j.dump();
@@ -81,39 +94,50 @@
 #include <random>
 namespace banktide {
 TEST(CatalogueEdit, moves_agree_with_a_plain_table_of_who_has_which_slice) {
-  Layout const l = *Layout::read(R"({"cells":["a","b","c"],"services":{"pay":{"key":{"header":"x-key","slices":16}},"browse":{}},"ways":[]})");
+  Layout const l = *Layout::read(
+      R"({"cells":["a","b","c"],"services":{"pay":{"key":{"header":"x-key","slices":16}},"browse":{}},"ways":[]})");
   Index const pay = l.service_names.find("pay");
   std::vector<std::string> table(16);
   std::string bytes;
   std::mt19937_64 r(9);
   auto const nowhere = [] { return std::set<std::string>{}; };
   for (int i = 0; i < 300; ++i) {
-    std::uint32_t const first = static_cast<std::uint32_t>(r() % 16), last = first + static_cast<std::uint32_t>(r() % (16 - first));
+    std::uint32_t const first = static_cast<std::uint32_t>(r() % 16),
+                        last = first + static_cast<std::uint32_t>(r() % (16 - first));
     std::string const to(1, static_cast<char>('a' + r() % 3));
-    Result<std::string> const next = edit_catalogue(bytes, Json{{"change", "move"}, {"service", "pay"}, {"slices", {first, last}}, {"to", to}}, l);
+    Result<std::string> const next =
+        edit_catalogue(bytes, Json{{"change", "move"}, {"service", "pay"}, {"slices", {first, last}}, {"to", to}}, l);
     ASSERT_TRUE(next);
     bytes = *next;
     for (std::uint32_t k = first; k <= last; ++k) table[k] = to;
     Catalogue const c = *Catalogue::read(bytes, l);
     for (std::uint32_t k = 0; k < 16; ++k)
-      for (std::string const cell : {"a", "b", "c"}) ASSERT_EQ(choose_cells(l, c, cell, pay, k, nowhere).stay, table[k] == cell) << bytes;
+      for (std::string const cell : {"a", "b", "c"})
+        ASSERT_EQ(choose_cells(l, c, cell, pay, k, nowhere).stay, table[k] == cell) << bytes;
   }
 }
 
 TEST(CatalogueEdit, a_change_that_names_what_is_not_there_is_refused_with_its_pointer) {
-  Layout const l = *Layout::read(R"({"cells":["a","b"],"services":{"pay":{"key":{"header":"x-key","slices":16}},"browse":{}},"ways":[]})");
+  Layout const l = *Layout::read(
+      R"({"cells":["a","b"],"services":{"pay":{"key":{"header":"x-key","slices":16}},"browse":{}},"ways":[]})");
   struct Bad {
     std::string change, pointer;
   };
-  for (Bad const& b : {Bad{R"({"change":"move","service":"pay","slices":[0,16],"to":"a"})", "/slices"}, Bad{R"({"change":"move","service":"pay","slices":[0,1],"to":"z"})", "/to"}, Bad{R"({"change":"move","service":"browse","slices":[0,1],"to":"a"})", "/service"},
-                       Bad{R"({"change":"close","service":"nobody"})", "/service"}, Bad{R"({"change":"move","service":"pay"})", "/change"}, Bad{R"({"change":"burn","service":"pay"})", "/change"}, Bad{R"({"change":"place","service":"browse","cells":["z"]})", "/cells/z"}}) {
+  for (Bad const& b :
+       {Bad{R"({"change":"move","service":"pay","slices":[0,16],"to":"a"})", "/slices"},
+        Bad{R"({"change":"move","service":"pay","slices":[0,1],"to":"z"})", "/to"},
+        Bad{R"({"change":"move","service":"browse","slices":[0,1],"to":"a"})", "/service"},
+        Bad{R"({"change":"close","service":"nobody"})", "/service"},
+        Bad{R"({"change":"move","service":"pay"})", "/change"}, Bad{R"({"change":"burn","service":"pay"})", "/change"},
+        Bad{R"({"change":"place","service":"browse","cells":["z"]})", "/cells/z"}}) {
     Result<std::string> const r = edit_catalogue("", Json::parse(b.change), l);
     ASSERT_FALSE(r) << b.change;
     EXPECT_EQ(r.error().peer, b.pointer) << b.change;
   }
   std::string const closed = *edit_catalogue("", Json::parse(R"({"change":"close","service":"browse"})"), l);
   EXPECT_EQ(Json::parse(closed)["closed"], Json::array({"browse"}));
-  EXPECT_EQ(Json::parse(*edit_catalogue(closed, Json::parse(R"({"change":"open","service":"browse"})"), l))["closed"], Json::array());
+  EXPECT_EQ(Json::parse(*edit_catalogue(closed, Json::parse(R"({"change":"open","service":"browse"})"), l))["closed"],
+            Json::array());
 }
 }  // namespace banktide
 #endif
--- a/source/state/cell_view.hpp
+++ b/source/state/cell_view.hpp
@@ -26,8 +26,10 @@
     }
     if (c.backend) {
       std::pair<std::string, std::string> const key{c.backend->service, c.backend->instance};
-      if (c.backend->standing == Standing::dead) backends.erase(key);
-      else backends[key] = *c.backend;
+      if (c.backend->standing == Standing::dead)
+        backends.erase(key);
+      else
+        backends[key] = *c.backend;
     }
     if (c.cell) cells[c.cell->cell] = *c.cell;
   }
@@ -59,12 +61,17 @@
 #ifdef TESTS_OF_CELL_VIEW
 TEST(CellView, folding_changes_and_taking_a_snapshot_come_to_the_same) {
   std::uint64_t x = 7;
-  auto const r = [&](std::uint64_t n) { return (x = x * 6364136223846793005ull + 1442695040888963407ull, (x >> 33) % n); };
+  auto const r = [&](std::uint64_t n) {
+    return (x = x * 6364136223846793005ull + 1442695040888963407ull, (x >> 33) % n);
+  };
   CellView a;
   for (int i = 0; i < 3000; ++i) {
     Change c;
-    if (r(3) == 0) c.member = Member{"n" + std::to_string(r(5)), "a", "", Role::node, r(9), static_cast<Standing>(r(4))};
-    else c.backend = BackendRecord{"s", "i" + std::to_string(r(9)), "n" + std::to_string(r(5)), 1, 0, static_cast<Standing>(r(4))};
+    if (r(3) == 0)
+      c.member = Member{"n" + std::to_string(r(5)), "a", "", Role::node, r(9), static_cast<Standing>(r(4))};
+    else
+      c.backend =
+          BackendRecord{"s", "i" + std::to_string(r(9)), "n" + std::to_string(r(5)), 1, 0, static_cast<Standing>(r(4))};
     a.fold(c);
     CellView b;
     b.replace(a.snapshot({}));
--- a/source/state/decisions.hpp
+++ b/source/state/decisions.hpp
@@ -10,7 +10,8 @@
 
 class Decisions {
  public:
-  Decisions(std::string node, std::uint64_t const life, std::size_t const limit) : node_(std::move(node)), life_(life), journal_(limit) {}
+  Decisions(std::string node, std::uint64_t const life, std::size_t const limit)
+      : node_(std::move(node)), life_(life), journal_(limit) {}
 
   void append(CallEvent e) {
     e.node = node_;
@@ -59,7 +60,8 @@
   std::uint64_t seen = 0, lost = 0, made = 0;
   std::mt19937_64 r(4);
   for (int i = 0; i < 3000; ++i) {
-    for (std::uint64_t k = r() % 8; k > 0; --k) d.append(CallEvent{"", 0, 0, ++made, "", made % 3 ? "stay" : "drop", "", "", "", "", "", false, 0, 0, 0});
+    for (std::uint64_t k = r() % 8; k > 0; --k)
+      d.append(CallEvent{"", 0, 0, ++made, "", made % 3 ? "stay" : "drop", "", "", "", "", "", false, 0, 0, 0});
     if (r() % 50 == 0) made += 0, i += 20;
     DecisionsReply const reply = d.since(q);
     for (Gap const& g : reply.gaps) lost += g.lost, seen += g.lost;
--- a/source/state/journal.hpp
+++ b/source/state/journal.hpp
@@ -27,10 +27,12 @@
   std::uint64_t trimmed() const { return trimmed_; }
 
   // Events after `seen`, at most `most`; none if some of them are trimmed.
-  std::optional<std::vector<E>> since(std::uint64_t const seen, std::size_t const most = static_cast<std::size_t>(-1)) const {
+  std::optional<std::vector<E>> since(std::uint64_t const seen,
+                                      std::size_t const most = static_cast<std::size_t>(-1)) const {
     if (seen < trimmed_ || seen > last()) return std::nullopt;
     std::vector<E> out;
-    for (std::size_t i = static_cast<std::size_t>(seen - trimmed_); i < events_.size() && out.size() < most; ++i) out.push_back(events_[i]);
+    for (std::size_t i = static_cast<std::size_t>(seen - trimmed_); i < events_.size() && out.size() < most; ++i)
+      out.push_back(events_[i]);
     return out;
   }
 
--- a/source/state/layout.hpp
+++ b/source/state/layout.hpp
@@ -54,13 +54,15 @@
     if (depth > 32) deep = true;
     if (event == Json::parse_event_t::object_start) seen.emplace_back();
     if (event == Json::parse_event_t::object_end) seen.pop_back();
-    if (event == Json::parse_event_t::key && !seen.back().insert(value.get<std::string>()).second && twice.empty()) twice = value.get<std::string>();
+    if (event == Json::parse_event_t::key && !seen.back().insert(value.get<std::string>()).second && twice.empty())
+      twice = value.get<std::string>();
     return !deep;
   };
   try {
     Json j = Json::parse(bytes, watch);
     if (deep) return mishap("parse_json", "", "nested too deep", Proof::not_run);
-    if (!twice.empty()) return mishap("parse_json", "", "key \"" + twice + "\" stands twice in one object", Proof::not_run);
+    if (!twice.empty())
+      return mishap("parse_json", "", "key \"" + twice + "\" stands twice in one object", Proof::not_run);
     return j;
   } catch (Json::exception const& e) {
     return mishap("parse_json", "", e.what(), Proof::not_run);
@@ -94,11 +96,15 @@
   // How keys come to slices. Two mappings of one service never hold leases at
   // the same time, so a change of it is as safe as a move.
   std::uint64_t mapping() const { return digest_of(key_header + "/" + std::to_string(slices)); }
-  bool may_repeat(std::string const& method) const { return std::find(idempotent.begin(), idempotent.end(), method) != idempotent.end(); }
+  bool may_repeat(std::string const& method) const {
+    return std::find(idempotent.begin(), idempotent.end(), method) != idempotent.end();
+  }
   std::uint32_t slice_of(std::string_view const key) const;
 };
 
-inline std::uint32_t Service::slice_of(std::string_view const key) const { return static_cast<std::uint32_t>(digest_of(key) % slices); }
+inline std::uint32_t Service::slice_of(std::string_view const key) const {
+  return static_cast<std::uint32_t>(digest_of(key) % slices);
+}
 
 struct Way {
   std::string prefix;
@@ -146,11 +152,14 @@
     for (Json const& w : (*j)["ways"]) {
       std::string const pointer = "/ways/" + std::to_string(at++);
       Way way{w["prefix"].get<std::string>(), l.service_names.find(w["service"].get<std::string>())};
-      if (way.service == no_index) return mishap("check_references", pointer + "/service", "no such service", Proof::not_run);
-      if (!prefixes.insert(way.prefix).second) return mishap("check_references", pointer + "/prefix", "prefix stands twice", Proof::not_run);
+      if (way.service == no_index)
+        return mishap("check_references", pointer + "/service", "no such service", Proof::not_run);
+      if (!prefixes.insert(way.prefix).second)
+        return mishap("check_references", pointer + "/prefix", "prefix stands twice", Proof::not_run);
       l.ways.push_back(std::move(way));
     }
-    std::sort(l.ways.begin(), l.ways.end(), [](Way const& a, Way const& b) { return a.prefix.size() > b.prefix.size(); });
+    std::sort(l.ways.begin(), l.ways.end(),
+              [](Way const& a, Way const& b) { return a.prefix.size() > b.prefix.size(); });
     return l;
   }
 
@@ -201,7 +210,8 @@
     std::size_t at = 0;
     for (Json const& name : j->value("closed", Json::array())) {
       Index const s = layout.service_names.find(name.get<std::string>());
-      if (s == no_index && !forgiving) return mishap("check_references", "/closed/" + std::to_string(at), "no such service", Proof::not_run);
+      if (s == no_index && !forgiving)
+        return mishap("check_references", "/closed/" + std::to_string(at), "no such service", Proof::not_run);
       if (s != no_index) c.closed[s] = true;
       ++at;
     }
@@ -216,21 +226,29 @@
         Service const& service = layout.services[s];
         Entry entry;
         entry.cell = cell;
-        if (gone) entry.slices.assign(std::max<std::uint32_t>(service.slices, 1), false);
-        else if (e.contains("slices") && !service.keyed() && !forgiving) return mishap("check_references", pointer + "/slices", "service is not keyed", Proof::not_run);
+        if (gone)
+          entry.slices.assign(std::max<std::uint32_t>(service.slices, 1), false);
+        else if (e.contains("slices") && !service.keyed() && !forgiving)
+          return mishap("check_references", pointer + "/slices", "service is not keyed", Proof::not_run);
         if (service.keyed() && !gone) {
           entry.slices.assign(service.slices, !e.contains("slices"));
           for (Json const& range : e.value("slices", Json::array())) {
             std::uint32_t const first = range[0].get<std::uint32_t>();
             std::uint32_t last = range[1].get<std::uint32_t>();
-            if (forgiving) last = std::min(last, service.slices - 1);
-            else if (first > last || last >= service.slices) return mishap("check_references", pointer + "/slices", "slice range outside 0.." + std::to_string(service.slices - 1), Proof::not_run);
+            if (forgiving)
+              last = std::min(last, service.slices - 1);
+            else if (first > last || last >= service.slices)
+              return mishap("check_references", pointer + "/slices",
+                            "slice range outside 0.." + std::to_string(service.slices - 1), Proof::not_run);
             for (std::uint32_t i = first; i <= last; ++i) entry.slices[i] = true;
           }
           for (Entry const& other : c.entries[s])
             for (std::uint32_t i = 0; i < service.slices; ++i)
-              if (entry.slices[i] && other.slices[i] && forgiving) entry.slices[i] = false;
-              else if (entry.slices[i] && other.slices[i]) return mishap("check_references", pointer + "/slices", "slice " + std::to_string(i) + " is also in cell " + other.cell, Proof::not_run);
+              if (entry.slices[i] && other.slices[i] && forgiving)
+                entry.slices[i] = false;
+              else if (entry.slices[i] && other.slices[i])
+                return mishap("check_references", pointer + "/slices",
+                              "slice " + std::to_string(i) + " is also in cell " + other.cell, Proof::not_run);
         }
         c.entries[s].push_back(std::move(entry));
       }
@@ -257,7 +275,8 @@
 // the one with the highest digest, so that all who see the same cells agree;
 // the leases see to it that it moves only when the old home has let go.
 template <class Offering>
-Choice choose_cells(Layout const& layout, Catalogue const& c, std::string const& own, Index const service, std::uint32_t const slice, Offering offering) {
+Choice choose_cells(Layout const& layout, Catalogue const& c, std::string const& own, Index const service,
+                    std::uint32_t const slice, Offering offering) {
   Choice out;
   if (service < c.closed.size() && c.closed[service]) {
     out.dropped = "closed by the catalogue";
@@ -279,32 +298,43 @@
     }
     out.home = true;
     out.settled = true;
-    if (home.empty()) out.dropped = "no cell has a backend of the keyed service";
-    else if (home == own) out.stay = true;
-    else out.others.push_back(home);
+    if (home.empty())
+      out.dropped = "no cell has a backend of the keyed service";
+    else if (home == own)
+      out.stay = true;
+    else
+      out.others.push_back(home);
     return out;
   }
   out.settled = true;
   for (Catalogue::Entry const& e : c.entries[service]) {
     if (!e.serves(slice)) continue;
-    if (e.cell == own) out.stay = true;
-    else out.others.push_back(e.cell);
+    if (e.cell == own)
+      out.stay = true;
+    else
+      out.others.push_back(e.cell);
   }
-  if (!out.stay && out.others.empty()) out.dropped = layout.services[service].keyed() ? "no cell has the slice" : "no cell has the service";
+  if (!out.stay && out.others.empty())
+    out.dropped = layout.services[service].keyed() ? "no cell has the slice" : "no cell has the service";
   return out;
 }
 
 #ifdef TESTS_OF_LAYOUT
-inline std::string const sample_layout = R"({"cells":["a","b"],"services":{"pay":{"key":{"header":"x-key","slices":8},"idempotent":["GET"]},"browse":{}},"ways":[{"prefix":"/pay","service":"pay"},{"prefix":"/","service":"browse"}]})";
+inline std::string const sample_layout =
+    R"({"cells":["a","b"],"services":{"pay":{"key":{"header":"x-key","slices":8},"idempotent":["GET"]},"browse":{}},"ways":[{"prefix":"/pay","service":"pay"},{"prefix":"/","service":"browse"}]})";
 
 TEST(Layout, bad_revisions_are_refused_with_the_pointer_and_good_ones_are_not) {
   EXPECT_TRUE(Layout::read(sample_layout));
   struct Bad {
     std::string text, step, pointer;
   };
-  for (Bad const& b : {Bad{"{", "parse_json", ""}, Bad{R"({"cells":["a"],"cells":["b"],"services":{},"ways":[]})", "parse_json", ""}, Bad{R"({"cells":["a"],"services":{},"ways":[],"x":1})", "check_schema", ""},
-                       Bad{R"({"cells":["a"],"services":{"s":{"timeout_ms":1}},"ways":[]})", "check_schema", "/services/s/timeout_ms"}, Bad{R"({"cells":["a"],"services":{},"ways":[{"prefix":"/x","service":"y"}]})", "check_references", "/ways/0/service"},
-                       Bad{std::string(layout_limit + 1, ' '), "check_size", ""}, Bad{std::string(100, '['), "parse_json", ""}}) {
+  for (Bad const& b :
+       {Bad{"{", "parse_json", ""}, Bad{R"({"cells":["a"],"cells":["b"],"services":{},"ways":[]})", "parse_json", ""},
+        Bad{R"({"cells":["a"],"services":{},"ways":[],"x":1})", "check_schema", ""},
+        Bad{R"({"cells":["a"],"services":{"s":{"timeout_ms":1}},"ways":[]})", "check_schema", "/services/s/timeout_ms"},
+        Bad{R"({"cells":["a"],"services":{},"ways":[{"prefix":"/x","service":"y"}]})", "check_references",
+            "/ways/0/service"},
+        Bad{std::string(layout_limit + 1, ' '), "check_size", ""}, Bad{std::string(100, '['), "parse_json", ""}}) {
     Result<Layout> const l = Layout::read(b.text);
     ASSERT_FALSE(l) << b.text;
     EXPECT_EQ(l.error().step, b.step) << b.text;
@@ -317,23 +347,29 @@
 
 TEST(Catalogue, overlapping_slices_and_unknown_names_are_refused_and_calls_are_placed) {
   Layout const l = *Layout::read(sample_layout);
-  for (std::string const bad : {R"({"cells":{"c":{}}})", R"({"cells":{"a":{"nope":{}}}})", R"({"cells":{"a":{"pay":{"slices":[[0,4]]}},"b":{"pay":{"slices":[[4,7]]}}}})", R"({"cells":{"a":{"pay":{"slices":[[0,8]]}}}})",
-                                R"({"cells":{"a":{"browse":{"slices":[[0,1]]}}}})", R"({"cells":{},"closed":["nope"]})"})
+  for (std::string const bad :
+       {R"({"cells":{"c":{}}})", R"({"cells":{"a":{"nope":{}}}})",
+        R"({"cells":{"a":{"pay":{"slices":[[0,4]]}},"b":{"pay":{"slices":[[4,7]]}}}})",
+        R"({"cells":{"a":{"pay":{"slices":[[0,8]]}}}})", R"({"cells":{"a":{"browse":{"slices":[[0,1]]}}}})",
+        R"({"cells":{},"closed":["nope"]})"})
     EXPECT_FALSE(Catalogue::read(bad, l)) << bad;
   auto const nowhere = [] { return std::set<std::string>{}; };
-  Catalogue const c = *Catalogue::read(R"({"cells":{"a":{"pay":{"slices":[[0,3]]}},"b":{"pay":{"slices":[[4,6]]}}}})", l);
+  Catalogue const c =
+      *Catalogue::read(R"({"cells":{"a":{"pay":{"slices":[[0,3]]}},"b":{"pay":{"slices":[[4,6]]}}}})", l);
   Index const pay = l.service_names.find("pay"), browse = l.service_names.find("browse");
   EXPECT_TRUE(choose_cells(l, c, "a", pay, 1, nowhere).stay);
   EXPECT_EQ(choose_cells(l, c, "a", pay, 5, nowhere).others, std::vector<std::string>{"b"});
   EXPECT_FALSE(choose_cells(l, c, "a", pay, 5, nowhere).stay);
   EXPECT_EQ(choose_cells(l, c, "a", pay, 7, nowhere).dropped, "no cell has the slice");
   EXPECT_TRUE(choose_cells(l, c, "a", browse, 0, nowhere).stay);
-  EXPECT_TRUE(choose_cells(l, *Catalogue::read(R"({"cells":{},"closed":["browse"]})", l), "a", browse, 0, nowhere).dropped.size());
+  EXPECT_TRUE(choose_cells(l, *Catalogue::read(R"({"cells":{},"closed":["browse"]})", l), "a", browse, 0, nowhere)
+                  .dropped.size());
 }
 
 TEST(Catalogue, what_a_newer_routing_revision_dropped_is_passed_over_and_the_rest_holds) {
   Layout const l = *Layout::read(sample_layout);
-  std::string const old = R"({"cells":{"a":{"pay":{"slices":[[0,3]]},"gone":{}},"b":{"pay":{"slices":[[4,20]]}},"lost":{"pay":{"slices":[[0,0]]},"browse":{}}},"closed":["gone"]})";
+  std::string const old =
+      R"({"cells":{"a":{"pay":{"slices":[[0,3]]},"gone":{}},"b":{"pay":{"slices":[[4,20]]}},"lost":{"pay":{"slices":[[0,0]]},"browse":{}}},"closed":["gone"]})";
   EXPECT_EQ(Catalogue::read(old, l).error().step, "check_references");
   Catalogue const c = *Catalogue::read(old, l, true);
   auto const nowhere = [] { return std::set<std::string>{}; };
@@ -349,7 +385,8 @@
   std::set<std::string> const both{"a", "b"};
   std::size_t at_a = 0;
   for (std::uint32_t slice = 0; slice < 8; ++slice) {
-    Choice const a = choose_cells(l, Catalogue{}, "a", pay, slice, [&] { return both; }), b = choose_cells(l, Catalogue{}, "b", pay, slice, [&] { return both; });
+    Choice const a = choose_cells(l, Catalogue{}, "a", pay, slice, [&] { return both; }),
+                 b = choose_cells(l, Catalogue{}, "b", pay, slice, [&] { return both; });
     EXPECT_NE(a.stay, b.stay);
     EXPECT_EQ((a.stay ? b : a).others, std::vector<std::string>{a.stay ? "a" : "b"});
     at_a += a.stay;
--- a/source/state/pick.hpp
+++ b/source/state/pick.hpp
@@ -75,8 +75,10 @@
   }
   void prune(Instant const now) {
     for (auto it = marks_.begin(); it != marks_.end();)
-      if (it->second.in_flight == 0 && now - it->second.last_used > 60s) it = marks_.erase(it);
-      else ++it;
+      if (it->second.in_flight == 0 && now - it->second.last_used > 60s)
+        it = marks_.erase(it);
+      else
+        ++it;
   }
 
  private:
@@ -93,7 +95,8 @@
   for (Candidate const& c : n) total += c.entry;
   std::vector<double> model(n.size(), 0);  // every ordered pair, weighted
   for (std::size_t i = 0; i < n.size(); ++i)
-    for (std::size_t k = 0; k < n.size(); ++k) model[n[k].burden < n[i].burden ? k : i] += n[i].entry / total * n[k].entry / total;
+    for (std::size_t k = 0; k < n.size(); ++k)
+      model[n[k].burden < n[i].burden ? k : i] += n[i].entry / total * n[k].entry / total;
   std::mt19937_64 chance(11);
   std::vector<double> seen(n.size(), 0);
   int const rounds = 200000;
--- a/source/state/slice_moves.hpp
+++ b/source/state/slice_moves.hpp
@@ -32,7 +32,8 @@
     for (std::uint32_t i = 0; i < service.slices; ++i) {
       Choice const choice = choose_cells(layout, catalogue, "", s, i, [&] { return offering[service.name]; });
       std::string const should = choice.others.empty() ? "" : choice.others.front();
-      Json row = {{"service", service.name}, {"should", should}, {"by", choice.home ? "home" : "catalogue"}, {"in_flight", 0}};
+      Json row = {
+          {"service", service.name}, {"should", should}, {"by", choice.home ? "home" : "catalogue"}, {"in_flight", 0}};
       auto const held = leases.find(Slice{service.name, service.mapping(), i});
       auto const granted = grants.find(Slice{service.name, service.mapping(), i});
       bool const former = mappings[service.name].size() > mappings[service.name].count(service.mapping());
@@ -44,14 +45,22 @@
         row["in_flight"] = l["in_flight"];
         bool const there = l["cell"] == should && l["wanted"].get<bool>();
         row["state"] = there ? "held" : "emptying";
-        if (!there) row["waits_for"] = l["in_flight"].get<int>() > 0 ? std::to_string(l["in_flight"].get<int>()) + " calls in flight" : "calls of unknown outcome, or the node to let go";
+        if (!there)
+          row["waits_for"] = l["in_flight"].get<int>() > 0
+                                 ? std::to_string(l["in_flight"].get<int>()) + " calls in flight"
+                                 : "calls of unknown outcome, or the node to let go";
       } else {
         row["state"] = choice.dropped.empty() ? "waiting" : "nowhere";
-        if (!choice.dropped.empty()) row["waits_for"] = choice.dropped;
-        else if (!offering[service.name].contains(should)) row["waits_for"] = "a backend of the service in " + should;
-        else if (former) row["waits_for"] = "leases under the former mapping of its keys";
-        else if (granted != grants.end()) row["waits_for"] = "the lease of " + granted->second["holder"].get<std::string>();
-        else row["waits_for"] = "its new holder's claim";
+        if (!choice.dropped.empty())
+          row["waits_for"] = choice.dropped;
+        else if (!offering[service.name].contains(should))
+          row["waits_for"] = "a backend of the service in " + should;
+        else if (former)
+          row["waits_for"] = "leases under the former mapping of its keys";
+        else if (granted != grants.end())
+          row["waits_for"] = "the lease of " + granted->second["holder"].get<std::string>();
+        else
+          row["waits_for"] = "its new holder's claim";
       }
       // Neighbours that differ in nothing are one row.
       row["slices"] = {i, i};
@@ -75,12 +84,21 @@
 #ifdef TESTS_OF_SLICE_MOVES
 namespace banktide {
 TEST(SliceMoves, a_move_shows_what_is_held_what_empties_and_what_waits) {
-  Layout const l = *Layout::read(R"({"cells":["a","b"],"services":{"pay":{"key":{"header":"x-key","slices":4}}},"ways":[]})");
-  Catalogue const c = *Catalogue::read(R"({"cells":{"a":{"pay":{"slices":[[0,0]]}},"b":{"pay":{"slices":[[1,3]]}}}})", l);
+  Layout const l =
+      *Layout::read(R"({"cells":["a","b"],"services":{"pay":{"key":{"header":"x-key","slices":4}}},"ways":[]})");
+  Catalogue const c =
+      *Catalogue::read(R"({"cells":{"a":{"pay":{"slices":[[0,0]]}},"b":{"pay":{"slices":[[1,3]]}}}})", l);
   std::uint64_t const m = l.services[0].mapping();
-  auto const lease = [&](int slice, int in_flight, bool wanted) { return Json{{"service", "pay"}, {"mapping", m}, {"slice", slice}, {"instance", "pay-1"}, {"in_flight", in_flight}, {"wanted", wanted}}; };
+  auto const lease = [&](int slice, int in_flight, bool wanted) {
+    return Json{{"service", "pay"},    {"mapping", m},           {"slice", slice},
+                {"instance", "pay-1"}, {"in_flight", in_flight}, {"wanted", wanted}};
+  };
   Json const backend = {{"service", "pay"}, {"standing", "fit"}};
-  Json const fleet = {{"cells", {{{"cell", "a"}, {"nodes", {{{"node", "n1"}, {"local", {backend}}, {"leases", {lease(0, 2, true), lease(1, 3, false)}}}}}}, {{"cell", "b"}, {"nodes", {{{"node", "n2"}, {"local", {backend}}, {"leases", Json::array()}}}}}}}};
+  Json const fleet = {
+      {"cells",
+       {{{"cell", "a"},
+         {"nodes", {{{"node", "n1"}, {"local", {backend}}, {"leases", {lease(0, 2, true), lease(1, 3, false)}}}}}},
+        {{"cell", "b"}, {"nodes", {{{"node", "n2"}, {"local", {backend}}, {"leases", Json::array()}}}}}}}};
   Json const rows = slice_moves(fleet, l, c)["slices"];
   ASSERT_EQ(rows.size(), 3u) << rows.dump(1);
   EXPECT_EQ(rows[0]["state"], "held");
--- a/source/state/sqlite_disk.hpp
+++ b/source/state/sqlite_disk.hpp
@@ -15,8 +15,13 @@
   static Result<std::unique_ptr<SqliteDisk>> open(std::string const& file) {
     std::unique_ptr<SqliteDisk> d(new SqliteDisk());
     if (sqlite3_open(file.c_str(), &d->db_) != SQLITE_OK) return mishap("open_disk", file, sqlite3_errmsg(d->db_));
-    for (char const* sql : {"PRAGMA locking_mode=EXCLUSIVE", "PRAGMA journal_mode=WAL", "PRAGMA synchronous=FULL", "CREATE TABLE IF NOT EXISTS voter(one INTEGER PRIMARY KEY CHECK(one=1), record BLOB NOT NULL, digest INTEGER NOT NULL)", "BEGIN IMMEDIATE", "COMMIT"})
-      if (sqlite3_exec(d->db_, sql, nullptr, nullptr, nullptr) != SQLITE_OK) return mishap("open_disk", file, sqlite3_errmsg(d->db_));
+    for (
+        char const* sql :
+        {"PRAGMA locking_mode=EXCLUSIVE", "PRAGMA journal_mode=WAL", "PRAGMA synchronous=FULL",
+         "CREATE TABLE IF NOT EXISTS voter(one INTEGER PRIMARY KEY CHECK(one=1), record BLOB NOT NULL, digest INTEGER NOT NULL)",
+         "BEGIN IMMEDIATE", "COMMIT"})
+      if (sqlite3_exec(d->db_, sql, nullptr, nullptr, nullptr) != SQLITE_OK)
+        return mishap("open_disk", file, sqlite3_errmsg(d->db_));
     return d;
   }
   ~SqliteDisk() { sqlite3_close(db_); }
@@ -24,13 +29,17 @@
 
   Result<VoterRecord> load() {
     sqlite3_stmt* s = nullptr;
-    if (sqlite3_prepare_v2(db_, "SELECT record, digest FROM voter", -1, &s, nullptr) != SQLITE_OK) return mishap("load_disk", "", sqlite3_errmsg(db_));
+    if (sqlite3_prepare_v2(db_, "SELECT record, digest FROM voter", -1, &s, nullptr) != SQLITE_OK)
+      return mishap("load_disk", "", sqlite3_errmsg(db_));
     int const rc = sqlite3_step(s);
     Result<VoterRecord> out = VoterRecord{};
     if (rc == SQLITE_ROW) {
-      Bytes const raw(static_cast<char const*>(sqlite3_column_blob(s, 0)), static_cast<std::size_t>(sqlite3_column_bytes(s, 0)));
-      if (digest_of(raw) != static_cast<std::uint64_t>(sqlite3_column_int64(s, 1))) out = mishap("load_disk", "", "digest differs");
-      else out = unpack<VoterRecord>(raw);
+      Bytes const raw(static_cast<char const*>(sqlite3_column_blob(s, 0)),
+                      static_cast<std::size_t>(sqlite3_column_bytes(s, 0)));
+      if (digest_of(raw) != static_cast<std::uint64_t>(sqlite3_column_int64(s, 1)))
+        out = mishap("load_disk", "", "digest differs");
+      else
+        out = unpack<VoterRecord>(raw);
     } else if (rc != SQLITE_DONE) {
       out = mishap("load_disk", "", sqlite3_errmsg(db_));
     }
@@ -41,7 +50,8 @@
   Task<Result<bool>> keep(VoterRecord const& r) {
     Bytes const raw = pack(r);
     sqlite3_stmt* s = nullptr;
-    if (sqlite3_prepare_v2(db_, "INSERT OR REPLACE INTO voter VALUES(1, ?, ?)", -1, &s, nullptr) != SQLITE_OK) co_return mishap("keep_disk", "", sqlite3_errmsg(db_));
+    if (sqlite3_prepare_v2(db_, "INSERT OR REPLACE INTO voter VALUES(1, ?, ?)", -1, &s, nullptr) != SQLITE_OK)
+      co_return mishap("keep_disk", "", sqlite3_errmsg(db_));
     sqlite3_bind_blob64(s, 1, raw.data(), raw.size(), SQLITE_STATIC);
     sqlite3_bind_int64(s, 2, static_cast<sqlite3_int64>(digest_of(raw)));
     int const rc = sqlite3_step(s);
@@ -61,7 +71,8 @@
 #include <filesystem>
 namespace banktide {
 TEST(SqliteDisk, a_record_is_there_after_reopening_and_a_spoilt_one_is_refused) {
-  std::filesystem::path const dir = std::filesystem::temp_directory_path() / ("banktide-disk-" + std::to_string(::getpid()));
+  std::filesystem::path const dir =
+      std::filesystem::temp_directory_path() / ("banktide-disk-" + std::to_string(::getpid()));
   std::filesystem::create_directories(dir);
   std::string const file = dir / "voter.db";
   VoterRecord r;
--- a/source/transport/http_edge.hpp
+++ b/source/transport/http_edge.hpp
@@ -42,7 +42,8 @@
 // a host, for one, and would then call another path.
 inline bool carries(std::string const& target) {
   try {
-    return web::uri_builder(web::uri("http://127.0.0.1:1")).append(web::uri(target)).to_uri().resource().to_string() == target;
+    return web::uri_builder(web::uri("http://127.0.0.1:1")).append(web::uri(target)).to_uri().resource().to_string() ==
+           target;
   } catch (web::uri_exception const&) {
     return false;
   }
@@ -67,7 +68,9 @@
 
 inline bool is_cookie(std::string const& name) {
   std::string const want = "set-cookie";
-  return name.size() == want.size() && std::equal(name.begin(), name.end(), want.begin(), [](char a, char b) { return std::tolower(static_cast<unsigned char>(a)) == b; });
+  return name.size() == want.size() && std::equal(name.begin(), name.end(), want.begin(), [](char a, char b) {
+           return std::tolower(static_cast<unsigned char>(a)) == b;
+         });
 }
 
 // The lines of a request's body while it arrives. A sender that is faster than
@@ -163,7 +166,8 @@
   void on_lines_out(std::string const& path, LinesOutHandler h) { lines_out_[path] = std::move(h); }
 
   // `address` is ip:port with the port given.
-  HttpListener(asio::io_context& io, Address const& address, Handler handler) : io_(io), handler_(std::move(handler)), listener_("http://" + address + "/") {
+  HttpListener(asio::io_context& io, Address const& address, Handler handler)
+      : io_(io), handler_(std::move(handler)), listener_("http://" + address + "/") {
     listener_.support([this](web::http::http_request q) {
       asio::co_spawn(io_, handle(std::move(q)), [](std::exception_ptr e) {
         if (!e) return;
@@ -232,8 +236,10 @@
     // the first bring their own lines along.
     std::string cookies;
     for (Header const& h : reply.headers) {
-      if (!is_cookie(h.name)) out.headers().add(h.name, h.value);
-      else if (h.value.find_first_of("\r\n") == std::string::npos) cookies += (cookies.empty() ? "" : "\r\nSet-Cookie: ") + h.value;
+      if (!is_cookie(h.name))
+        out.headers().add(h.name, h.value);
+      else if (h.value.find_first_of("\r\n") == std::string::npos)
+        cookies += (cookies.empty() ? "" : "\r\nSet-Cookie: ") + h.value;
     }
     if (!cookies.empty()) out.headers().add("Set-Cookie", cookies);
     co_await await_task(q.reply(out));
@@ -253,7 +259,9 @@
  public:
   explicit HttpCaller(W& w, std::string host = "127.0.0.1") : w_(w), host_(std::move(host)) {}
 
-  Task<Result<HttpReply>> run(std::uint16_t const port, HttpRequest q, Instant const deadline) { return run_at(host_ + ":" + std::to_string(port), std::move(q), deadline); }
+  Task<Result<HttpReply>> run(std::uint16_t const port, HttpRequest q, Instant const deadline) {
+    return run_at(host_ + ":" + std::to_string(port), std::move(q), deadline);
+  }
 
   // Whether anybody takes connections at the port; only a refusal says no.
   Task<bool> listens(std::uint16_t const port) {
@@ -280,18 +288,22 @@
     if (!q.body.empty()) {
       std::string const type = request.headers().content_type();
       request.set_body(std::vector<unsigned char>(q.body.begin(), q.body.end()));
-      if (type.empty()) request.headers().remove("Content-Type");
-      else request.headers().set_content_type(type);
+      if (type.empty())
+        request.headers().remove("Content-Type");
+      else
+        request.headers().set_content_type(type);
     }
     pplx::cancellation_token_source cancel;
     typename W::Alarm alarm(w_);
     bool over = false;
     std::shared_ptr<bool> finished = std::make_shared<bool>(false);
     std::shared_ptr<typename W::Alarm> limit = std::make_shared<typename W::Alarm>(w_);
-    spawn(w_, [](std::shared_ptr<typename W::Alarm> a, std::shared_ptr<bool> done, pplx::cancellation_token_source c, Instant until) -> Task<void> {
-      co_await a->wait(until);
-      if (!*done) c.cancel();
-    }(limit, finished, cancel, deadline));
+    spawn(w_,
+          [](std::shared_ptr<typename W::Alarm> a, std::shared_ptr<bool> done, pplx::cancellation_token_source c,
+             Instant until) -> Task<void> {
+            co_await a->wait(until);
+            if (!*done) c.cancel();
+          }(limit, finished, cancel, deadline));
     Result<HttpReply> out = mishap("call_backend", peer, "");
     try {
       request.set_request_uri(web::uri(q.target));
@@ -303,7 +315,8 @@
     } catch (std::exception const& e) {
       std::string const reason = e.what();
       bool const unsent = reason.starts_with("Failed to connect to any resolved endpoint");
-      out = mishap(unsent ? "connect" : "call_backend", peer, over ? "deadline" : reason, unsent ? Proof::not_run : Proof::unknown);
+      out = mishap(unsent ? "connect" : "call_backend", peer, over ? "deadline" : reason,
+                   unsent ? Proof::not_run : Proof::unknown);
     }
     *finished = true;
     limit->wake();
@@ -314,24 +327,32 @@
   Task<Result<HttpReply>> read(web::http::http_response r, std::string const method, Address const peer) {
     HttpReply reply;
     reply.status = r.status_code();
-    if (reply.status < 200 || reply.status > 599) co_return mishap("read_reply", peer, "status " + std::to_string(reply.status));
+    if (reply.status < 200 || reply.status > 599)
+      co_return mishap("read_reply", peer, "status " + std::to_string(reply.status));
     std::string length, coding;
     for (auto const& [name, value] : r.headers()) {
       std::string n = name;
       for (char& c : n) c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-      if (n == "content-length") length = value;
-      else if (n == "transfer-encoding") coding = value;
-      std::optional<std::vector<std::string>> const several = n == "set-cookie" ? cookies_of(value) : std::vector<std::string>{value};
+      if (n == "content-length")
+        length = value;
+      else if (n == "transfer-encoding")
+        coding = value;
+      std::optional<std::vector<std::string>> const several =
+          n == "set-cookie" ? cookies_of(value) : std::vector<std::string>{value};
       if (!several) co_return mishap("read_reply", peer, "cookies that can't be told apart");
       for (std::string const& one : *several) reply.headers.push_back({name, one});
     }
     bool const bodyless = method == "HEAD" || reply.status == 204 || reply.status == 304;
-    bool const counted = !length.empty() && length.size() < 10 && length.find_first_not_of("0123456789") == std::string::npos;
-    if (!bodyless && !(counted && coding.empty()) && !(coding == "chunked" && length.empty())) co_return mishap("read_reply", peer, "neither one length nor chunks");
-    if (counted && !bodyless && std::stoul(length) > body_limit) co_return mishap("read_reply", peer, "body over the limit");
+    bool const counted =
+        !length.empty() && length.size() < 10 && length.find_first_not_of("0123456789") == std::string::npos;
+    if (!bodyless && !(counted && coding.empty()) && !(coding == "chunked" && length.empty()))
+      co_return mishap("read_reply", peer, "neither one length nor chunks");
+    if (counted && !bodyless && std::stoul(length) > body_limit)
+      co_return mishap("read_reply", peer, "body over the limit");
     if (bodyless) co_return reply;
     std::vector<unsigned char> const body = co_await await_task(r.extract_vector());
-    if (counted && body.size() != std::stoul(length)) co_return mishap("read_reply", peer, "body differs from its length");
+    if (counted && body.size() != std::stoul(length))
+      co_return mishap("read_reply", peer, "body differs from its length");
     if (body.size() > body_limit) co_return mishap("read_reply", peer, "body over the limit");
     reply.body.assign(body.begin(), body.end());
     co_return reply;
@@ -354,7 +375,10 @@
 // counts the connections made to it.
 class CrookedBackend {
  public:
-  CrookedBackend(asio::io_context& io, std::string bytes) : acceptor_(io, {asio::ip::address_v4::loopback(), 0}), bytes_(std::move(bytes)) { asio::co_spawn(io, serve(), asio::detached); }
+  CrookedBackend(asio::io_context& io, std::string bytes)
+      : acceptor_(io, {asio::ip::address_v4::loopback(), 0}), bytes_(std::move(bytes)) {
+    asio::co_spawn(io, serve(), asio::detached);
+  }
   std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
   std::size_t connections = 0;
   std::string asked;
@@ -362,7 +386,8 @@
  private:
   bool whole() const {
     std::size_t const end = asked.find("\r\n\r\n"), at = asked.find("Content-Length:");
-    return end != std::string::npos && (at == std::string::npos || asked.size() >= end + 4 + std::stoul(asked.substr(at + 15)));
+    return end != std::string::npos &&
+           (at == std::string::npos || asked.size() >= end + 4 + std::stoul(asked.substr(at + 15)));
   }
   Task<void> serve() {
     while (true) {
@@ -372,7 +397,8 @@
       boost::system::error_code ec;
       asked.clear();
       while (!ec && !whole()) {
-        std::size_t const n = co_await s.async_read_some(asio::buffer(raw), asio::redirect_error(asio::use_awaitable, ec));
+        std::size_t const n =
+            co_await s.async_read_some(asio::buffer(raw), asio::redirect_error(asio::use_awaitable, ec));
         asked.append(raw, n);
       }
       co_await asio::async_write(s, asio::buffer(bytes_), asio::redirect_error(asio::use_awaitable, ec));
@@ -404,7 +430,10 @@
   HttpCaller<SocketWorld> caller(w);
   std::promise<Result<HttpReply>> p;
   on_pool([&]() {
-    asio::co_spawn(w.executor(), caller.run(port, std::move(q), w.now() + 20s), [&](std::exception_ptr e, Result<HttpReply> r) { p.set_value(e ? Result<HttpReply>(mishap("test", "", "exception")) : std::move(r)); });
+    asio::co_spawn(w.executor(), caller.run(port, std::move(q), w.now() + 20s),
+                   [&](std::exception_ptr e, Result<HttpReply> r) {
+                     p.set_value(e ? Result<HttpReply>(mishap("test", "", "exception")) : std::move(r));
+                   });
     return true;
   });
   return p.get_future().get();
@@ -426,7 +455,8 @@
            Trap{"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhello", false},
            Trap{"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nhello", false},
            Trap{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 3\r\n\r\nhello", false},
-           Trap{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", false},
+           Trap{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+                false},
            Trap{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", false},
            Trap{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n", false},
            Trap{"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\nhello", false},
@@ -445,7 +475,9 @@
 TEST(HttpEdge, a_refused_connection_is_proof_that_nothing_ran) {
   start_pool();
   SocketWorld w;
-  std::uint16_t const port = on_pool([&]() { return asio::ip::tcp::acceptor(w.io(), {asio::ip::address_v4::loopback(), 0}).local_endpoint().port(); });
+  std::uint16_t const port = on_pool([&]() {
+    return asio::ip::tcp::acceptor(w.io(), {asio::ip::address_v4::loopback(), 0}).local_endpoint().port();
+  });
   Result<HttpReply> const r = call_port(w, port, HttpRequest{"POST", "/", {}, "x"});
   ASSERT_FALSE(r);
   EXPECT_EQ(r.error().proof, Proof::not_run);
@@ -461,7 +493,10 @@
     EXPECT_TRUE(!r && r.error().proof == Proof::not_run) << bad;
   }
   EXPECT_EQ(b->connections, 0u);
-  HttpRequest const q{"PURGE", "/a/../b%2Fc%20d?x=1&y=%41&&", {{"x-odd", "a  b"}, {"Content-Type", "text/odd"}}, std::string("b\0dy", 4)};
+  HttpRequest const q{"PURGE",
+                      "/a/../b%2Fc%20d?x=1&y=%41&&",
+                      {{"x-odd", "a  b"}, {"Content-Type", "text/odd"}},
+                      std::string("b\0dy", 4)};
   ASSERT_TRUE(call_port(w, b->port(), q));
   EXPECT_TRUE(b->asked.starts_with("PURGE /a/../b%2Fc%20d?x=1&y=%41&& HTTP/1.1\r\n")) << b->asked;
   EXPECT_NE(b->asked.find("x-odd:a  b\r\n"), std::string::npos);
@@ -483,13 +518,17 @@
 }
 
 inline Address free_address(SocketWorld& w) {
-  return "127.0.0.1:" + std::to_string(on_pool([&]() { return asio::ip::tcp::acceptor(w.io(), {asio::ip::address_v4::loopback(), 0}).local_endpoint().port(); }));
+  return "127.0.0.1:" + std::to_string(on_pool([&]() {
+           return asio::ip::tcp::acceptor(w.io(), {asio::ip::address_v4::loopback(), 0}).local_endpoint().port();
+         }));
 }
 
 TEST(HttpEdge, every_cookie_arrives_on_its_own_line_or_the_answer_is_no_answer) {
   start_pool();
   SocketWorld w;
-  CrookedBackend* const b = crooked(w, "HTTP/1.1 200 OK\r\nSet-Cookie: a=1; Expires=Wed, 21 Oct 2026 07:28:00 GMT\r\nSet-Cookie: b=2; Path=/\r\nSet-Cookie: c=\r\nVary: x\r\nVary: y\r\nContent-Length: 0\r\n\r\n");
+  CrookedBackend* const b = crooked(
+      w,
+      "HTTP/1.1 200 OK\r\nSet-Cookie: a=1; Expires=Wed, 21 Oct 2026 07:28:00 GMT\r\nSet-Cookie: b=2; Path=/\r\nSet-Cookie: c=\r\nVary: x\r\nVary: y\r\nContent-Length: 0\r\n\r\n");
   Result<HttpReply> const r = call_port(w, b->port(), HttpRequest{"GET", "/", {}, ""});
   ASSERT_TRUE(r);
   Address const at = free_address(w);
@@ -497,9 +536,12 @@
   ASSERT_TRUE(listener.open());
   std::string const got = raw_exchange(at, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
   listener.close();
-  for (std::string const line : {"Set-Cookie: a=1; Expires=Wed, 21 Oct 2026 07:28:00 GMT\r\n", "Set-Cookie: b=2; Path=/\r\n", "Set-Cookie: c=\r\n"}) EXPECT_NE(got.find(line), std::string::npos) << got;
+  for (std::string const line : {"Set-Cookie: a=1; Expires=Wed, 21 Oct 2026 07:28:00 GMT\r\n",
+                                 "Set-Cookie: b=2; Path=/\r\n", "Set-Cookie: c=\r\n"})
+    EXPECT_NE(got.find(line), std::string::npos) << got;
   EXPECT_NE(got.find("Vary: x, y\r\n"), std::string::npos) << got;
-  CrookedBackend* const odd = crooked(w, "HTTP/1.1 200 OK\r\nSet-Cookie: a=\"1, b=2\"\r\nSet-Cookie: c=3\r\nContent-Length: 0\r\n\r\n");
+  CrookedBackend* const odd =
+      crooked(w, "HTTP/1.1 200 OK\r\nSet-Cookie: a=\"1, b=2\"\r\nSet-Cookie: c=3\r\nContent-Length: 0\r\n\r\n");
   Result<HttpReply> const no = call_port(w, odd->port(), HttpRequest{"GET", "/", {}, ""});
   EXPECT_TRUE(!no && no.error().proof == Proof::unknown);
 }
--- a/source/transport/log.hpp
+++ b/source/transport/log.hpp
@@ -54,7 +54,8 @@
 
 inline void start_logging(std::string const& level, std::string const& program, std::string const& id) {
   log4cplus::SharedAppenderPtr console(new log4cplus::ConsoleAppender(true, true));
-  console->setLayout(std::make_unique<log4cplus::PatternLayout>("time=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p program=" + program + " id=" + id + " %m%n"));
+  console->setLayout(std::make_unique<log4cplus::PatternLayout>(
+      "time=%D{%Y-%m-%dT%H:%M:%S.%q} level=%p program=" + program + " id=" + id + " %m%n"));
   logger().removeAllAppenders();
   logger().addAppender(console);
   logger().setLogLevel(log4cplus::getLogLevelManager().fromString(level));
@@ -62,7 +63,8 @@
 
 #ifdef TESTS_OF_LOG
 TEST(Log, a_line_stays_a_line_whatever_a_peer_sent) {
-  EXPECT_EQ(log_line("carry", {{"peer", "127.0.0.1:1"}, {"reason", "bad\n\"x\""}}), "event=carry peer=127.0.0.1:1 reason=\"bad?\\\"x\\\"\"");
+  EXPECT_EQ(log_line("carry", {{"peer", "127.0.0.1:1"}, {"reason", "bad\n\"x\""}}),
+            "event=carry peer=127.0.0.1:1 reason=\"bad?\\\"x\\\"\"");
   EXPECT_EQ(log_value(""), "\"\"");
 }
 #endif
--- a/source/transport/result.hpp
+++ b/source/transport/result.hpp
@@ -42,7 +42,8 @@
 template <class T>
 using Task = asio::awaitable<T>;
 
-inline tl::unexpected<Mishap> mishap(std::string step, std::string peer, std::string reason, Proof const proof = Proof::unknown) {
+inline tl::unexpected<Mishap> mishap(std::string step, std::string peer, std::string reason,
+                                     Proof const proof = Proof::unknown) {
   return tl::unexpected<Mishap>(Mishap{std::move(step), std::move(peer), std::move(reason), proof});
 }
 
--- a/source/transport/socket_world.hpp
+++ b/source/transport/socket_world.hpp
@@ -48,7 +48,8 @@
     std::memcpy(&h.id, p + 7, 8);
     if (h.wire != wire_number) return mishap("read_frame", "", "wire number " + std::to_string(h.wire));
     if (h.length > frame_limit) return mishap("read_frame", "", "frame of " + std::to_string(h.length) + " bytes");
-    if (static_cast<std::uint8_t>(p[5]) > 2) return mishap("read_frame", "", "sort " + std::to_string(static_cast<int>(p[5])));
+    if (static_cast<std::uint8_t>(p[5]) > 2)
+      return mishap("read_frame", "", "sort " + std::to_string(static_cast<int>(p[5])));
     h.sort = static_cast<Sort>(p[5]);
     return h;
   }
@@ -60,7 +61,8 @@
   boost::system::error_code ec;
   asio::ip::address const ip = asio::ip::make_address(a.substr(0, colon), ec);
   std::string const port = a.substr(colon + 1);
-  if (ec || port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos || std::stoul(port) > 65535)
+  if (ec || port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos ||
+      std::stoul(port) > 65535)
     return mishap("parse_address", a, "not an ip:port");
   return asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(std::stoul(port)));
 }
@@ -132,7 +134,8 @@
     std::uint64_t const id = ++last_id_;
     std::shared_ptr<Waiting> w = std::make_shared<Waiting>(*this);
     link->waiting[id] = w;
-    link->push(Outgoing{FrameHead{static_cast<std::uint32_t>(payload.size()), wire_number, Sort::ask, kind, id}, std::move(payload), w});
+    link->push(Outgoing{FrameHead{static_cast<std::uint32_t>(payload.size()), wire_number, Sort::ask, kind, id},
+                        std::move(payload), w});
     std::optional<Result<Bytes>> got = co_await w->reply.wait(deadline);
     link->waiting.erase(id);
     if (got) co_return std::move(*got);
@@ -144,7 +147,8 @@
   void tell_raw(Address const& peer, std::uint8_t const kind, Bytes payload) {
     std::shared_ptr<Link> link = link_to(peer);
     if (link->backlog.size() >= backlog_limit || payload.size() > frame_limit) return;
-    link->push(Outgoing{FrameHead{static_cast<std::uint32_t>(payload.size()), wire_number, Sort::tell, kind, 0}, std::move(payload), nullptr});
+    link->push(Outgoing{FrameHead{static_cast<std::uint32_t>(payload.size()), wire_number, Sort::tell, kind, 0},
+                        std::move(payload), nullptr});
   }
 
  private:
@@ -269,7 +273,8 @@
       std::vector<std::shared_ptr<Waiting>> lost;
       for (auto const& [id, w] : link->waiting)
         if (w->sent) lost.push_back(w);
-      for (std::shared_ptr<Waiting> const& w : lost) w->reply.give(mishap("wait_for_reply", link->peer, "connection lost", Proof::unknown));
+      for (std::shared_ptr<Waiting> const& w : lost)
+        w->reply.give(mishap("wait_for_reply", link->peer, "connection lost", Proof::unknown));
     }
     link->running = false;
     if (link->waiting.empty()) links_.erase(link->peer);
@@ -432,7 +437,9 @@
       co_await s.async_connect(*parse_address(here), asio::use_awaitable);
       std::string junk(1 + chance() % 60, '\0');
       for (char& c : junk) c = static_cast<char>(chance());
-      if (i % 2 == 0) FrameHead{static_cast<std::uint32_t>(chance() % 8), wire_number, Sort::ask, 200, 1}.write((junk.resize(40), junk.data()));
+      if (i % 2 == 0)
+        FrameHead{static_cast<std::uint32_t>(chance() % 8), wire_number, Sort::ask, 200, 1}.write(
+            (junk.resize(40), junk.data()));
       co_await asio::async_write(s, asio::buffer(junk), asio::use_awaitable);
       boost::system::error_code ec;
       s.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
--- a/source/transport/surroundings.hpp
+++ b/source/transport/surroundings.hpp
@@ -48,7 +48,8 @@
   { w.chance() } -> std::same_as<std::mt19937_64&>;
   { a.wait(t) } -> std::same_as<Task<bool>>;
   a.wake();
-} && std::constructible_from<typename W::Alarm, W&>;
+}
+&&std::constructible_from<typename W::Alarm, W&>;
 
 template <class W>
 concept PeerTransport = requires(W& w, Address const& peer, std::uint8_t kind, Bytes b, Instant t, Desk& d) {
@@ -58,7 +59,9 @@
 };
 
 template <class W>
-concept Surroundings = Clock<W> && PeerTransport<W> && requires(W& w) { w.executor(); };
+concept Surroundings = Clock<W> && PeerTransport<W> && requires(W& w) {
+  w.executor();
+};
 
 template <class W>
 void spawn(W& w, Task<void> task) {
@@ -148,7 +151,8 @@
 // Asks every peer at once and returns as soon as `enough` says so, or when all
 // have answered, or at the deadline. Late answers go nowhere.
 template <class Q, Surroundings W, class Enough>
-Task<std::vector<std::pair<std::size_t, Result<typename Q::Reply>>>> ask_all(W& w, std::vector<Address> peers, Q q, Instant deadline, Enough enough) {
+Task<std::vector<std::pair<std::size_t, Result<typename Q::Reply>>>> ask_all(W& w, std::vector<Address> peers, Q q,
+                                                                             Instant deadline, Enough enough) {
   using Replies = std::vector<std::pair<std::size_t, Result<typename Q::Reply>>>;
   struct Shared {
     explicit Shared(W& world) : done(world) {}
@@ -161,12 +165,14 @@
   shared->enough = &enough;
   std::size_t const n = peers.size();
   for (std::size_t i = 0; i < n; ++i) {
-    spawn(w, [](W& world, std::shared_ptr<Shared> s, Address peer, Q question, std::size_t at, std::size_t all, Instant until) -> Task<void> {
-      Result<typename Q::Reply> r = co_await ask(world, peer, std::move(question), until);
-      if (s->closed) co_return;
-      s->replies.emplace_back(at, std::move(r));
-      if (s->replies.size() == all || (*s->enough)(s->replies)) s->done.give(true);
-    }(w, shared, peers[i], q, i, n, deadline));
+    spawn(w,
+          [](W& world, std::shared_ptr<Shared> s, Address peer, Q question, std::size_t at, std::size_t all,
+             Instant until) -> Task<void> {
+            Result<typename Q::Reply> r = co_await ask(world, peer, std::move(question), until);
+            if (s->closed) co_return;
+            s->replies.emplace_back(at, std::move(r));
+            if (s->replies.size() == all || (*s->enough)(s->replies)) s->done.give(true);
+          }(w, shared, peers[i], q, i, n, deadline));
   }
   if (n > 0) co_await shared->done.wait(deadline);
   shared->closed = true;
