--- a/source/programs/operator_streams.hpp
+++ b/source/programs/operator_streams.hpp
@@ -131,7 +131,7 @@
     if (after.size() > 18 || after.find_first_not_of("0123456789") != std::string::npos)
       co_return json_reply(400, {{"error", "after must be a line's number"}, {"step", "open_stream"}});
     std::shared_ptr<Stream> const s = stream(query["stream"]);
-    if (!s || readers_ >= most_readers) co_return busy("too many streams or readers");
+    if (!s || *readers_ >= most_readers) co_return busy("too many streams or readers");
     Reader const reader(readers_);
     std::uint64_t at = std::min<std::uint64_t>(std::stoull(after), s->verdicts.last());
     Instant told = w_.now();
@@ -172,7 +172,7 @@
     std::string const& decision = query["decision"];
     if (!decision.empty() && decision != "stay" && decision != "cross" && decision != "drop")
       co_return json_reply(400, {{"error", "decision is stay, cross or drop"}, {"step", "open_stream"}});
-    if (readers_ >= most_readers) co_return busy("too many readers");
+    if (*readers_ >= most_readers) co_return busy("too many readers");
     Reader const reader(readers_);
     DecisionsAsk question{*at, at->empty(), DecisionFilter{query["service"], decision, query["cell"]}, 60};
     Instant told{};
@@ -210,10 +210,10 @@
     std::uint64_t used = 0;
   };
   struct Reader {
-    explicit Reader(std::size_t& n) : n_(n) { ++n_; }
+    explicit Reader(std::shared_ptr<std::size_t> n) : n_(std::move(n)) { ++*n_; }
     Reader(Reader const&) = delete;
-    ~Reader() { --n_; }
-    std::size_t& n_;
+    ~Reader() { --*n_; }
+    std::shared_ptr<std::size_t> const n_;
   };
 
   static HttpReply busy(std::string const& why) {
@@ -285,7 +285,7 @@
   Registry<W>& registry_;
   W& w_;
   std::map<std::string, std::shared_ptr<Stream>> streams_;
-  std::size_t readers_ = 0;
+  std::shared_ptr<std::size_t> const readers_ = std::make_shared<std::size_t>(0);  // a reader may outlive this
   std::uint64_t uses_ = 0;
 };
 
--- a/source/protocol/archive.hpp
+++ b/source/protocol/archive.hpp
@@ -35,6 +35,7 @@
       : cereal::InputArchive<LoadArchive, cereal::AllowEmptyClassElision>(this), in_(in) {}
   void get(void* const data, std::size_t const n) {
     if (n > left()) throw cereal::Exception("truncated");
+    if (n == 0) return;
     std::memcpy(data, in_.data() + at_, n);
     at_ += n;
   }
