--- /dev/null
+++ b/source/coordination/backend_side.hpp
@@ -0,0 +1,260 @@
+// The part of a node that stands beside the backends: it takes their beats,
+// watches their ports, spreads their drains, holds the leases of their slices,
+// and makes the call to one of them: one try, on what this node knows itself.
+#pragma once
+
+#include "coordination/node_state.hpp"
+#include "coordination/slice_leases.hpp"
+#include "protocol/http_words.hpp"
+
+namespace banktide {
+
+// Makes the call to a backend on this machine: one fresh connection, no second
+// try, no redirect. The proof in its mishap says whether anything was sent.
+template <class B>
+concept BackendEdge = requires(B& b, std::uint16_t port, HttpRequest q, Instant t) {
+  { b.run(port, q, t) } -> std::same_as<Task<Result<HttpReply>>>;
+  { b.listens(port) } -> std::same_as<Task<bool>>;
+};
+
+template <Surroundings W, BackendEdge B>
+class BackendSide {
+ public:
+  BackendSide(NodeState<W>& n, B& edge) : n_(n), w_(n.w), s_(n.s), edge_(edge), leases_(n.w) {}
+
+  void start(Desk& desk) {
+    desk.on<Drain>([this](Drain q) { return drain(std::move(q)); });
+    spawn(w_, keep_leases());
+    spawn(w_, keep_probing());
+    spawn(w_, keep_expiring());
+  }
+
+  SliceLeases<W> const& leases() const { return leases_; }
+
+  static constexpr char const* beat_schema = R"({
+    "type": "object", "additionalProperties": false, "required": ["service", "instance", "port"],
+    "properties": {
+      "service": {"type": "string", "pattern": "^[a-z0-9][a-z0-9._-]{0,62}$"},
+      "instance": {"type": "string", "pattern": "^[A-Za-z0-9][A-Za-z0-9._:-]{0,126}$"},
+      "port": {"type": "integer", "minimum": 1, "maximum": 65535},
+      "burden": {"type": "integer", "minimum": 0, "maximum": 1000000},
+      "leaving": {"type": "boolean"}}})";
+
+  HttpReply beat(std::string const& body) {
+    Result<Json> j = parse_json(body, 4096);
+    Result<bool> const fits = j ? check_schema(*j, beat_schema) : Result<bool>(tl::unexpected<Mishap>(j.error()));
+    if (!fits) {
+      n_.note("bad_beat", fits.error());
+      return json_reply(fits.error().step == "parse_json" || fits.error().step == "check_size" ? 400 : 422,
+                        {{"error", fits.error().reason}, {"step", fits.error().step}, {"pointer", fits.error().peer}});
+    }
+    std::string const service = (*j)["service"].get<std::string>(), instance = (*j)["instance"].get<std::string>();
+    std::pair<std::string, std::string> const key{service, instance};
+    std::uint16_t const port = (*j)["port"].get<std::uint16_t>();
+    bool const leaving = j->value("leaving", false);
+    // A port speaks for one instance: the newest to beat from it.
+    std::erase_if(n_.local,
+                  [&](auto const& l) { return l.second.record.port == port && l.first != key && (n_.touch(), true); });
+    auto it = n_.local.find(key);
+    if (it == n_.local.end()) {
+      if (n_.local.size() >= 256)
+        return json_reply(503, {{"error", "256 backends beat here already"}, {"step", "beat"}});
+      it = n_.local.emplace(key, Local{}).first;
+      it->second.record = BackendRecord{service, instance, s_.id, port, 0, Standing::fit};
+      n_.touch();
+    }
+    Local& l = it->second;
+    std::uint32_t const burden = j->value("burden", 0u);
+    Standing const standing = leaving || l.record.standing == Standing::leaving ? Standing::leaving : Standing::fit;
+    if (standing != l.record.standing || port != l.record.port || burden / 4 != l.record.burden / 4) n_.touch();
+    if (standing == Standing::leaving && l.record.standing != Standing::leaving) {
+      l.record.standing = standing;
+      spawn(w_, spread_drain(l.record));
+    }
+    l.record.standing = standing;
+    l.record.port = port;
+    l.record.burden = burden;
+    l.refused = false;
+    l.beaten = w_.now();
+    return json_reply(200, {{"known", true}, {"cell", s_.cell}, {"node", s_.id}, {"in_flight", l.in_flight}});
+  }
+
+  // The part of the node beside the backend.
+  Task<CarryReply> execute(Carry c) {
+    Instant const now = w_.now();
+    Instant const deadline = now + std::chrono::milliseconds(c.budget_ms);
+    std::pair<std::string, std::string> const key{c.service, c.instance};
+    Index const s = n_.rules->layout.service_names.find(c.service);
+    if (s == no_index) co_return not_run("backend", s_.id, "service is in no layout here");
+    Service const& service = n_.rules->layout.services[s];
+    std::string const named = service.keyed() ? header_of(c.request, service.key_header) : "";
+    if (service.keyed() != c.keyed || (c.keyed && (named.empty() || service.slice_of(named) != c.slice)))
+      co_return not_run("slice", s_.id, "layouts differ on the key's slice");
+    Choice const choice = n_.choose(*n_.rules, s, c.slice);
+    if (!choice.stay && !choice.home && !broken_on_purpose("old_catalogue"))
+      co_return not_run("catalogue", s_.id, "the catalogue here has it elsewhere");
+    auto const it = n_.local.find(key);
+    if (it == n_.local.end() || !n_.usable(it->second, now))
+      co_return not_run("backend", s_.id, "backend is gone, leaving or silent");
+    if (it->second.in_flight >= s_.backend_limit) co_return not_run("backlog", s_.id, "backend has its fill");
+    Slice const slice{c.service, service.mapping(), c.slice};
+    std::uint64_t epoch = 0;
+    if (c.keyed) {
+      auto const lease = leases_.held().find(slice);
+      if (lease != leases_.held().end() && lease->second.in_flight >= s_.slice_limit)
+        co_return not_run("backlog", s_.id, "slice has its fill");
+      Result<std::uint64_t> const admitted = leases_.admit(slice, c.instance, deadline);
+      if (!admitted) co_return not_run(admitted.error().step, s_.id, admitted.error().reason);
+      epoch = *admitted;
+    }
+    ++it->second.in_flight;
+    std::uint16_t const port = it->second.record.port;
+    HttpRequest q = std::move(c.request);
+    strip_hop(q.headers, true);
+    q.headers.push_back({"banktide-service", c.service});
+    q.headers.push_back({"banktide-instance", c.instance});
+    q.headers.push_back({"banktide-deadline-ms", std::to_string(c.budget_ms)});
+    if (c.keyed) {
+      q.headers.push_back({"banktide-slice", std::to_string(c.slice)});
+      q.headers.push_back({"banktide-epoch", std::to_string(epoch)});
+    }
+    Result<HttpReply> reply = co_await edge_.run(port, std::move(q), deadline);
+    bool const unknown = !reply && reply.error().proof == Proof::unknown;
+    if (c.keyed) leases_.done(slice, unknown ? deadline : w_.now());
+    auto const after = n_.local.find(key);
+    if (after != n_.local.end()) {
+      if (after->second.in_flight > 0) --after->second.in_flight;
+      if (!reply && reply.error().step == "connect") after->second.refused = true;
+    }
+    if (!reply)
+      co_return CarryReply{
+          unknown ? Outcome::unknown : Outcome::not_run, {}, reply.error().step, s_.id, reply.error().reason};
+    bool const marked = std::any_of(reply->headers.begin(), reply->headers.end(),
+                                    [](Header const& h) { return h.name == "banktide-not-run"; });
+    if (marked) co_return not_run("backend_said", s_.id, "backend says it did not run");
+    strip_hop(reply->headers, false);
+    co_return CarryReply{Outcome::answered, std::move(*reply), "", "", ""};
+  }
+
+  Json json() const {
+    Json all = Json::array();
+    for (auto const& [key, l] : n_.local)
+      all.push_back({{"service", key.first},
+                     {"instance", key.second},
+                     {"port", l.record.port},
+                     {"burden", l.record.burden},
+                     {"in_flight", l.in_flight},
+                     {"standing", l.refused                              ? "refusing"
+                                  : w_.now() - l.beaten > s_.beat_expiry ? "silent"
+                                                                         : standing_name(l.record.standing)}});
+    return all;
+  }
+
+  Json leases_json() const {
+    Json all = Json::array();
+    for (auto const& [slice, l] : leases_.held())
+      all.push_back({{"service", slice.service},
+                     {"mapping", slice.mapping},
+                     {"slice", slice.slice},
+                     {"wanted", l.wanted},
+                     {"ends_in_ms", as_ms(l.until - w_.now())},
+                     {"instance", l.instance},
+                     {"epoch", l.epoch},
+                     {"in_flight", l.in_flight}});
+    return all;
+  }
+
+ private:
+  Task<void> spread_drain(BackendRecord const b) {
+    log_info("drain", {{"service", b.service}, {"instance", b.instance}});
+    std::pair<std::string, std::string> const key{b.service, b.instance};
+    for (int i = 0; i < 60 && n_.local.contains(key) && !broken_on_purpose("drain_unheard"); ++i) {
+      for (auto const& [id, m] : n_.view.members)
+        if (id != s_.id && m.role != Role::registry) tell(w_, m.address, Drain{b});
+      co_await sleep_for(w_, 250ms);
+    }
+  }
+
+  Task<Told> drain(Drain q) {
+    if (n_.drained.size() < 4096) n_.drained[{q.backend.service, q.backend.instance}] = w_.now() + 10s;
+    co_return Told{};
+  }
+
+  Task<void> keep_expiring() {
+    while (true) {
+      co_await sleep_for(w_, 200ms);
+      expire(w_.now());
+      std::erase_if(n_.drained, [&](auto const& d) { return d.second < w_.now(); });
+    }
+  }
+
+  void expire(Instant const now) {
+    std::erase_if(n_.local, [&](auto const& l) {
+      bool const silent = now - l.second.beaten > s_.beat_expiry && l.second.in_flight == 0;
+      if (silent) {
+        log_info("backend_silent", {{"service", l.first.first}, {"instance", l.first.second}});
+        n_.touch();
+      }
+      return silent;
+    });
+    for (auto& [key, l] : n_.local)
+      if (l.refused) n_.touch();
+  }
+
+  // A port at which nobody listens has lost its backend: nothing goes there
+  // until an instance beats from it again, so that whoever comes to the address
+  // next is not called in the old one's name.
+  // Each backend has a probe of its own, so that one that hangs delays no other.
+  Task<void> keep_probing() {
+    while (true) {
+      co_await sleep_for(w_, 100ms);
+      for (auto& [key, l] : n_.local) {
+        if (l.refused || l.probing || broken_on_purpose("no_probe")) continue;
+        l.probing = true;
+        spawn(w_, probe(key, l.record.port, l.beaten));
+      }
+    }
+  }
+
+  Task<void> probe(std::pair<std::string, std::string> const key, std::uint16_t const port, Instant const beaten) {
+    bool const listens = co_await edge_.listens(port);
+    auto const it = n_.local.find(key);
+    if (it == n_.local.end()) co_return;
+    it->second.probing = false;
+    if (listens || it->second.refused || it->second.beaten != beaten) co_return;
+    it->second.refused = true;
+    log_info("backend_refuses", {{"service", key.first}, {"instance", key.second}});
+    n_.touch();
+  }
+
+  Task<void> keep_leases() {
+    while (true) {
+      co_await sleep_for(w_, 400ms);
+      if (!n_.fresh) continue;
+      std::map<Slice, std::string> wanted;
+      std::shared_ptr<Rules const> const rules = n_.rules;
+      Instant const now = w_.now();
+      for (Index s = 0; s < rules->layout.services.size() && !n_.leaving; ++s) {
+        Service const& service = rules->layout.services[s];
+        for (std::uint32_t slice = 0; slice < service.slices; ++slice) {
+          if (!n_.choose(*rules, s, slice).stay) continue;
+          BackendRecord const* const owner = n_.owner_of(service.name, slice, now);
+          if (owner != nullptr && owner->node == s_.id)
+            wanted[Slice{service.name, service.mapping(), slice}] = owner->instance;
+        }
+      }
+      std::vector<Address> registries;
+      for (RegistryEntry const& e : n_.directory) registries.push_back(e.address);
+      if (n_.cores == 0) continue;
+      co_await leases_.round(n_.holder, wanted, registries, n_.cores / 2 + 1);
+    }
+  }
+
+  NodeState<W>& n_;
+  W& w_;
+  ProxySettings& s_;
+  B& edge_;
+  SliceLeases<W> leases_;
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/source/coordination/caller_side.hpp
@@ -0,0 +1,285 @@
+// The part of a node that its callers meet: a call is admitted, its way found,
+// a target picked for each try, and the call carried there until it is answered
+// or given up. Each step lands in the journal of decisions.
+#pragma once
+
+#include "coordination/backend_side.hpp"
+#include "protocol/call.hpp"
+#include "state/decisions.hpp"
+#include "state/pick.hpp"
+#include "state/retry_budget.hpp"
+
+namespace banktide {
+
+struct Target {
+  Address node;
+  std::string instance;  // empty: a gateway
+  std::string cell;
+  std::string mark;
+};
+
+template <Surroundings W, BackendEdge B>
+class CallerSide {
+ public:
+  CallerSide(NodeState<W>& n, BackendSide<W, B>& beside)
+      : n_(n), w_(n.w), s_(n.s), beside_(beside), journal_(n.s.id, n.life, n.s.decisions_kept) {}
+
+  void start(Desk& desk) {
+    desk.on<DecisionsAsk>([this](DecisionsAsk q) -> Task<DecisionsReply> { co_return journal_.since(q); });
+  }
+
+  std::size_t in_flight() const { return calls_in_flight_; }
+  Json calls_json() const {
+    return {{"taken", last_call_}, {"in_flight", calls_in_flight_}, {"extra_tries", extra_tries_}};
+  }
+  Json budget_json() const { return {{"firsts", budget_.firsts()}, {"extras", budget_.extras()}}; }
+
+  Task<HttpReply> call(HttpRequest q) {
+    std::uint64_t const id = ++last_call_;
+    CallChart chart;
+    Instant const start = w_.now();
+    std::shared_ptr<Rules const> const rules = n_.rules;
+    if (!n_.ready())
+      co_return dropped(chart, id, *rules, "", 503,
+                        Mishap{"admit", s_.id, n_.leaving ? "node is leaving" : "node is not ready", Proof::not_run});
+    if (calls_in_flight_ >= 4096)
+      co_return dropped(chart, id, *rules, "", 503, Mishap{"admit", s_.id, "backlog full", Proof::not_run});
+    Index const s = rules->layout.way_of(q.target);
+    if (s == no_index)
+      co_return dropped(chart, id, *rules, "", 404, Mishap{"find_way", s_.id, "no way for this path", Proof::not_run});
+    Service const& service = rules->layout.services[s];
+    Carry carry;
+    carry.service = service.name;
+    carry.routing = rules->routing;
+    if (service.keyed()) {
+      std::string const key = header_of(q, service.key_header);
+      if (key.empty())
+        co_return dropped(chart, id, *rules, service.name, 400,
+                          Mishap{"find_key", s_.id, "no key in header " + service.key_header, Proof::not_run});
+      carry.keyed = true;
+      carry.slice = service.slice_of(key);
+    }
+    Duration patience = service.timeout;
+    std::string const asked = header_of(q, "banktide-timeout-ms");
+    if (!asked.empty()) {
+      if (asked.size() > 5 || asked.find_first_not_of("0123456789") != std::string::npos || std::stoul(asked) < 1)
+        co_return dropped(chart, id, *rules, service.name, 400,
+                          Mishap{"find_deadline", s_.id, "banktide-timeout-ms must be 1..99999", Proof::not_run});
+      patience = std::min<Duration>(patience, std::chrono::milliseconds(std::stoul(asked)));
+    }
+    Choice const choice = n_.choose(*rules, s, carry.slice);
+    if (broken_on_purpose("drops_all"))
+      co_return dropped(chart, id, *rules, service.name, 503, Mishap{"decide", s_.id, "", Proof::not_run});
+    if (!choice.dropped.empty())
+      co_return dropped(chart, id, *rules, service.name, 503, Mishap{"decide", s_.id, choice.dropped, Proof::not_run},
+                        &carry);
+    bool const repeatable = service.may_repeat(q.method);
+    carry.request = std::move(q);
+    strip_hop(carry.request.headers, true);
+    chart.step(CallState::admitted);
+    ++calls_in_flight_;
+    HttpReply reply = co_await tries(chart, id, *rules, choice, std::move(carry), repeatable, start + patience);
+    --calls_in_flight_;
+    co_return reply;
+  }
+
+  std::optional<Target> pick_target(std::string const& service, bool const keyed, std::uint32_t const slice,
+                                    Choice const& choice, std::set<std::string> const& tried, bool const may_cross) {
+    Instant const now = w_.now();
+    std::vector<Target> targets, ejected;
+    std::vector<Candidate> candidates;
+    if (choice.stay && keyed) {
+      BackendRecord const* const owner = n_.owner_of(service, slice, now);
+      if (owner == nullptr) return std::nullopt;
+      Target t = to_backend(*owner);
+      if (tried.contains(t.mark)) return std::nullopt;
+      return t;
+    }
+    if (choice.stay && !(broken_on_purpose("crosses_first") && may_cross && !n_.view.cells.empty())) {
+      for (auto it = n_.view.backends.lower_bound({service, ""});
+           it != n_.view.backends.end() && it->first.first == service; ++it) {
+        BackendRecord const& b = it->second;
+        if (!n_.fit(b, now)) continue;
+        Target t = to_backend(b);
+        if (tried.contains(t.mark)) continue;
+        if (marks_.ejected(t.mark, now) || marks_.ejected("n:" + t.node, now)) {
+          ejected.push_back(std::move(t));
+          continue;
+        }
+        candidates.push_back(
+            Candidate{static_cast<double>(b.burden) + marks_.at(t.mark, now).in_flight, marks_.entry(t.mark, now)});
+        targets.push_back(std::move(t));
+      }
+      if (!targets.empty()) return targets[pick(candidates, w_.chance())];
+    }
+    if (may_cross) {
+      for (auto const& [name, cell] : n_.view.cells) {
+        if (choice.settled && std::find(choice.others.begin(), choice.others.end(), name) == choice.others.end())
+          continue;
+        if (name == s_.cell || std::find(cell.offers.begin(), cell.offers.end(), service) == cell.offers.end())
+          continue;
+        if (tried.contains("c:" + name) || marks_.ejected("c:" + name + "/" + service, now)) continue;
+        for (Member const& g : cell.gateways) {
+          Target t{g.address, "", name, "g:" + g.address};
+          if (tried.contains(t.mark)) continue;
+          if (marks_.ejected(t.mark, now) || marks_.ejected("n:" + g.address, now)) {
+            ejected.push_back(std::move(t));
+            continue;
+          }
+          candidates.push_back(
+              Candidate{static_cast<double>(marks_.at(t.mark, now).in_flight), marks_.entry(t.mark, now)});
+          targets.push_back(std::move(t));
+        }
+      }
+      if (!targets.empty()) return targets[pick(candidates, w_.chance())];
+    }
+    // All that is left are ejected ones: better one of them than nothing.
+    if (!ejected.empty() && tried.empty()) return ejected[w_.chance()() % ejected.size()];
+    return std::nullopt;
+  }
+
+  Task<CarryReply> carry_to(Target const& t, Carry const& c, Instant const deadline) {
+    ++marks_.at(t.mark, w_.now()).in_flight;
+    CarryReply r;
+    if (t.node == s_.address && !t.instance.empty()) {
+      r = co_await beside_.execute(c);
+    } else {
+      Carry stamped = c;
+      stamped.sender = n_.holder;
+      stamped.sent_us = std::chrono::duration_cast<std::chrono::microseconds>(w_.now().time_since_epoch()).count();
+      Result<CarryReply> got = co_await ask(w_, t.node, std::move(stamped), deadline + 20ms);
+      if (got) {
+        r = std::move(*got);
+      } else {
+        r.outcome = got.error().proof == Proof::not_run ? Outcome::not_run : Outcome::unknown;
+        r.step = got.error().step;
+        r.peer = t.node;
+        r.reason = got.error().reason;
+        marks_.bad("n:" + t.node, w_.now(), got.error().step == "connect");
+      }
+    }
+    Instant const now = w_.now();
+    Mark& m = marks_.at(t.mark, now);
+    if (m.in_flight > 0) --m.in_flight;
+    if (r.outcome == Outcome::answered) {
+      marks_.fine(t.mark, now);
+      marks_.fine("n:" + t.node, now);
+    } else if (!c.keyed) {
+      bool const refused = r.step == "connect" || r.step == "backend";
+      marks_.bad(t.mark, now, refused);
+      if (t.instance.empty() && r.step == "pick") marks_.bad("c:" + t.cell + "/" + c.service, now, true);
+    }
+    co_return r;
+  }
+
+ private:
+  HttpReply dropped(CallChart& chart, std::uint64_t const id, Rules const& rules, std::string const& service,
+                    std::uint16_t const status, Mishap const& m, Carry const* const c = nullptr) {
+    chart.step(CallState::dropped);
+    bool const unknown = m.proof == Proof::unknown;
+    record(id, chart, "drop", service, m, rules, c);
+    HttpReply reply = json_reply(
+        status,
+        {{"error", m.reason}, {"outcome", unknown ? "unknown" : "not-run"}, {"step", m.step}, {"peer", m.peer}});
+    reply.headers.push_back({"banktide-outcome", unknown ? "unknown" : "not-run"});
+    if ((status >= 500 || status == 429) && !broken_on_purpose("no_retry_after"))
+      reply.headers.push_back({"Retry-After", "1"});
+    return reply;
+  }
+
+  void record(std::uint64_t const id, CallChart const& chart, char const* const decision, std::string const& service,
+              Mishap const& m, Rules const& rules, Carry const* const c = nullptr, std::string const& cell = "") {
+    CallEvent e;
+    e.at_ms = as_ms(w_.now() - n_.started);
+    e.call = id;
+    e.state = state_name(chart.state());
+    e.decision = decision;
+    e.service = service;
+    e.reason = m.reason;
+    e.step = m.step;
+    e.peer = m.peer;
+    e.cell = cell.empty() ? s_.cell : cell;
+    e.keyed = c != nullptr && c->keyed;
+    e.slice = e.keyed ? c->slice : 0;
+    e.routing = rules.routing;
+    e.catalogue = rules.catalogue_revision;
+    journal_.append(std::move(e));
+  }
+
+  Task<HttpReply> tries(CallChart& chart, std::uint64_t const id, Rules const& rules, Choice const& choice, Carry carry,
+                        bool const repeatable, Instant const deadline) {
+    std::set<std::string> tried;
+    Mishap last{"pick", s_.cell, "no usable backend", Proof::not_run};
+    bool maybe_ran = false;
+    for (int n = 0; n < 4; ++n) {
+      chart.step(CallState::picking);
+      std::optional<Target> const t = pick_target(carry.service, carry.keyed, carry.slice, choice, tried, true);
+      std::int64_t const left = as_ms(deadline - w_.now());
+      if (!t || left <= 0) {
+        if (t) last = Mishap{"pick", s_.cell, "deadline", Proof::not_run};
+        break;
+      }
+      if (n == 0 || broken_on_purpose("no_budget")) {
+        budget_.first(w_.now());
+      } else if (!budget_.extra(w_.now())) {
+        last.reason += "; retry budget spent";
+        break;
+      } else {
+        ++extra_tries_;
+      }
+      tried.insert(t->mark);
+      carry.instance = t->instance;
+      carry.crossed = t->instance.empty();
+      carry.budget_ms = static_cast<std::uint32_t>(left);
+      chart.step(CallState::carrying);
+      record(id, chart, carry.crossed ? "cross" : "stay", carry.service,
+             Mishap{"carry", t->node,
+                    n > 0            ? "after a failed try"
+                    : choice.home    ? "home of the slice"
+                    : choice.settled ? "catalogue"
+                    : carry.crossed  ? "no usable backend here"
+                                     : "local first",
+                    Proof::unknown},
+             rules, &carry, t->cell);
+      CarryReply r = co_await carry_to(*t, carry, deadline);
+      chart.step(CallState::waiting);
+      if (r.outcome == Outcome::answered && !(broken_on_purpose("no_budget") && repeatable && n == 0)) {
+        chart.step(CallState::answered);
+        record(id, chart, carry.crossed ? "cross" : "stay", carry.service,
+               Mishap{"answer", t->node, std::to_string(r.reply.status), Proof::unknown}, rules, &carry, t->cell);
+        r.reply.headers.push_back({"banktide-outcome", "answered"});
+        if (broken_on_purpose("swaps_answers") && w_.chance()() % 50 == 0) std::swap(r.reply.body, swapped_);
+        co_return std::move(r.reply);
+      }
+      last = Mishap{r.step, r.peer.empty() ? t->node : r.peer, r.reason,
+                    r.outcome == Outcome::not_run ? Proof::not_run : Proof::unknown};
+      n_.note("carry", last);
+      if (r.outcome == Outcome::unknown) {
+        maybe_ran = true;
+        if (!repeatable && !broken_on_purpose("tries_unknown_again")) break;
+      }
+      if (r.step == "lease") break;  // nobody else may have the slice either
+    }
+    if (broken_on_purpose("calls_unknown_not_run")) maybe_ran = false;
+    if (maybe_ran) last.proof = Proof::unknown;
+    co_return dropped(chart, id, rules, carry.service, maybe_ran ? 504 : 503, last, &carry);
+  }
+
+  Target to_backend(BackendRecord const& b) const {
+    return Target{b.node == s_.id ? s_.address : n_.view.members.at(b.node).address, b.instance, s_.cell,
+                  "b:" + b.service + "/" + b.instance};
+  }
+
+  NodeState<W>& n_;
+  W& w_;
+  ProxySettings& s_;
+  BackendSide<W, B>& beside_;
+  Marks marks_;
+  RetryBudget budget_;
+  Decisions journal_;
+  std::string swapped_;
+  std::uint64_t last_call_ = 0, extra_tries_ = 0;
+  std::size_t calls_in_flight_ = 0;
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/source/coordination/node_state.hpp
@@ -0,0 +1,137 @@
+// What the parts of a node share: its settings, what it knows of its cell, the
+// layouts in force, and the backends that beat to it; and what follows from
+// these for one service or backend.
+#pragma once
+
+#include "state/cell_view.hpp"
+#include "state/layout.hpp"
+#include "state/mishaps.hpp"
+#include "transport/mutant.hpp"
+#include "transport/surroundings.hpp"
+
+namespace banktide {
+
+struct ProxySettings {
+  std::string id;
+  std::string cell;
+  Address address;
+  bool gateway = false;
+  std::vector<Address> seeds;
+  std::chrono::milliseconds beat_expiry{3000};
+  std::uint32_t backend_limit = 128;
+  std::uint32_t slice_limit = 32;
+  std::size_t decisions_kept = 8192;
+};
+
+struct Rules {
+  Layout layout;
+  Catalogue catalogue;
+  Revision routing = 0;
+  Revision catalogue_revision = 0;
+};
+
+// A backend that beats to this node.
+struct Local {
+  BackendRecord record;
+  Instant beaten{};
+  std::uint32_t in_flight = 0;
+  bool refused = false;  // connections were refused since its last beat
+  bool probing = false;
+};
+
+template <Surroundings W>
+class NodeState {
+ public:
+  NodeState(W& world, ProxySettings settings)
+      : w(world),
+        s(std::move(settings)),
+        life(w.chance()()),
+        holder(s.id + "#" + std::to_string(life)),
+        started(w.now()),
+        join_alarm(w) {}
+
+  bool ready() const { return fresh && viewed && !leaving; }
+
+  // The cells that have a backend of the service, by this view.
+  std::set<std::string> offering(std::string const& service, Instant const now) const {
+    std::set<std::string> cells;
+    for (auto it = view.backends.lower_bound({service, ""});
+         it != view.backends.end() && it->first.first == service && cells.empty(); ++it)
+      if (fit(it->second, now)) cells.insert(s.cell);
+    for (auto const& [name, c] : view.cells)
+      if (name != s.cell && !c.gateways.empty() &&
+          std::find(c.offers.begin(), c.offers.end(), service) != c.offers.end())
+        cells.insert(name);
+    return cells;
+  }
+
+  Choice choose(Rules const& rules, Index const service, std::uint32_t const slice) const {
+    return choose_cells(rules.layout, rules.catalogue, s.cell, service, slice,
+                        [&] { return offering(rules.layout.services[service].name, w.now()); });
+  }
+
+  bool fit(BackendRecord const& b, Instant const now) const {
+    if (broken_on_purpose("drain_unheard")) return view.usable_node(b.node);
+    if (b.standing != Standing::fit || !view.usable_node(b.node)) return false;
+    auto const d = drained.find({b.service, b.instance});
+    if (d != drained.end() && now < d->second) return false;
+    if (b.node == s.id) {
+      auto const l = local.find({b.service, b.instance});
+      return l != local.end() && usable(l->second, now);
+    }
+    return true;
+  }
+
+  bool usable(Local const& l, Instant const now) const {
+    return (l.record.standing == Standing::fit || broken_on_purpose("drain_unheard")) && !l.refused &&
+           now - l.beaten <= s.beat_expiry;
+  }
+
+  // The one backend of the cell that should have the slice, by this view.
+  BackendRecord const* owner_of(std::string const& service, std::uint32_t const slice, Instant const now) const {
+    BackendRecord const* best = nullptr;
+    std::uint64_t top = 0;
+    for (auto it = view.backends.lower_bound({service, ""}); it != view.backends.end() && it->first.first == service;
+         ++it) {
+      if (!fit(it->second, now)) continue;
+      std::uint64_t const score = digest_of(it->second.instance + "/" + std::to_string(slice));
+      if (best == nullptr || score > top) {
+        best = &it->second;
+        top = score;
+      }
+    }
+    return best;
+  }
+
+  Address own_registry() const {
+    for (RegistryEntry const& e : directory)
+      if (e.cell == s.cell) return e.address;
+    return "";
+  }
+
+  // The registry is to be told anew what this node has.
+  void touch() {
+    dirty = true;
+    join_alarm.wake();
+  }
+
+  void note(std::string const& what, Mishap const& m) { mishaps.note(w.now() - started, what, m); }
+
+  W& w;
+  ProxySettings s;
+  std::uint64_t const life;
+  std::string const holder;
+  Instant const started;
+  CellView view;
+  std::shared_ptr<Rules const> rules = std::make_shared<Rules>();
+  std::map<std::pair<std::string, std::string>, Local> local;
+  std::map<std::pair<std::string, std::string>, Instant> drained;
+  std::vector<RegistryEntry> directory;
+  std::uint32_t cores = 0;
+  Mishaps mishaps;
+  typename W::Alarm join_alarm;
+  Instant left_at{};
+  bool fresh = false, viewed = false, leaving = false, dirty = true;
+};
+
+}  // namespace banktide
--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -8,11 +8,14 @@
 #include "coordination/lease_voter.hpp"
 #include "coordination/register_client.hpp"
 #include "coordination/ring.hpp"
+#include "protocol/http_words.hpp"
 #include "state/catalogue_edit.hpp"
 #include "state/cell_view.hpp"
 #include "state/journal.hpp"
 #include "state/layout.hpp"
+#include "state/mishaps.hpp"
 #include "state/slice_moves.hpp"
+#include "state/view_json.hpp"
 
 #include <map>
 
@@ -26,64 +29,6 @@
   std::vector<Address> voters;
 };
 
-struct Noted {
-  std::int64_t at_ms = 0;
-  std::string what, step, peer, reason;
-};
-
-inline HttpReply json_reply(std::uint16_t const status, Json const& j) {
-  HttpReply r;
-  r.status = status;
-  r.headers.push_back({"Content-Type", "application/json"});
-  r.body = j.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
-  return r;
-}
-
-inline std::string header_of(HttpRequest const& q, std::string_view const name) {
-  for (Header const& h : q.headers)
-    if (h.name.size() == name.size() && std::equal(h.name.begin(), h.name.end(), name.begin(), [](char a, char b) {
-          return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b));
-        }))
-      return h.value;
-  return "";
-}
-
-inline char const* standing_name(Standing const s) {
-  constexpr char const* names[] = {"fit", "suspected", "leaving", "dead"};
-  return names[static_cast<std::size_t>(s) & 3];
-}
-inline char const* role_name(Role const r) {
-  constexpr char const* names[] = {"node", "gateway", "registry"};
-  return names[std::min<std::size_t>(static_cast<std::size_t>(r), 2)];
-}
-
-inline Json view_json(CellView const& v) {
-  Json j = Json::object();
-  j["members"] = Json::array();
-  j["backends"] = Json::array();
-  j["cells"] = Json::array();
-  for (auto const& [id, m] : v.members)
-    j["members"].push_back({{"id", m.id},
-                            {"cell", m.cell},
-                            {"address", m.address},
-                            {"role", role_name(m.role)},
-                            {"incarnation", m.incarnation},
-                            {"standing", standing_name(m.standing)}});
-  for (auto const& [key, b] : v.backends)
-    j["backends"].push_back({{"service", b.service},
-                             {"instance", b.instance},
-                             {"node", b.node},
-                             {"port", b.port},
-                             {"burden", b.burden},
-                             {"standing", standing_name(b.standing)}});
-  for (auto const& [name, c] : v.cells) {
-    Json gateways = Json::array();
-    for (Member const& g : c.gateways) gateways.push_back({{"id", g.id}, {"address", g.address}});
-    j["cells"].push_back({{"cell", c.cell}, {"gateways", gateways}, {"offers", c.offers}});
-  }
-  return j;
-}
-
 struct Proposal {
   Register reg{};
   std::string bytes;
@@ -358,7 +303,7 @@
       co_return json_reply(ready() ? 200 : 503,
                            {{"ready", ready()}, {"vouched", vouched()}, {"warm", warm()}, {"leaving", leaving_}});
     if (path == "/fleet" && q.method == "GET") co_return json_reply(200, fleet());
-    if (path == "/mishaps" && q.method == "GET") co_return json_reply(200, mishaps());
+    if (path == "/mishaps" && q.method == "GET") co_return json_reply(200, mishaps_.json());
     if (path == "/nodes" && q.method == "GET") co_return json_reply(200, co_await whole_fleet());
     if (path == "/moves" && q.method == "GET") co_return json_reply(200, co_await moves());
     for (Register const r : all_registers) {
@@ -451,18 +396,7 @@
     return j;
   }
 
-  Json mishaps() const {
-    Json j = Json::array();
-    std::optional<std::vector<Noted>> const all = noted_.since(noted_.trimmed());
-    for (Noted const& n : *all)
-      j.push_back({{"at_ms", n.at_ms}, {"what", n.what}, {"step", n.step}, {"peer", n.peer}, {"reason", n.reason}});
-    return Json{{"mishaps", j}, {"trimmed", noted_.trimmed()}};
-  }
-
-  void note(std::string const& what, Mishap const& m) {
-    noted_.append(Noted{as_ms(w_.now() - started_), what, m.step, m.peer, m.reason});
-    log_warn(what, {{"step", m.step}, {"peer", m.peer}, {"reason", m.reason}});
-  }
+  void note(std::string const& what, Mishap const& m) { mishaps_.note(w_.now() - started_, what, m); }
 
   // ---- layouts
 
@@ -749,7 +683,7 @@
   std::uint64_t const epoch_;
   Instant const started_;
   Journal<Change> journal_{4096};
-  Journal<Noted> noted_{256};
+  Mishaps mishaps_;
   CellView view_;
   std::array<Held, 2> held_;
   bool leaving_ = false;
--- /dev/null
+++ b/source/protocol/http_words.hpp
@@ -0,0 +1,51 @@
+// Small words of HTTP that the doors share: a JSON answer, a header by its name,
+// and which headers end at a hop.
+#pragma once
+
+#include "protocol/json.hpp"
+#include "protocol/messages.hpp"
+
+namespace banktide {
+
+inline HttpReply json_reply(std::uint16_t const status, Json const& j) {
+  HttpReply r;
+  r.status = status;
+  r.headers.push_back({"Content-Type", "application/json"});
+  r.body = j.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+  return r;
+}
+
+inline std::string header_of(HttpRequest const& q, std::string_view const name) {
+  for (Header const& h : q.headers)
+    if (h.name.size() == name.size() && std::equal(h.name.begin(), h.name.end(), name.begin(), [](char a, char b) {
+          return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b));
+        }))
+      return h.value;
+  return "";
+}
+
+inline void strip_hop(std::vector<Header>& headers, bool const of_request) {
+  std::string named;
+  auto const lower = [](std::string s) {
+    for (char& ch : s) ch = static_cast<char>(std::tolower(static_cast<unsigned char>(ch)));
+    return s;
+  };
+  for (Header const& h : headers)
+    if (lower(h.name) == "connection") named += "," + lower(h.value) + ",";
+  std::erase(named, ' ');
+  static std::set<std::string> const hop{
+      "connection", "keep-alive",        "proxy-connection", "proxy-authenticate", "proxy-authorization", "te",
+      "trailer",    "transfer-encoding", "upgrade",          "content-length"};
+  std::erase_if(headers, [&](Header const& h) {
+    std::string const n = lower(h.name);
+    return hop.contains(n) || n.starts_with("banktide-") || (of_request && (n == "host" || n == "expect")) ||
+           named.find("," + n + ",") != std::string::npos;
+  });
+}
+
+// The answer to the node that carried a call here: nothing of it ran or will.
+inline CarryReply not_run(std::string step, std::string peer, std::string reason) {
+  return CarryReply{Outcome::not_run, {}, std::move(step), std::move(peer), std::move(reason)};
+}
+
+}  // namespace banktide
--- a/source/simulation/sim_machines.hpp
+++ b/source/simulation/sim_machines.hpp
@@ -5,6 +5,7 @@
 
 #include "programs/deployment.hpp"
 #include "programs/proxy.hpp"
+#include "programs/registry.hpp"
 #include "simulation/history.hpp"
 #include "simulation/sim_world.hpp"
 
--- /dev/null
+++ b/source/state/view_json.hpp
@@ -0,0 +1,45 @@
+// A cell's view as operators and the platform read it.
+#pragma once
+
+#include "protocol/json.hpp"
+#include "state/cell_view.hpp"
+
+namespace banktide {
+
+inline char const* standing_name(Standing const s) {
+  constexpr char const* names[] = {"fit", "suspected", "leaving", "dead"};
+  return names[static_cast<std::size_t>(s) & 3];
+}
+inline char const* role_name(Role const r) {
+  constexpr char const* names[] = {"node", "gateway", "registry"};
+  return names[std::min<std::size_t>(static_cast<std::size_t>(r), 2)];
+}
+
+inline Json view_json(CellView const& v) {
+  Json j = Json::object();
+  j["members"] = Json::array();
+  j["backends"] = Json::array();
+  j["cells"] = Json::array();
+  for (auto const& [id, m] : v.members)
+    j["members"].push_back({{"id", m.id},
+                            {"cell", m.cell},
+                            {"address", m.address},
+                            {"role", role_name(m.role)},
+                            {"incarnation", m.incarnation},
+                            {"standing", standing_name(m.standing)}});
+  for (auto const& [key, b] : v.backends)
+    j["backends"].push_back({{"service", b.service},
+                             {"instance", b.instance},
+                             {"node", b.node},
+                             {"port", b.port},
+                             {"burden", b.burden},
+                             {"standing", standing_name(b.standing)}});
+  for (auto const& [name, c] : v.cells) {
+    Json gateways = Json::array();
+    for (Member const& g : c.gateways) gateways.push_back({{"id", g.id}, {"address", g.address}});
+    j["cells"].push_back({{"cell", c.cell}, {"gateways", gateways}, {"offers", c.offers}});
+  }
+  return j;
+}
+
+}  // namespace banktide
