--- a/source/programs/fleet_main.cpp
+++ b/source/programs/fleet_main.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
+#include <mutex>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -206,7 +207,7 @@
   s.text("drill", "", "a cell to take out for three eighths of the run and bring back");
   s.list(
       "event",
-      "second:action:name, action one of kill, stop, continue, start, wipe, term, roll; name a process, cell=NAME or program=NAME; repeat");
+      "second:action:name, action one of kill, stop, continue, start, wipe, term, roll; name a process, cell=NAME or program=NAME; or second:storm:N, N revisions from each of two operators at once; repeat");
   s.check([&](std::vector<std::string>& errors) {
     if (s.text("deployment") != "kibble" && s.text("deployment") != "nilewise")
       errors.push_back("deployment: kibble or nilewise");
@@ -372,6 +373,38 @@
     std::cout << "moved " << what << ": " << (r ? r->body : r.error().reason + "\n") << std::flush;
   };
 
+  // Two operators at two registries, each as fast as it can: one sends, the other
+  // insists on following the newest revision that it knows.
+  std::vector<std::thread> stormers;
+  std::vector<std::vector<Acknowledged>> stormed;
+  std::mutex told;  // the stand-ins' own; no part of the mesh
+  auto const storm = [&](std::uint64_t const n) {
+    for (std::size_t const k : {0, 1})
+      stormers.emplace_back([&, n, k] {
+        std::vector<Acknowledged> taken;
+        std::map<std::uint16_t, std::uint64_t> by;
+        Json layout = Json::parse(d.routing);
+        Revision newest = 0;
+        for (std::uint64_t i = 0; i < n; ++i) {
+          layout["note"] = "storm " + std::to_string(k) + " " + std::to_string(i);
+          std::vector<Header> headers{{"Content-Type", "application/json"}};
+          if (k == 1) headers.push_back({"If-Match", std::to_string(newest)});
+          std::string const body = layout.dump();
+          Result<HttpReply> const r =
+              fleet.http(operators[(2 * k + 1) % operators.size()], "PUT", "/routing", body, headers);
+          ++by[r ? r->status : std::uint16_t{0}];
+          Json const j = r ? Json::parse(r->body, nullptr, false) : Json();
+          if (j.is_object()) newest = std::max<Revision>(newest, j.value("revision", Revision{0}));
+          if (r && r->status == 200) taken.push_back(Acknowledged{"routing", newest, fleet.now_ms(), body});
+        }
+        std::lock_guard<std::mutex> const lock(told);
+        std::cout << "storm, operator " << k << ":";
+        for (auto const& [status, count] : by) std::cout << " " << status << "=" << count;
+        std::cout << std::endl;
+        stormed.push_back(std::move(taken));
+      });
+  };
+
   Child calls{"caller", "", "banktide-caller", "", {}, 0, "", "", 0};
   calls.flags = {"--record",  folder / "calls.txt",
                  "--seconds", std::to_string(s.number("seconds")),
@@ -389,8 +422,12 @@
     if (::waitpid(calls.pid, &status, WNOHANG) == calls.pid) break;
     while (next_event < events.size() && world.now() - from >= std::chrono::seconds(events[next_event].second)) {
       Event const e = events[next_event++];
+      std::int64_t const at = fleet.now_ms();
+      fleet.doings_.faults.push_back(Stage{e.action + " " + e.name, at, at + 5000});
       if (e.action == "move" && !drill.empty())
         move(e.name);
+      else if (e.action == "storm")
+        storm(std::strtoull(e.name.c_str(), nullptr, 10));
       else
         fleet.apply(e);
     }
@@ -403,6 +440,8 @@
     std::this_thread::sleep_for(5ms);
   }
   calls.pid = 0;
+  for (std::thread& t : stormers) t.join();
+  for (std::vector<Acknowledged> const& taken : stormed) acks.insert(acks.end(), taken.begin(), taken.end());
   std::this_thread::sleep_for(500ms);
 
   std::uint64_t extras = 0;
--- a/source/programs/fleet_report.hpp
+++ b/source/programs/fleet_report.hpp
@@ -32,6 +32,7 @@
   std::map<std::string, std::string> cell_of;  // by process name, and by caller door
   std::map<std::string, std::vector<std::pair<std::int64_t, std::int64_t>>> down;
   std::vector<Stage> phases;
+  std::vector<Stage> faults;       // each with the seconds after it
   std::vector<std::string> usage;  // processor time and memory, by program
 };
 
@@ -41,12 +42,17 @@
               std::string const& readback, FleetDoings doings)
       : extras_(extras), doings_(std::move(doings)) {
     for (Stage const& p : doings_.phases) phases_.emplace_back().phase = p;
+    for (Stage const& f : doings_.faults) faults_.emplace_back().phase = f;
     read_runs(folder / "runs.txt");
     read_calls(folder / "calls.txt");
     read_logs(folder, acks);
     Acknowledged newest;
     for (Acknowledged const& a : acks)
       if (a.what == "routing" && a.revision > newest.revision) newest = a;
+    std::set<std::pair<std::string, Revision>> numbers;
+    for (Acknowledged const& a : acks)
+      if (!numbers.emplace(a.what, a.revision).second)
+        broken_.push_back("two " + a.what + " revisions have number " + std::to_string(a.revision));
     if (readback != newest.bytes) broken_.push_back("the routing read back is not the newest acknowledged");
   }
 
@@ -64,12 +70,9 @@
     out << "latency us: " << spread(latency_) << "\n";
     out << "acknowledged to in force on every running node, ms: " << spread(propagation_)
         << "; left out, as the node was down: " << left_out_ << "\n";
+    for (Seen const& s : faults_) print_seen(out, "after ", s);
     for (Seen const& s : phases_) {
-      out << "phase " << s.phase.name << ": " << s.calls << " calls, answered "
-          << (s.calls ? 100.0 * static_cast<double>(s.answered) / static_cast<double>(s.calls) : 0.0) << " %, not run "
-          << s.not_run << ", unknown " << s.unknown << "; last one not answered "
-          << (s.last_bad ? std::to_string(s.last_bad - s.phase.from_ms) + " ms after it began" : "never")
-          << "; latency us: " << spread(s.latency) << "\n";
+      print_seen(out, "phase ", s);
       for (auto const& [where, n] : s.runs)
         out << "  " << where << " "
             << static_cast<double>(
@@ -90,6 +93,24 @@
     std::vector<std::int64_t> latency;
     std::map<std::string, std::uint64_t> runs;  // by cell and service
   };
+  static void print_seen(std::ostream& out, char const* const what, Seen const& s) {
+    out << what << s.phase.name << ": " << s.calls << " calls, answered "
+        << (s.calls ? 100.0 * static_cast<double>(s.answered) / static_cast<double>(s.calls) : 0.0) << " %, not run "
+        << s.not_run << ", unknown " << s.unknown << "; last one not answered "
+        << (s.last_bad ? std::to_string(s.last_bad - s.phase.from_ms) + " ms after it began" : "never")
+        << "; latency us: " << spread(s.latency) << "\n";
+  }
+  static void count(Seen& s, std::int64_t const at, int const status, std::string const& outcome,
+                    std::int64_t const us) {
+    ++s.calls;
+    if (status == 200) {
+      ++s.answered;
+      s.latency.push_back(us);
+      return;
+    }
+    ++(outcome == "not-run" ? s.not_run : s.unknown);
+    s.last_bad = at;
+  }
   Seen* at_phase(std::int64_t const ms) {
     for (Seen& s : phases_)
       if (s.phase.from_ms <= ms && ms < s.phase.to_ms) return &s;
@@ -165,15 +186,11 @@
       int status = 0;
       std::int64_t us = 0;
       f >> at >> id >> name >> method >> key >> status >> outcome >> right >> retry >> us >> node >> reason;
-      if (Seen* const s = at_phase(std::stoll(at)); s != nullptr && outcome != "unsent") {
-        ++s->calls;
-        if (status == 200) {
-          ++s->answered;
-          s->latency.push_back(us);
-        } else {
-          ++(outcome == "not-run" ? s->not_run : s->unknown);
-          s->last_bad = std::stoll(at);
-        }
+      std::int64_t const when = std::stoll(at);
+      if (outcome != "unsent") {
+        if (Seen* const s = at_phase(when)) count(*s, when, status, outcome, us);
+        for (Seen& f : faults_)
+          if (f.phase.from_ms <= when && when < f.phase.to_ms) count(f, when, status, outcome, us);
       }
       ++calls_;
       ++outcomes_[name][outcome + "/" + std::to_string(status)];
@@ -234,7 +251,7 @@
 
   std::uint64_t const extras_;
   FleetDoings doings_;
-  std::vector<Seen> phases_;
+  std::vector<Seen> phases_, faults_;
   std::uint64_t left_out_ = 0;
   std::uint64_t calls_ = 0, runs_ = 0, strangers_ = 0;
   std::map<std::string, std::map<std::string, std::uint64_t>> outcomes_;
--- a/source/programs/shell_main.cpp
+++ b/source/programs/shell_main.cpp
@@ -3,6 +3,7 @@
 // streams at a prompt. Exit codes: 0 answered, 1 not answered or refused, 2 a
 // question that it doesn't know.
 #include "programs/process.hpp"
+#include "state/placement.hpp"
 #include "transport/http_edge.hpp"
 
 #include <cpprest/rawptrstream.h>
@@ -110,6 +111,7 @@
     if (words[0] == "decisions") return watch(words);
     if (words[0] == "send") return send(words);
     if (words[0] == "put") return put(words);
+    if (words[0] == "place") return place(words);
     for (Question const& q : questions)
       if (words[0] == q.name) return words.size() > 1 ? wrong(words[0] + " takes nothing more") : ask(q);
     return wrong("no such question: " + words[0] + "; try help");
@@ -121,7 +123,8 @@
     std::cout
         << "  decisions [service=S] [decision=stay|cross|drop] [cell=C] [after=WORD] [lines=N]   calls as they are decided\n"
            "  send FILE|-         changes, a JSON object a line, each with its verdict as it falls\n"
-           "  put routing|catalogue FILE   a whole new revision\n";
+           "  put routing|catalogue FILE   a whole new revision\n"
+           "  place FILE          a catalogue that meets the file's constraints, with the fewest moves\n";
     return 0;
   }
 
@@ -180,17 +183,45 @@
   int put(std::vector<std::string> const& words) {
     if (words.size() != 3 || (words[1] != "routing" && words[1] != "catalogue"))
       return wrong("put routing|catalogue FILE");
-    std::ifstream in(words[2]);
-    std::stringstream all;
-    all << in.rdbuf();
-    if (!in) return failed("read_file", words[2], "can't be read");
-    HttpRequest const q{"PUT", "/" + words[1], {{"Content-Type", "application/json"}}, all.str()};
+    std::optional<std::string> const bytes = file_bytes(words[2]);
+    if (!bytes) return failed("read_file", words[2], "can't be read");
+    HttpRequest const q{"PUT", "/" + words[1], {{"Content-Type", "application/json"}}, *bytes};
     Result<HttpReply> const r = http(q);
     if (!r) return failed(r.error().step, r.error().peer, r.error().reason);
     std::cout << r->body;
     return r->status == 200 ? 0 : 1;
   }
 
+  static std::optional<std::string> file_bytes(std::string const& path) {
+    std::ifstream in(path);
+    std::stringstream all;
+    all << in.rdbuf();
+    if (!in) return std::nullopt;
+    return all.str();
+  }
+
+  // Only prints the catalogue; to have it is a matter of `put`.
+  int place(std::vector<std::string> const& words) {
+    if (words.size() != 2) return wrong("place FILE");
+    std::optional<std::string> const constraints = file_bytes(words[1]);
+    if (!constraints) return failed("read_file", words[1], "can't be read");
+    HttpRequest const q{"GET", "/routing", {}, ""}, c{"GET", "/catalogue", {}, ""};
+    Result<HttpReply> const routing = http(q);
+    if (!routing) return failed(routing.error().step, routing.error().peer, routing.error().reason);
+    if (routing->status != 200) return failed("answer", door_, std::to_string(routing->status) + " " + routing->body);
+    Result<HttpReply> const catalogue = http(c);
+    if (!catalogue) return failed(catalogue.error().step, catalogue.error().peer, catalogue.error().reason);
+    if (catalogue->status != 200 && catalogue->status != 404)
+      return failed("answer", door_, std::to_string(catalogue->status) + " " + catalogue->body);
+    Result<Layout> const layout = Layout::read(routing->body);
+    if (!layout) return failed(layout.error().step, door_, layout.error().reason);
+    Result<std::string> const placed =
+        Placement::solve(*constraints, *layout, catalogue->status == 200 ? catalogue->body : "");
+    if (!placed) return failed(placed.error().step, placed.error().peer, placed.error().reason);
+    std::cout << *placed << "\n";
+    return 0;
+  }
+
   // A reply read line by line while it comes; `line` says whether to go on.
   template <class F>
   int read_lines(std::string const& target, F line) {
--- a/source/state/layout.hpp
+++ b/source/state/layout.hpp
@@ -271,7 +271,11 @@
   return out;
 }
 
+}  // namespace banktide
+
 #ifdef TESTS_OF_LAYOUT
+#include <random>
+namespace banktide {
 inline std::string const sample_layout =
     R"({"cells":["a","b"],"services":{"pay":{"key":{"header":"x-key","slices":8},"idempotent":["GET"]},"browse":{}},"ways":[{"prefix":"/pay","service":"pay"},{"prefix":"/","service":"browse"}]})";
 
@@ -331,6 +335,54 @@
   EXPECT_EQ(choose_cells(l, c, "a", browse, 0, nowhere).dropped, "no cell has the service");
 }
 
+// Any bytes are refused with a step, or read into something whole.
+TEST(Layout, spoilt_revisions_are_refused_with_a_step_or_read_into_something_whole) {
+  std::string const catalogue =
+      R"({"cells":{"a":{"pay":{"slices":[[0,3]]}},"b":{"pay":{"slices":[[4,7]]},"browse":{}}},"closed":[]})";
+  std::vector<std::string> const pieces{"{",  "}",    "[",   "]",  ",",    ":",      "\"",    "null",
+                                        "-1", "1e9",  "0",   "\\", "\xff", "true",   "\"a\"", "7",
+                                        "8",  "1024", "pay", "b",  "{}",   "[[0,7]]"};
+  Layout const whole = *Layout::read(sample_layout);
+  std::mt19937_64 r(3);
+  std::size_t refused = 0, taken = 0;
+  for (int i = 0; i < 20000; ++i) {
+    bool const routing = r() % 2 == 0;
+    std::string s = routing ? sample_layout : catalogue;
+    for (std::uint64_t n = 1 + r() % 3; n > 0; --n) {
+      std::size_t const at = r() % s.size(), len = std::min<std::size_t>(r() % 6, s.size() - at);
+      s.replace(at, len, r() % 4 == 0 ? std::string(1, static_cast<char>(r())) : pieces[r() % pieces.size()]);
+    }
+    if (routing) {
+      Result<Layout> const l = Layout::read(s);
+      (l ? taken : refused) += 1;
+      if (!l) {
+        ASSERT_FALSE(l.error().step.empty()) << s;
+        continue;
+      }
+      ASSERT_EQ(l->services.size(), l->service_names.size()) << s;
+      for (Way const& w : l->ways) ASSERT_LT(w.service, l->services.size()) << s;
+      for (Service const& v : l->services) ASSERT_LE(v.slices, 1024u) << s;
+      ASSERT_TRUE(Catalogue::read(catalogue, *l, true)) << s;
+    } else {
+      Result<Catalogue> const c = Catalogue::read(s, whole);
+      (c ? taken : refused) += 1;
+      if (!c) {
+        ASSERT_FALSE(c.error().step.empty()) << s;
+        Catalogue::read(s, whole, true);
+        continue;
+      }
+      for (Index v = 0; v < whole.services.size(); ++v)
+        for (std::uint32_t slice = 0; slice < whole.services[v].slices; ++slice) {
+          int cells = 0;
+          for (Catalogue::Entry const& e : c->entries[v]) cells += e.serves(slice);
+          ASSERT_LE(cells, 1) << s;
+        }
+    }
+  }
+  EXPECT_GT(refused, 10000u);
+  EXPECT_GT(taken, 100u);
+}
+
 TEST(Catalogue, a_slice_it_is_silent_on_has_one_home_that_all_agree_on) {
   Layout const l = *Layout::read(sample_layout);
   Index const pay = l.service_names.find("pay");
@@ -347,6 +399,5 @@
   EXPECT_LT(at_a, 8u);
   EXPECT_FALSE(choose_cells(l, Catalogue{}, "a", pay, 0, [] { return std::set<std::string>{}; }).dropped.empty());
 }
-#endif
-
 }  // namespace banktide
+#endif
--- /dev/null
+++ b/source/state/placement.hpp
@@ -0,0 +1,332 @@
+// Where services and key slices should go: constraints from a file (how much
+// each cell bears, what each service weighs, in how many cells it must be, what
+// is kept apart), solved by z3 with the fewest moves from the catalogue of now.
+// What can't be met is named.
+#pragma once
+
+#include "state/layout.hpp"
+
+#include <z3++.h>
+
+namespace banktide {
+
+class Placement {
+ public:
+  static constexpr char const* schema = R"({
+    "type": "object", "additionalProperties": false, "required": ["cells", "services"],
+    "properties": {
+      "cells": {"type": "object", "minProperties": 1, "maxProperties": 64, "additionalProperties": {
+        "type": "object", "additionalProperties": false, "required": ["capacity"],
+        "properties": {"capacity": {"type": "integer", "minimum": 0, "maximum": 1000000000}}}},
+      "services": {"type": "object", "minProperties": 1, "maxProperties": 1000, "additionalProperties": {
+        "type": "object", "additionalProperties": false, "required": ["burden"],
+        "properties": {
+          "burden": {"type": "integer", "minimum": 0, "maximum": 1000000},
+          "spread": {"type": "integer", "minimum": 1, "maximum": 64},
+          "cells": {"type": "array", "minItems": 1, "uniqueItems": true, "items": {"type": "string"}}}}},
+      "apart": {"type": "array", "maxItems": 1000, "items": {"type": "array", "minItems": 2, "maxItems": 2, "uniqueItems": true, "items": {"type": "string"}}}}})";
+
+  // The new catalogue's bytes. `burden` is one slice's for a keyed service; for
+  // another it is the whole service's in each of its cells.
+  static Result<std::string> solve(std::string const& constraints, Layout const& layout, std::string const& catalogue) {
+    Result<Json> const want = parse_json(constraints);
+    if (!want) return tl::unexpected<Mishap>(want.error());
+    Result<bool> const fits = check_schema(*want, schema);
+    if (!fits) return tl::unexpected<Mishap>(fits.error());
+    Result<bool> const known = check_names(*want, layout);
+    if (!known) return tl::unexpected<Mishap>(known.error());
+    Result<Json> now = catalogue.empty() ? Result<Json>(Json{{"cells", Json::object()}}) : parse_json(catalogue);
+    if (!now) return tl::unexpected<Mishap>(now.error());
+    try {
+      Placement p(*want, layout, *now);
+      Result<bool> const met = p.meet();
+      if (!met) return tl::unexpected<Mishap>(met.error());
+      return p.catalogue().dump();
+    } catch (z3::exception const& e) {
+      return mishap("solve", "", e.msg(), Proof::not_run);
+    }
+  }
+
+ private:
+  struct Part {
+    std::string service, cell;
+    bool keyed = false;
+    std::vector<std::uint32_t> had;  // slices; for a service without keys one 0 if it was here
+    z3::expr n;                      // how many slices; 0 or 1 without keys
+  };
+
+  Placement(Json const& want, Layout const& layout, Json now)
+      : want_(want), layout_(layout), now_(std::move(now)), rules_(z_) {
+    for (auto const& [service, w] : want_["services"].items())
+      for (auto const& [cell, c] : want_["cells"].items()) {
+        Service const& s = layout_.services[layout_.service_names.find(service)];
+        Part p{service, cell, s.keyed(), {}, z_.int_const((service + "@" + cell).c_str())};
+        Json const& cells = now_["cells"];
+        if (cells.contains(cell) && cells[cell].contains(service)) {
+          Json const all = s.keyed() ? Json{{0, s.slices - 1}} : Json{{0, 0}};
+          for (Json const& range : cells[cell][service].value("slices", all))
+            for (std::uint32_t i = range[0]; i <= range[1].get<std::uint32_t>(); ++i) p.had.push_back(i);
+        }
+        parts_.push_back(std::move(p));
+      }
+  }
+
+  static Result<bool> check_names(Json const& want, Layout const& layout) {
+    for (auto const& [cell, c] : want["cells"].items())
+      if (layout.cells.find(cell) == no_index)
+        return mishap("check_references", "/cells/" + cell, "no such cell", Proof::not_run);
+    for (auto const& [service, w] : want["services"].items()) {
+      if (layout.service_names.find(service) == no_index)
+        return mishap("check_references", "/services/" + service, "no such service", Proof::not_run);
+      for (Json const& cell : w.value("cells", Json::array()))
+        if (!want["cells"].contains(cell.get<std::string>()))
+          return mishap("check_references", "/services/" + service + "/cells", "a cell that isn't among the cells",
+                        Proof::not_run);
+    }
+    std::size_t at = 0;
+    for (Json const& pair : want.value("apart", Json::array())) {
+      for (Json const& service : pair)
+        if (!want["services"].contains(service.get<std::string>()))
+          return mishap("check_references", "/apart/" + std::to_string(at), "a service that isn't among the services",
+                        Proof::not_run);
+      ++at;
+    }
+    return true;
+  }
+
+  void rule(z3::expr const& e, std::string const& pointer) {
+    rules_.push_back(e);
+    pointers_.push_back(pointer);
+  }
+
+  z3::expr number(std::uint64_t const n) { return z_.int_val(n); }
+
+  void make_rules() {
+    for (auto const& [service, w] : want_["services"].items()) {
+      Service const& s = layout_.services[layout_.service_names.find(service)];
+      z3::expr sum = number(0), cells = number(0);
+      for (Part const& p : parts_) {
+        if (p.service != service) continue;
+        sum = sum + p.n;
+        cells = cells + z3::ite(p.n > 0, number(1), number(0));
+        Json const allowed = w.value("cells", Json::array());
+        if (!allowed.empty() && std::find(allowed.begin(), allowed.end(), Json(p.cell)) == allowed.end())
+          rule(p.n == 0, "/services/" + service + "/cells");
+      }
+      if (s.keyed()) rule(sum == number(s.slices), "/services/" + service);
+      rule(cells >= number(w.value("spread", 1u)), "/services/" + service + "/spread");
+    }
+    for (auto const& [cell, c] : want_["cells"].items()) {
+      z3::expr sum = number(0);
+      for (Part const& p : parts_)
+        if (p.cell == cell) sum = sum + number(want_["services"][p.service]["burden"].get<std::uint64_t>()) * p.n;
+      rule(sum <= number(c["capacity"].get<std::uint64_t>()), "/cells/" + cell + "/capacity");
+    }
+    std::size_t at = 0;
+    for (Json const& pair : want_.value("apart", Json::array())) {
+      for (Part const& a : parts_)
+        for (Part const& b : parts_)
+          if (a.cell == b.cell && pair[0] == a.service && pair[1] == b.service)
+            rule(a.n == 0 || b.n == 0, "/apart/" + std::to_string(at));
+      ++at;
+    }
+  }
+
+  z3::expr bounds() {
+    z3::expr all = z_.bool_val(true);
+    for (Part const& p : parts_) {
+      std::uint32_t const most = p.keyed ? layout_.services[layout_.service_names.find(p.service)].slices : 1;
+      all = all && p.n >= 0 && p.n <= number(most);
+    }
+    return all;
+  }
+
+  // The fewest moves, then as few places as that leaves.
+  Result<bool> meet() {
+    make_rules();
+    z3::optimize best(z_);
+    z3::params limits(z_);
+    limits.set("timeout", 20000u);
+    best.set(limits);
+    best.add(bounds());
+    z3::expr moves = number(0), places = number(0);
+    for (Part const& p : parts_) {
+      z3::expr const had = number(p.had.size());
+      moves = moves + z3::ite(p.n > had, p.n - had, had - p.n);
+      places = places + z3::ite(p.n > 0, number(1), number(0));
+    }
+    for (z3::expr const& r : rules_) best.add(r);
+    best.minimize(moves);
+    best.minimize(places);
+    z3::check_result const r = best.check();
+    if (r == z3::unsat) return unmet();
+    if (r == z3::unknown) return mishap("solve", "", "no answer in 20 s", Proof::not_run);
+    z3::model const m = best.get_model();
+    for (Part const& p : parts_) counts_.push_back(static_cast<std::size_t>(m.eval(p.n, true).get_numeral_int()));
+    return true;
+  }
+
+  // Which constraints can't be met together.
+  Result<bool> unmet() {
+    z3::solver s(z_);
+    s.add(bounds());
+    for (std::size_t i = 0; i < pointers_.size(); ++i)
+      s.add(rules_[static_cast<int>(i)], ("r" + std::to_string(i)).c_str());
+    s.check();
+    std::set<std::string> names;
+    z3::expr_vector const core = s.unsat_core();
+    for (unsigned i = 0; i < core.size(); ++i)
+      names.insert(pointers_[std::stoul(core[static_cast<int>(i)].decl().name().str().substr(1))]);
+    std::string all;
+    for (std::string const& n : names) all += (all.empty() ? "" : " ") + n;
+    return mishap("solve", all, "these can't be met together", Proof::not_run);
+  }
+
+  // The catalogue of now with the services of the file placed anew: a cell keeps
+  // what it had as far as it may, the rest goes where there is room.
+  Json catalogue() const {
+    Json out = now_;
+    for (auto const& [service, w] : want_["services"].items()) {
+      for (auto& [cell, services] : out["cells"].items()) services.erase(service);
+      Service const& s = layout_.services[layout_.service_names.find(service)];
+      std::vector<bool> free(std::max<std::uint32_t>(s.slices, 1), true);
+      std::map<std::string, std::vector<std::uint32_t>> has;
+      for (std::size_t i = 0; i < parts_.size(); ++i)
+        if (parts_[i].service == service)
+          for (std::uint32_t const slice : parts_[i].had)
+            if (has[parts_[i].cell].size() < counts_[i] && (free[slice] || !parts_[i].keyed)) {
+              has[parts_[i].cell].push_back(slice);
+              free[slice] = false;
+            }
+      for (std::size_t i = 0; i < parts_.size(); ++i)
+        for (std::uint32_t slice = 0;
+             parts_[i].service == service && has[parts_[i].cell].size() < counts_[i] && slice < free.size(); ++slice)
+          if (free[slice] || !parts_[i].keyed) {
+            has[parts_[i].cell].push_back(slice);
+            free[slice] = false;
+          }
+      for (auto& [cell, slices] : has) {
+        if (slices.empty()) continue;
+        Json entry = Json::object();
+        std::sort(slices.begin(), slices.end());
+        for (std::size_t i = 0; s.keyed() && i < slices.size(); ++i) {
+          Json& ranges = entry["slices"];
+          if (!ranges.empty() && ranges.back()[1].get<std::uint32_t>() + 1 == slices[i])
+            ranges.back()[1] = slices[i];
+          else
+            ranges.push_back({slices[i], slices[i]});
+        }
+        out["cells"][cell][service] = entry;
+      }
+    }
+    return out;
+  }
+
+  Json const want_;
+  Layout const& layout_;
+  Json const now_;
+  z3::context z_;
+  z3::expr_vector rules_;
+  std::vector<std::string> pointers_;
+  std::vector<Part> parts_;
+  std::vector<std::size_t> counts_;
+};
+
+}  // namespace banktide
+
+#ifdef TESTS_OF_PLACEMENT
+#include <random>
+namespace banktide {
+
+// Every way to split a keyed service's slices and to place one without keys.
+inline std::optional<std::uint64_t> fewest_moves(Json const& want, std::vector<int> const& had) {
+  std::optional<std::uint64_t> best;
+  std::vector<std::string> const cells{"a", "b", "c"};
+  auto const cap = [&](int const i) {
+    return want["cells"][cells[static_cast<std::size_t>(i)]]["capacity"].get<int>();
+  };
+  int const pay = want["services"]["pay"]["burden"], browse = want["services"]["browse"]["burden"];
+  for (int x = 0; x <= 8; ++x)
+    for (int y = 0; x + y <= 8; ++y)
+      for (int mask = 0; mask < 8; ++mask) {
+        int const n[3] = {x, y, 8 - x - y};
+        bool good = true;
+        int spread = 0, open = 0;
+        std::uint64_t moves = 0;
+        for (int i = 0; i < 3; ++i) {
+          bool const here = mask >> i & 1;
+          good = good && n[i] * pay + here * browse <= cap(i);
+          if (want.contains("apart")) good = good && !(here && n[i] > 0);
+          spread += n[i] > 0;
+          open += here;
+          moves += static_cast<std::uint64_t>(std::abs(n[i] - had[static_cast<std::size_t>(i)]) + here);
+        }
+        good = good && spread >= want["services"]["pay"]["spread"] && open >= want["services"]["browse"]["spread"];
+        if (good && (!best || moves < *best)) best = moves;
+      }
+  return best;
+}
+
+TEST(Placement, moves_as_little_as_the_best_of_all_placements_or_names_what_cannot_be_met) {
+  Layout const l = *Layout::read(
+      R"({"cells":["a","b","c"],"services":{"pay":{"key":{"header":"x-key","slices":8}},"browse":{}},"ways":[]})");
+  std::string const now = R"({"cells":{"a":{"pay":{"slices":[[0,4]]}},"b":{"pay":{"slices":[[5,7]]}}},"closed":[]})";
+  std::mt19937_64 r(9);
+  int unmet = 0, met = 0;
+  for (int i = 0; i < 40; ++i) {
+    Json want = {
+        {"cells", {{"a", {{"capacity", r() % 60}}}, {"b", {{"capacity", r() % 60}}}, {"c", {{"capacity", r() % 60}}}}},
+        {"services",
+         {{"pay", {{"burden", 5 + r() % 6}, {"spread", 1 + r() % 3}}},
+          {"browse", {{"burden", r() % 20}, {"spread", 1 + r() % 2}}}}}};
+    if (r() % 3 == 0) want["apart"] = Json::array({Json::array({"pay", "browse"})});
+    std::optional<std::uint64_t> const best = fewest_moves(want, {5, 3, 0});
+    Result<std::string> const got = Placement::solve(want.dump(), l, now);
+    ASSERT_EQ(got.has_value(), best.has_value()) << want << (got ? *got : got.error().reason);
+    if (!got) {
+      ++unmet;
+      EXPECT_EQ(got.error().step, "solve");
+      EXPECT_NE(got.error().peer.find("/"), std::string::npos);
+      continue;
+    }
+    ++met;
+    ASSERT_TRUE(Catalogue::read(*got, l)) << *got;
+    Json const j = Json::parse(*got);
+    std::uint64_t moves = 0, slices = 0, k = 0;
+    for (std::string const cell : {"a", "b", "c"}) {
+      std::uint64_t n = 0;
+      Json const here = j["cells"].value(cell, Json::object());
+      for (Json const& range : here.value("pay", Json::object()).value("slices", Json::array()))
+        n += range[1].get<std::uint64_t>() - range[0].get<std::uint64_t>() + 1;
+      std::uint64_t const had = k == 0 ? 5 : k == 1 ? 3 : 0;
+      moves += (n > had ? n - had : had - n) + here.contains("browse");
+      slices += n;
+      ++k;
+    }
+    EXPECT_EQ(slices, 8u);
+    EXPECT_EQ(moves, *best) << want << *got;
+  }
+  EXPECT_GT(met, 5);
+  EXPECT_GT(unmet, 5);
+}
+
+TEST(Placement, a_bad_file_is_refused_with_its_pointer) {
+  Layout const l = *Layout::read(R"({"cells":["a"],"services":{"browse":{}},"ways":[]})");
+  struct Bad {
+    std::string text, step, pointer;
+  };
+  for (Bad const& b :
+       {Bad{"{", "parse_json", ""}, Bad{R"({"cells":{}})", "check_schema", "/cells"},
+        Bad{R"({"cells":{"x":{"capacity":1}},"services":{"browse":{"burden":1}}})", "check_references", "/cells/x"},
+        Bad{R"({"cells":{"a":{"capacity":1}},"services":{"pay":{"burden":1}}})", "check_references", "/services/pay"},
+        Bad{R"({"cells":{"a":{"capacity":1}},"services":{"browse":{"burden":5}}})", "solve",
+            "/cells/a/capacity /services/browse/spread"}}) {
+    Result<std::string> const r = Placement::solve(b.text, l, "");
+    ASSERT_FALSE(r) << b.text;
+    EXPECT_EQ(r.error().step, b.step) << b.text;
+    EXPECT_EQ(r.error().peer, b.pointer) << r.error().reason;
+  }
+}
+
+}  // namespace banktide
+#endif
