--- a/source/coordination/backend_side.hpp
+++ b/source/coordination/backend_side.hpp
@@ -20,7 +20,7 @@
 template <Surroundings W, BackendEdge B>
 class BackendSide {
  public:
-  BackendSide(NodeState<W>& n, B& edge) : n_(n), w_(n.w), s_(n.s), edge_(edge), leases_(n.w) {}
+  BackendSide(NodeState<W>& n, B& edge) : n_(n), w_(n.w), s_(n.s), edge_(edge), leases_(n.w), tick_(n.w.now()) {}
 
   void start(Desk& desk) {
     desk.on<Drain>([this](Drain q) { return drain(std::move(q)); });
@@ -41,6 +41,7 @@
       "leaving": {"type": "boolean"}}})";
 
   HttpReply beat(std::string const& body) {
+    notice_freeze();
     Result<Json> j = parse_json(body, 4096);
     Result<bool> const fits = j ? check_schema(*j, beat_schema) : Result<bool>(tl::unexpected<Mishap>(j.error()));
     if (!fits) {
@@ -81,6 +82,7 @@
 
   // The part of the node beside the backend.
   Task<CarryReply> execute(Carry c) {
+    notice_freeze();
     Instant const now = w_.now();
     Instant const deadline = now + std::chrono::milliseconds(c.budget_ms);
     std::pair<std::string, std::string> const key{c.service, c.instance};
@@ -96,6 +98,8 @@
     auto const it = n_.local.find(key);
     if (it == n_.local.end() || !n_.usable(it->second, now))
       co_return not_run("backend", s_.id, "backend is gone, leaving or silent");
+    if (it->second.beaten < woke_ + settling && !broken_on_purpose("trusts_thawed"))
+      co_return not_run("backend", s_.id, "backend has not beaten since this node was frozen");
     if (it->second.in_flight >= s_.backend_limit) co_return not_run("backlog", s_.id, "backend has its fill");
     Slice const slice{c.service, service.mapping(), c.slice};
     std::uint64_t epoch = 0;
@@ -205,9 +209,17 @@
   // until an instance beats from it again, so that whoever comes to the address
   // next is not called in the old one's name.
   // Each backend has a probe of its own, so that one that hangs delays no other.
+  // Who was frozen knows nothing of what its backends' ports have become. Until
+  // one beats again, and not with what lay unread meanwhile, nothing goes there.
+  void notice_freeze() {
+    if (w_.now() - tick_ > frozen_from) woke_ = w_.now();
+    tick_ = w_.now();
+  }
+
   Task<void> keep_probing() {
     while (true) {
       co_await sleep_for(w_, 100ms);
+      notice_freeze();
       for (auto& [key, l] : n_.local) {
         if (l.refused || l.probing || broken_on_purpose("no_probe")) continue;
         l.probing = true;
@@ -255,6 +267,8 @@
   ProxySettings& s_;
   B& edge_;
   SliceLeases<W> leases_;
+  static constexpr Duration frozen_from = 300ms, settling = 100ms;
+  Instant tick_, woke_{};
 };
 
 }  // namespace banktide
--- a/source/simulation/sim_fleet.hpp
+++ b/source/simulation/sim_fleet.hpp
@@ -628,10 +628,23 @@
     EXPECT_EQ(broken_by("kibble", seed, {"reuse_port_naive", "reuse_port_intruder"}), "");
 }
 
+// Seeds that broke: the port changed hands while the node was frozen.
+TEST(SimFleet, nothing_reaches_an_address_that_was_taken_over_while_its_node_was_frozen) {
+  for (std::uint64_t const seed : {17, 42, 53}) {
+    Scenario s;
+    s.seed = seed;
+    s.only = {"freeze_node", "reuse_port_intruder", "reuse_port_naive"};
+    s.fault_every = 1200ms;
+    SimFleet fleet(s);
+    EXPECT_EQ(joined(fleet.run().broken()), "") << seed;
+  }
+}
+
 // Seeds that broke: the first call of a sender to a node that had just started
 // waited out a cut, and ran past its deadline.
 TEST(SimFleet, a_senders_first_call_to_a_new_node_runs_in_time_or_not_at_all) {
-  for (std::uint64_t const seed : {7, 31}) EXPECT_EQ(broken_by("kibble", seed, {"kill_herd", "drain_then_cut"}, 30s), "");
+  for (std::uint64_t const seed : {7, 31})
+    EXPECT_EQ(broken_by("kibble", seed, {"kill_herd", "drain_then_cut"}, 30s), "");
 }
 
 TEST(SimFleet, every_machine_is_rolled_and_no_answer_lost) {
@@ -727,6 +740,7 @@
         Broken{"slips_back", "slipped back", {"kill_node"}},
         Broken{"drain_unheard", "after its drain", {"drain_backend", "replace_backend"}},
         Broken{"no_probe", "ran at a service that was never allowed", {"reuse_port_intruder"}},
+        Broken{"trusts_thawed", "ran at the wrong service", {"freeze_node", "reuse_port_naive"}, 1200},
         Broken{"old_catalogue", "where no catalogue of then lets it", {"kill_node"}},
         Broken{"swaps_answers", "wrong answer", {"kill_node"}},
         Broken{"leaves_at_once", "a planned restart lost the answer", {"roll_node"}},
