--- /dev/null
+++ b/source/simulation/sim_mishaps.hpp
@@ -0,0 +1,522 @@
+// Mishaps drawn from the seed, and their doing: machines killed, rolled and
+// frozen, power and disks lost, links cut, backends that die, leave and are
+// replaced, operators that err and storm. Each kind says until when it goes on.
+#pragma once
+
+#include "simulation/sim_traffic.hpp"
+
+namespace banktide {
+
+class SimMishaps : public SimTraffic {
+ protected:
+  explicit SimMishaps(Scenario s) : SimTraffic(std::move(s)) {
+    net_.struck = [this](SimProcess& p, std::uint8_t const kind) { return struck(p, kind); };
+  }
+
+  static std::vector<std::string> const& kinds() {
+    static std::vector<std::string> const all{"kill_node",
+                                              "kill_herd",
+                                              "kill_gateways",
+                                              "roll_node",
+                                              "freeze_node",
+                                              "roll_registry",
+                                              "roll_store",
+                                              "kill_registry",
+                                              "freeze_registry",
+                                              "power_core",
+                                              "power_all",
+                                              "power_after_vote",
+                                              "power_two_after_vote",
+                                              "power_coordinator",
+                                              "kill_between_rounds",
+                                              "lose_disk",
+                                              "lose_disk_after_vote",
+                                              "stall_disk",
+                                              "stall_disks",
+                                              "cut_core",
+                                              "cut_core_one",
+                                              "cut_cell",
+                                              "isolate",
+                                              "isolate_one_way",
+                                              "weather",
+                                              "kill_backend",
+                                              "replace_backend",
+                                              "reuse_port",
+                                              "reuse_port_naive",
+                                              "reuse_port_intruder",
+                                              "empty_service",
+                                              "drain_backend",
+                                              "drain_then_kill",
+                                              "drain_then_freeze",
+                                              "drain_then_cut",
+                                              "drain_registry_dead",
+                                              "freeze_backend",
+                                              "hot_key",
+                                              "bad_revision",
+                                              "race",
+                                              "storm"};
+    return all;
+  }
+
+  void keep_failing(Instant const end) {
+    if (sim_.now >= end) return;
+    std::vector<std::string> mine;
+    for (std::string const& k : kinds())
+      if (scenario_.only.empty() || scenario_.only.contains(k)) mine.push_back(k);
+    if (scenario_.only.contains("roll_all") && counted_["roll_all"] == 0) mine = {"roll_all"};
+    if (!mine.empty()) {
+      std::string const kind = mine[sim_.chance() % mine.size()];
+      ++counted_[kind];
+      mishap_kind_ = kind;
+      mishap_at_ = sim_.now;
+      if (scenario_.verbose) log_info("sim_mishap", {{"kind", kind}, {"at_ms", at_ms()}});
+      fail(kind);
+    }
+    sim_.after(
+        scenario_.fault_every / 2 + Duration(sim_.chance() % static_cast<std::uint64_t>(scenario_.fault_every.count())),
+        [this, end] { keep_failing(end); });
+  }
+
+  void busy_for(Duration const d) { busy_until_ = std::max(busy_until_, sim_.now + d); }
+
+  void fail(std::string const& kind) {
+    std::size_t const node = sim_.chance() % nodes_.size(), core = anyone(), backend = sim_.chance() % backends_.size();
+    Duration const for_a_while = std::chrono::milliseconds(300 + sim_.chance() % 4000);
+    busy_for(for_a_while + 100ms);
+    fail_machines(kind, node, core, for_a_while);
+    fail_core(kind, core, for_a_while);
+    fail_links(kind, core, for_a_while);
+    fail_backend(kind, backend, core, for_a_while);
+    fail_operators(kind, core);
+    if (kind == "hot_key") {
+      hot_ = true;
+      sim_.after(for_a_while, [this] { hot_ = false; });
+    }
+  }
+
+  void fail_machines(std::string const& kind, std::size_t const node, std::size_t const core,
+                     Duration const for_a_while) {
+    if (kind == "kill_node") kill_node(node, for_a_while);
+    if (kind == "kill_herd") {
+      for (std::size_t i = 0; i < nodes_.size(); ++i)
+        if (sim_.chance() % 3 == 0) kill_node(i, for_a_while);
+      for (std::size_t k = 0; k < controls_.size(); ++k)
+        if (sim_.chance() % 3 == 0) kill_control(k, for_a_while);
+    }
+    if (kind == "kill_gateways")
+      for (std::size_t i = 0; i < nodes_.size(); ++i)
+        if (nodes_[i].gateway && nodes_[i].cell == controls_[core].cell) kill_node(i, for_a_while);
+    if (kind == "roll_node") roll_node(node);
+    if (kind == "roll_registry") roll_control(core);
+    if (kind == "roll_store") roll_voter(core);
+    if (kind == "roll_all") {
+      std::size_t at = 0;
+      for (std::size_t i = 0; i < nodes_.size(); ++i) sim_.after(9s * at++, [this, i] { roll_node(i); });
+      for (std::size_t k = 0; k < controls_.size(); ++k) {
+        sim_.after(9s * at++, [this, k] { roll_control(k); });
+        sim_.after(9s * at++, [this, k] { roll_voter(k); });
+      }
+      busy_for(9s * at);
+    }
+    if (kind == "freeze_node") freeze(nodes_[node].process, for_a_while);
+    if (kind == "kill_registry") kill_control(core, for_a_while);
+    if (kind == "freeze_registry") freeze(controls_[core].process, for_a_while);
+  }
+
+  // ---- the core machines: voters, their disks and the registries beside them
+
+  void power_off(std::size_t const k, bool const wipe, Duration const down) {
+    if (!voters_[k].process->alive) return;
+    voters_[k].process->kill();
+    if (wipe) voters_[k].disk.durable = VoterRecord{};
+    kill_control(k, down);
+    sim_.after(down, [this, k] {
+      if (!voters_[k].process->alive && !gone_.contains(voters_[k].machine)) start_voter(k);
+    });
+  }
+
+  // A lost disk must be back and voting before the next one may go.
+  bool may_lose_a_disk() const {
+    return std::all_of(voters_.begin(), voters_.end(),
+                       [](Voter const& v) { return v.process->alive && v.acceptor->phase() == Phase::voting; });
+  }
+
+  struct Strike {
+    std::set<std::size_t> voters;
+    std::uint8_t kind = 0;
+    bool wipe = false;
+    Duration down{};
+  };
+
+  bool struck(SimProcess& p, std::uint8_t const kind) {
+    if (!strike_ || kind != strike_->kind) return false;
+    for (std::size_t const k : strike_->voters) {
+      if (voters_[k].process.get() != &p) continue;
+      bool const wipe = strike_->wipe && may_lose_a_disk();
+      Duration const down = strike_->down;
+      bool const before = sim_.chance() % 2 == 0;
+      strike_->voters.erase(k);
+      if (before)
+        power_off(k, wipe, down);
+      else
+        sim_.after(0s, [this, k, wipe, down] { power_off(k, wipe, down); });
+      return before;
+    }
+    return false;
+  }
+
+  void tapped_accept(SimProcess const& from) override {
+    if (!between_rounds_) return;
+    for (std::size_t k = 0; k < controls_.size(); ++k)
+      if (controls_[k].process.get() == &from) {
+        between_rounds_ = false;
+        sim_.after(std::chrono::microseconds(sim_.chance() % 300), [this, k] { kill_control(k, 1500ms); });
+      }
+  }
+
+  void acknowledged(std::size_t const at) override {
+    if (!after_yes_) return;
+    after_yes_ = false;
+    bool const wipe = may_lose_a_disk() && sim_.chance() % 2 == 0;
+    sim_.after(0s, [this, at, wipe] { power_off(at, wipe, 2s); });
+  }
+
+  void fail_core(std::string const& kind, std::size_t const core, Duration const for_a_while) {
+    if (kind == "power_core") power_off(core, false, for_a_while);
+    if (kind == "lose_disk" && may_lose_a_disk()) power_off(core, true, for_a_while);
+    if (kind == "power_all") {
+      for (std::size_t k = 0; k < voters_.size(); ++k)
+        power_off(k, false, for_a_while + std::chrono::milliseconds(sim_.chance() % 1000));
+      busy_for(for_a_while + 1100ms);
+    }
+    if (kind == "power_after_vote" || kind == "power_two_after_vote" || kind == "lose_disk_after_vote") {
+      strike_ =
+          Strike{{core}, sim_.chance() % 2 ? Prepare::kind : Accept::kind, kind == "lose_disk_after_vote", for_a_while};
+      if (kind == "power_two_after_vote") strike_->voters.insert((core + 1 + sim_.chance() % 3) % voters_.size());
+      busy_for(3s + for_a_while);
+      sim_.after(3s, [this] { strike_.reset(); });
+    }
+    if (kind == "power_coordinator" || kind == "kill_between_rounds") {
+      (kind == "power_coordinator" ? after_yes_ : between_rounds_) = true;
+      busy_for(4s);
+      sim_.after(2s, [this] { after_yes_ = between_rounds_ = false; });
+    }
+    if (kind == "stall_disk") voters_[core].disk.stalled_until = sim_.now + for_a_while;
+    if (kind == "stall_disks")
+      for (Voter& v : voters_)
+        if (sim_.chance() % 4 != 0) v.disk.stalled_until = sim_.now + 2 * for_a_while;
+    if (kind == "stall_disks") busy_for(2 * for_a_while + 100ms);
+  }
+
+  // ---- links
+
+  void fail_links(std::string const& kind, std::size_t const core, Duration const for_a_while) {
+    std::vector<std::string> machines;
+    for (Node const& n : nodes_) machines.push_back(n.machine);
+    for (Control const& c : controls_) machines.push_back(c.machine);
+    bool cuts = true;
+    if (kind == "cut_core") {
+      for (std::size_t i = 0; i < controls_.size(); ++i)
+        for (std::size_t j = 0; j < controls_.size(); ++j)
+          if ((i < 2) != (j < 2)) sim_.cut(controls_[i].machine, controls_[j].machine);
+    } else if (kind == "cut_core_one") {
+      for (std::size_t j = 0; j < controls_.size(); ++j) {
+        if (j == core) continue;
+        sim_.cut(controls_[core].machine, controls_[j].machine);
+        sim_.cut(controls_[j].machine, controls_[core].machine);
+      }
+    } else if (kind == "cut_cell") {
+      std::string const cell = controls_[core].cell;
+      std::set<std::string> inside{controls_[core].machine};
+      for (Node const& n : nodes_)
+        if (n.cell == cell) inside.insert(n.machine);
+      for (std::string const& a : machines)
+        for (std::string const& b : machines)
+          if (inside.contains(a) != inside.contains(b)) sim_.cut(a, b);
+    } else if (kind == "isolate" || kind == "isolate_one_way") {
+      cut_off(machines[sim_.chance() % machines.size()], machines, kind == "isolate", sim_.chance() % 2 == 0);
+    } else {
+      cuts = false;
+    }
+    if (cuts)
+      for (std::string const& m : machines)
+        if (sim_.cut_off(m)) bother(m);
+    if (cuts) sim_.after(for_a_while, [this] { sim_.heal(); });
+    if (kind == "weather") {
+      sim_.weather = true;
+      sim_.after(for_a_while, [this] { sim_.weather = false; });
+    }
+  }
+
+  void cut_off(std::string const& m, std::vector<std::string> const& machines, bool const both, bool const out) {
+    for (std::string const& other : machines) {
+      if (other == m) continue;
+      if (both || out) sim_.cut(m, other);
+      if (both || !out) sim_.cut(other, m);
+    }
+  }
+
+  // ---- backends
+
+  void fail_backend(std::string const& kind, std::size_t const backend, std::size_t const core,
+                    Duration const for_a_while) {
+    Backend const b = backends_[backend];
+    if (!b.alive || b.leaving) return;
+    std::string const cell = nodes_[b.node].cell;
+    if (kind == "kill_backend") {
+      kill_backend(backend);
+      sim_.after(for_a_while, [this, b] { add_backend(b.service, b.node); });
+    }
+    if (kind == "empty_service") {
+      for (std::size_t i = 0; i < backends_.size(); ++i)
+        if (backends_[i].service == b.service && nodes_[backends_[i].node].cell == cell) kill_backend(i);
+      sim_.after(for_a_while, [this, b] { add_backend(b.service, b.node); });
+    }
+    if (kind.starts_with("drain_") || kind == "replace_backend") {
+      add_backend(b.service, b.node);
+      busy_for(6s);
+      std::shared_ptr<SimProcess> const p = nodes_[b.node].process;
+      if (kind == "drain_registry_dead")
+        for (std::size_t k = 0; k < controls_.size(); ++k)
+          if (controls_[k].cell == cell) kill_control(k, 5s);
+      sim_.after(kind == "drain_registry_dead" ? 100ms : 0ms, [this, backend] { drain(backend); });
+      Duration const soon = std::chrono::microseconds(sim_.chance() % 1500);
+      if (kind == "drain_then_kill") sim_.after(soon, [this, b, for_a_while] { kill_node(b.node, for_a_while); });
+      if (kind == "drain_then_freeze") sim_.after(soon, [this, p, for_a_while] { freeze(p, for_a_while); });
+      if (kind == "drain_then_cut")
+        sim_.after(soon, [this, b, for_a_while] {
+          std::vector<std::string> machines;
+          for (Node const& n : nodes_) machines.push_back(n.machine);
+          for (Control const& c : controls_) machines.push_back(c.machine);
+          cut_off(nodes_[b.node].machine, machines, true, true);
+          sim_.after(for_a_while, [this] { sim_.heal(); });
+        });
+    }
+    if (kind == "reuse_port") {
+      kill_backend(backend);
+      std::string const other = b.port % 2 ? ways_.begin()->second : keyed_;
+      std::size_t const fresh = add_backend(other, b.node);
+      backends_[fresh].port = b.port;
+      add_backend(b.service, b.node);
+    }
+    if (kind == "reuse_port_naive" || kind == "reuse_port_intruder") {
+      kill_backend(backend);
+      add_backend(b.service, b.node);
+      busy_for(1200ms);
+      std::string other = "intruder";
+      for (auto const& [prefix, service] : ways_)
+        if (kind == "reuse_port_naive" && service != b.service) other = service;
+      sim_.after(400ms, [this, b, other] {
+        std::size_t const fresh = add_backend(other, b.node, 700ms);
+        backends_[fresh].port = b.port;
+        backends_[fresh].naive = true;
+      });
+    }
+    if (kind == "freeze_backend") {
+      backends_[backend].frozen = true;
+      bother_service(b.service, cell);
+      sim_.after(for_a_while, [this, backend, b, cell] {
+        backends_[backend].frozen = false;
+        bother_service(b.service, cell);
+      });
+    }
+    (void)core;
+  }
+
+  // ---- operators that err, race and storm
+
+  void fail_operators(std::string const& kind, std::size_t const core) {
+    if (kind == "bad_revision")
+      for (auto const& [reg, body] : bad_revisions()) {
+        std::shared_ptr<SimProcess> const p = controls_[core].process;
+        HttpRequest const q{"PUT", "/" + register_name(reg), {}, body};
+        if (p->alive && !p->frozen) spawn(*p, bad_once(controls_[core].registry, q));
+      }
+    if (kind == "race") {
+      Revision const now = known_[0];
+      for (int i = 0; i < 3; ++i) {
+        note();
+        put(anyone(), Register::routing, routing_.dump(), i < 2 ? std::optional<Revision>(now) : std::nullopt);
+      }
+      put_catalogue();
+    }
+    if (kind == "storm")
+      for (int i = 0; i < 120; ++i)
+        sim_.after(std::chrono::milliseconds(sim_.chance() % 1500), [this, i] {
+          note();
+          if (i % 6 == 5)
+            put_catalogue();
+          else
+            put_routing();
+        });
+  }
+
+  std::vector<std::pair<Register, std::string>> bad_revisions() {
+    Json unknown_service = catalogue_, unknown_cell = catalogue_, twice = catalogue_, outside = catalogue_,
+         way = routing_, type = routing_, gone = routing_;
+    unknown_service["cells"][d_.cells[0]]["nobody"] = Json::object();
+    unknown_cell["cells"]["nowhere"] = Json::object();
+    twice["cells"][d_.cells[0]][keyed_]["slices"] = {{0, 5}};
+    twice["cells"][d_.cells[1]][keyed_]["slices"] = {{5, 9}};
+    outside["cells"][d_.cells[0]][keyed_]["slices"] = {{0, 1023}};
+    way["ways"].push_back({{"prefix", "/x"}, {"service", "nobody"}});
+    type["services"][keyed_]["timeout_ms"] = "soon";
+    gone["cells"] = {"elsewhere"};
+    std::string const doubled = R"({"cells":["a"],"cells":["b"],"services":{},"ways":[]})",
+                      cut = routing_.dump().substr(0, 100);
+    std::vector<std::pair<Register, std::string>> all{{Register::routing, ""},
+                                                      {Register::routing, "not json"},
+                                                      {Register::routing, doubled},
+                                                      {Register::routing, cut},
+                                                      {Register::routing, "[]"},
+                                                      {Register::routing, way.dump()},
+                                                      {Register::routing, type.dump()},
+                                                      {Register::routing, std::string(300000, ' ')},
+                                                      {Register::routing, std::string(5000, '[')},
+                                                      {Register::catalogue, "{}"},
+                                                      {Register::catalogue, unknown_service.dump()},
+                                                      {Register::catalogue, unknown_cell.dump()},
+                                                      {Register::catalogue, twice.dump()},
+                                                      {Register::catalogue, outside.dump()},
+                                                      {Register::catalogue, "\xff\xfe"}};
+    if (sim_.now - changed_[keyed_] > 8s && catalogue_["cells"].size() > 0 && !settled_)
+      all.emplace_back(Register::routing, gone.dump());
+    return all;
+  }
+
+  Task<void> bad_once(std::shared_ptr<Registry<SimProcess>> registry, HttpRequest q) {
+    HttpReply const r = co_await registry->operate(q);
+    if (r.status != 503 && (r.status < 400 || r.status >= 500))
+      history_.wrongs.push_back("a bad revision was taken: " + q.body.substr(0, 80) + ": " + std::to_string(r.status));
+  }
+
+  // ---- doing it
+
+  void kill_node(std::size_t const i, Duration const down) {
+    if (!nodes_[i].process->alive) return;
+    bother(nodes_[i].machine);
+    nodes_[i].process->kill();
+    sim_.after(down, [this, i] {
+      if (!nodes_[i].process->alive && !gone_.contains(nodes_[i].machine)) start_node(i);
+    });
+  }
+
+  // As the real process does: told to leave, it goes once it is idle and its
+  // leaving has spread, at the latest after 5.5 s.
+  void roll_node(std::size_t const i) {
+    Node& n = nodes_[i];
+    if (!n.process->alive || n.process->frozen || n.rolling) return;
+    bother(n.machine);
+    n.proxy->leave();
+    n.rolling = true;
+    busy_for(7s);
+    wait_to_go(i, n.process->run_number, sim_.now);
+  }
+  void wait_to_go(std::size_t const i, std::uint64_t const run, Instant const told) {
+    Node& n = nodes_[i];
+    if (n.process->run_number != run) return;
+    Duration const waited = sim_.now - told;
+    if (!n.process->alive || waited >= 5500ms ||
+        (n.proxy->idle() && (waited > 2500ms || broken_on_purpose("leaves_at_once")))) {
+      n.process->kill();
+      sim_.after(300ms, [this, i, run] {
+        if (nodes_[i].process->run_number == run && !gone_.contains(nodes_[i].machine)) start_node(i);
+      });
+      return;
+    }
+    sim_.after(20ms, [this, i, run, told] { wait_to_go(i, run, told); });
+  }
+
+  void kill_control(std::size_t const i, Duration const down) {
+    if (!controls_[i].process->alive) return;
+    bother(controls_[i].machine);
+    controls_[i].process->kill();
+    sim_.after(down, [this, i] {
+      if (!controls_[i].process->alive && !gone_.contains(controls_[i].machine)) start_control(i);
+    });
+  }
+  void roll_control(std::size_t const i) {
+    controls_[i].registry->leave();
+    sim_.after(1s, [this, i] { kill_control(i, 300ms); });
+    busy_for(1500ms);
+  }
+  void roll_voter(std::size_t const i) {
+    if (!voters_[i].process->alive) return;
+    voters_[i].process->kill();
+    busy_for(500ms);
+    sim_.after(300ms, [this, i] {
+      if (!voters_[i].process->alive && !gone_.contains(voters_[i].machine)) start_voter(i);
+    });
+  }
+
+  void freeze(std::shared_ptr<SimProcess> const& p, Duration const down) {
+    if (!p->alive || p->frozen) return;
+    bother(p->machine);
+    p->freeze();
+    busy_for(down);
+    sim_.after(down, [p] {
+      if (p->alive) p->thaw();
+    });
+  }
+
+  // The last fault: nobody repairs it. Operators may answer a lost cell with a
+  // new catalogue; nothing else is done.
+  void fail_for_good(std::string const& kind) {
+    ++counted_[kind];
+    std::size_t const core = anyone();
+    std::string const machine = controls_[core].machine, cell = controls_[core].cell;
+    if (kind == "core_gone" || kind == "cell_gone") {
+      gone_.insert(machine);
+      power_off(core, false, 0s);
+      kill_control(core, 0s);
+    }
+    if (kind == "disk_lost") power_off(core, true, 500ms);
+    if (kind == "node_gone") {
+      std::size_t const i = sim_.chance() % nodes_.size();
+      gone_.insert(nodes_[i].machine);
+      nodes_[i].process->kill();
+    }
+    if (kind != "cell_gone") return;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (nodes_[i].cell != cell) continue;
+      gone_.insert(nodes_[i].machine);
+      nodes_[i].process->kill();
+      for (std::size_t b = 0; b < backends_.size(); ++b)
+        if (backends_[b].node == i) kill_backend(b);
+    }
+    std::size_t const other = core == 0 ? 1 : 0;
+    sim_.after(3s, [this, other] {
+      std::uint64_t const slices = routing_["services"][keyed_]["key"]["slices"];
+      catalogue_ = {{"cells", {{d_.cells[other], {{keyed_, {{"slices", {{0, slices - 1}}}}}}}}}};
+      put((other + 2) % controls_.size(), Register::catalogue, catalogue_.dump(), std::nullopt, true);
+    });
+  }
+
+  void repair_all() {
+    sim_.heal();
+    sim_.weather = false;
+    hot_ = false;
+    strike_.reset();
+    after_yes_ = between_rounds_ = false;
+    for (Backend& b : backends_) b.frozen = false;
+    for (std::size_t i = 0; i < controls_.size(); ++i) {
+      if (controls_[i].process->frozen) controls_[i].process->thaw();
+      voters_[i].disk.stalled_until = {};
+      if (!controls_[i].process->alive) start_control(i);
+      if (!voters_[i].process->alive) start_voter(i);
+    }
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (nodes_[i].process->frozen) nodes_[i].process->thaw();
+      if (!nodes_[i].process->alive) start_node(i);
+    }
+    for (BackendPlace const& p : d_.backends)
+      if (fit_backends(p.service, d_.cells[p.cell]) == 0) add_backend(p.service, node_in(d_.cells[p.cell], 0));
+  }
+
+  std::map<std::string, std::uint64_t> counted_;
+  std::set<std::string> gone_;
+  std::optional<Strike> strike_;
+  bool between_rounds_ = false, after_yes_ = false;
+};
+
+}  // namespace banktide
