--- a/source/programs/fleet_main.cpp
+++ b/source/programs/fleet_main.cpp
@@ -34,11 +34,12 @@
   std::string action, name;
 };
 
-// Ports from the kernel, held open until all are known so that none repeats.
+// Ports from the kernel, held for the whole run, bound but not listening, so that
+// it gives them to nobody's outgoing connection while a process is down.
 class Ports {
  public:
   Address next() {
-    int const fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    int const fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     int const one = 1;
     ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
     sockaddr_in a{};
@@ -51,10 +52,6 @@
     held_.push_back(fd);
     return "127.0.0.1:" + std::to_string(ntohs(a.sin_port));
   }
-  void release() {
-    for (int const fd : held_) ::close(fd);
-    held_.clear();
-  }
 
  private:
   std::vector<int> held_;
@@ -302,7 +299,6 @@
                      "--node",    node.local, "--record",  folder / "runs.txt"};
     fleet.children_[backend.name] = backend;
   }
-  ports.release();
   {
     std::ofstream doors_file(folder / "doors");
     for (Address const& a : operators) doors_file << "operator " << a << "\n";
