--- a/source/coordination/acceptor.hpp
+++ b/source/coordination/acceptor.hpp
@@ -5,6 +5,7 @@
 // round at a new ballot, which it then holds.
 #pragma once
 
+#include "coordination/voter_set.hpp"
 #include "protocol/messages.hpp"
 #include "transport/surroundings.hpp"
 
@@ -12,11 +13,17 @@
 
 namespace banktide {
 
+/// What a voter keeps on its disk. It votes in `set` if its slots are those of
+/// that epoch (`active_epoch`); in between it has left one set and isn't yet in
+/// the next.
 struct VoterRecord {
   Phase phase = Phase::blank;
   std::uint64_t founding = 0;
-  std::array<Slot, 2> slots;
-  BANKTIDE_FIELDS(phase, founding, slots)
+  Slots slots;
+  VoterSet set;
+  std::uint64_t active_epoch = 0;
+  std::uint64_t disk = 0;  // a name for this disk, made when it was empty
+  BANKTIDE_FIELDS(phase, founding, slots, set, active_epoch, disk)
 };
 
 template <class D>
@@ -28,13 +35,17 @@
 template <Surroundings W, Disk D>
 class Acceptor {
  public:
+  /// A voter of a fixed list: the set of epoch 0, for good.
   Acceptor(W& w, D& d, std::vector<Address> voters, std::size_t const own)
-      : w_(w), disk_(d), voters_(std::move(voters)), own_(own), turn_(w) {}
+      : w_(w), disk_(d), fixed_(std::move(voters)), own_(fixed_.at(own)), turn_(w) {}
+  /// A store whose set is on its disk, or is still to be founded or joined.
+  Acceptor(W& w, D& d, Address own) : w_(w), disk_(d), own_(std::move(own)), turn_(w) {}
 
   Result<bool> load() {
     Result<VoterRecord> r = disk_.load();
     if (!r) return tl::unexpected<Mishap>(r.error());
     record_ = std::move(*r);
+    if (!fixed_.empty()) record_.set = first_set(fixed_, 0);
     return true;
   }
 
@@ -43,48 +54,123 @@
     desk.on<Accept>([this](Accept q) { return accept(std::move(q)); });
     desk.on<Peek>([this](Peek q) { return peek(std::move(q)); });
     desk.on<Found>([this](Found q) { return found(q); });
+    desk.on<VotersAsk>([this](VotersAsk q) { return voters(std::move(q)); });
+    desk.on<Seal>([this](Seal q) { return seal(std::move(q)); });
+    desk.on<Activate>([this](Activate q) { return activate(std::move(q)); });
   }
 
   Phase phase() const { return record_.phase; }
   Slot const& slot(Register const r) const { return record_.slots[static_cast<std::size_t>(r)]; }
+  VoterSet const& set() const { return record_.set; }
+  std::uint64_t disk_name() const { return record_.disk; }
+  Address const& own() const { return own_; }
+  bool voting() const { return votes(record_); }
+  /// The last other store that asked for the set: a voter that this one may not know.
+  Address const& last_asker() const { return last_asker_; }
+  /// Someone has asked in a newer epoch than this voter's.
+  bool behind() const { return heard_epoch_ > record_.set.epoch; }
 
-  // Runs until this voter votes.
+  // Runs until this voter of a fixed list votes.
   Task<void> settle() {
-    while (record_.phase != Phase::voting) {
-      std::vector<Address> const others = other_voters();
-      Found question{Phase::blank, record_.founding};
-      auto const replies =
-          co_await ask_all<Found>(w_, others, question, w_.now() + 1s, [](auto const&) { return false; });
-      std::size_t heard = 0, voting = 0, same = 0;
-      for (auto const& [i, r] : replies) {
-        if (!r) continue;
-        ++heard;
-        if (r->phase == Phase::voting) {
-          ++voting;
-          same += record_.phase == Phase::prepared && r->founding == record_.founding;
-        }
-      }
-      if (same > 0) {
-        co_await change([](VoterRecord& r) {
-          r.phase = Phase::voting;
-          return true;
-        });
-      } else if (voting > 0 && broken_on_purpose("votes_blank")) {
-        record_.phase = Phase::voting;
-      } else if (voting > 0) {
-        co_await rejoin(others);
-      } else if (own_ == 0 && heard == others.size()) {
-        co_await found_all(others);
-      }
-      if (record_.phase != Phase::voting)
-        co_await sleep_for(w_, 200ms + std::chrono::milliseconds(w_.chance()() % 100));
+    while (!voting()) {
+      co_await settle_once();
+      if (!voting()) co_await sleep_for(w_, 200ms + std::chrono::milliseconds(w_.chance()() % 100));
     }
     log_info("voting", {{"founding", std::to_string(record_.founding)},
                         {"routing", std::to_string(slot(Register::routing).held.revision)},
                         {"catalogue", std::to_string(slot(Register::catalogue).held.revision)}});
   }
 
+  /// One try to found the set that the record names, or to join it again.
+  Task<void> settle_once() {
+    std::vector<Address> const others = other_voters(record_.set);
+    Found question{Phase::blank, record_.founding};
+    auto const replies =
+        co_await ask_all<Found>(w_, others, question, w_.now() + 1s, [](auto const&) { return false; });
+    std::size_t heard = 0, voting = 0, same = 0;
+    for (auto const& [i, r] : replies) {
+      if (!r) continue;
+      ++heard;
+      if (r->phase == Phase::voting) {
+        ++voting;
+        same += record_.phase == Phase::prepared && r->founding == record_.founding;
+      }
+    }
+    if (same > 0) {
+      co_await change([](VoterRecord& r) {
+        if (r.phase != Phase::prepared) return false;
+        r.phase = Phase::voting;
+        return true;
+      });
+    } else if (voting > 0 && broken_on_purpose("votes_blank")) {
+      record_.phase = Phase::voting;
+    } else if (voting > 0) {
+      co_await rejoin(record_.set);
+    } else if (founder() && heard == others.size()) {
+      co_await found_all(others);
+    }
+  }
+
+  /// Names an empty disk, and keeps the set that is to be founded, if any.
+  Task<bool> begin(VoterSet const founders) {
+    std::uint64_t const name = w_.chance()() | 1;
+    co_return co_await change([&](VoterRecord& r) {
+      if (r.disk != 0) return false;
+      r.disk = name;
+      if (entry_of(founders, own_) != nullptr) r.set = founders;
+      return true;
+    });
+  }
+
+  /// Forgets everything: a store that was removed joins like a new one.
+  Task<bool> start_afresh() {
+    VoterRecord empty;
+    empty.disk = w_.chance()() | 1;
+    co_return co_await change([&](VoterRecord& r) {
+      r = empty;
+      return true;
+    });
+  }
+
+  // A voter of `set` that lost its disk: every register has enough of the
+  // others complete a round at a new ballot, whose value is then held here.
+  // The register of voters tells if the set has been replaced: then this
+  // voter must not vote in it, as others may have stopped already.
+  Task<void> rejoin(VoterSet const set) {
+    std::vector<Address> const others = other_voters(set);
+    std::size_t const enough = recovery_quorum_of(set);
+    std::uint64_t const nonce = w_.chance()();
+    VoterRecord next;
+    Found const question{};
+    auto const whose = co_await ask_all<Found>(w_, others, question, w_.now() + 1s, [](auto const&) { return false; });
+    std::map<std::uint64_t, std::size_t> foundings;
+    for (auto const& [i, r] : whose)
+      if (r && r->phase == Phase::voting && ++foundings[r->founding] >= enough) next.founding = r->founding;
+    if (next.founding == 0) co_return;
+    for (Register const reg : kept_registers) {
+      std::optional<Slot> const got = co_await recover(reg, set, others, enough, nonce);
+      if (!got) co_return;
+      next.slots[static_cast<std::size_t>(reg)] = *got;
+    }
+    if (next.slots[static_cast<std::size_t>(Register::voters)].held.revision > set.epoch) co_return;
+    next.phase = Phase::voting;
+    next.set = set;
+    next.active_epoch = set.epoch;
+    co_await change([&](VoterRecord& r) {
+      if (r.phase == Phase::voting) return false;
+      next.disk = r.disk;
+      r = next;
+      return true;
+    });
+    log_info("rejoined", {{"founding", std::to_string(next.founding)}, {"epoch", std::to_string(set.epoch)}});
+  }
+
  private:
+  static constexpr int recovery_attempts = 20;
+  static constexpr Duration log_interval = 1s;
+
+  static bool votes(VoterRecord const& r) { return r.phase == Phase::voting && r.active_epoch == r.set.epoch; }
+
   // One change at a time: the disk's sync may take long, and what is said must
   // be what was kept. `f` says whether it changed anything.
   template <class F>
@@ -99,34 +185,54 @@
       if (good)
         record_ = std::move(next);
       else
-        log_warn("disk_mishap", {{"step", kept.error().step}, {"reason", kept.error().reason}});
+        disk_mishap(kept.error());
     }
     turn_.leave();
     co_return good;
   }
 
-  std::vector<Address> other_voters() const {
+  void disk_mishap(Mishap const& m) {
+    if (last_mishap_ && w_.now() - *last_mishap_ < log_interval) return;
+    last_mishap_ = w_.now();
+    log_warn("disk_mishap", {{"step", m.step}, {"reason", m.reason}});
+  }
+
+  std::vector<Address> other_voters(VoterSet const& set) const {
     std::vector<Address> out;
-    for (std::size_t i = 0; i < voters_.size(); ++i)
-      if (i != own_) out.push_back(voters_[i]);
+    for (VoterEntry const& e : set.voters)
+      if (e.address != own_) out.push_back(e.address);
     return out;
   }
+  bool founder() const {
+    return record_.set.epoch == 0 && !record_.set.voters.empty() && record_.set.voters.front().address == own_;
+  }
 
-  static Slot& slot_of(VoterRecord& r, Register const reg) { return r.slots[static_cast<std::size_t>(reg) & 1]; }
+  static bool known(Register const reg) { return static_cast<std::size_t>(reg) < register_count; }
+  static Slot& slot_of(VoterRecord& r, Register const reg) { return r.slots[static_cast<std::size_t>(reg)]; }
+
+  // Whether a question of that epoch may be answered by a vote now. A newer set
+  // is told only by who has been a voter of it or of the one before.
+  bool may_vote(std::uint64_t const epoch, std::optional<VoterSet>& newer) {
+    heard_epoch_ = std::max(heard_epoch_, epoch);
+    if (record_.phase == Phase::voting && record_.set.epoch > epoch) newer = record_.set;
+    return voting() && record_.set.epoch == epoch;
+  }
 
   Task<PrepareReply> prepare(Prepare q) {
     PrepareReply reply;
-    if (record_.phase != Phase::voting) co_return reply;
-    bool ok = false;
+    if (!known(q.reg) || !may_vote(q.ballot.epoch, reply.newer)) co_return reply;
+    bool ok = false, counted = false;
     Slot seen;
     bool const kept = co_await change([&](VoterRecord& r) {
+      counted = votes(r) && r.set.epoch == q.ballot.epoch;
+      if (!counted) return false;
       Slot& s = slot_of(r, q.reg);
-      ok = q.ballot > s.promised;
+      ok = q.ballot.may_follow(s.promised);
       if (ok) s.promised = q.ballot;
       seen = s;
       return ok;
     });
-    if (!kept) co_return reply;
+    if (!kept || !counted) co_return reply;
     reply.voting = true;
     reply.promised = ok;
     reply.slot = std::move(seen);
@@ -135,11 +241,13 @@
 
   Task<AcceptReply> accept(Accept q) {
     AcceptReply reply;
-    if (record_.phase != Phase::voting) co_return reply;
-    bool ok = false;
+    if (!known(q.reg) || !may_vote(q.ballot.epoch, reply.newer)) co_return reply;
+    bool ok = false, counted = false;
     bool const kept = co_await change([&](VoterRecord& r) {
+      counted = votes(r) && r.set.epoch == q.ballot.epoch;
+      if (!counted) return false;
       Slot& s = slot_of(r, q.reg);
-      ok = q.ballot >= s.promised;
+      ok = q.ballot == s.promised || q.ballot.may_follow(s.promised);
       if (ok) {
         s.promised = q.ballot;
         s.accepted = q.ballot;
@@ -148,7 +256,7 @@
       reply.promised = s.promised;
       return ok;
     });
-    if (!kept) co_return AcceptReply{};
+    if (!kept || !counted) co_return AcceptReply{};
     reply.voting = true;
     reply.accepted = ok;
     co_return reply;
@@ -156,8 +264,8 @@
 
   Task<PeekReply> peek(Peek q) {
     PeekReply reply;
-    if (record_.phase != Phase::voting) co_return reply;
-    Slot const& s = slot(static_cast<Register>(static_cast<std::uint8_t>(q.reg) & 1));
+    if (!known(q.reg) || !may_vote(q.epoch, reply.newer)) co_return reply;
+    Slot const& s = slot(q.reg);
     reply.voting = true;
     reply.accepted = s.accepted;
     reply.revision = s.held.revision;
@@ -165,10 +273,68 @@
     co_return reply;
   }
 
+  Task<VotersReply> voters(VotersAsk q) {
+    VotersReply reply;
+    if (!q.from.empty()) last_asker_ = q.from;
+    reply.member = record_.phase == Phase::voting;
+    reply.active = voting();
+    if (reply.member) reply.set = record_.set;
+    co_return reply;
+  }
+
+  Task<SealReply> seal(Seal q) {
+    SealReply reply;
+    bool const kept = co_await change([&](VoterRecord& r) {
+      if (r.phase != Phase::voting) return false;
+      if (r.set.epoch > q.set.epoch) reply.newer = r.set;
+      bool const from_before = r.active_epoch + 1 == q.set.epoch && r.set.epoch < q.set.epoch;
+      if (from_before) r.set = q.set;
+      reply.sealed = r.set.epoch == q.set.epoch && r.active_epoch + 1 >= q.set.epoch;
+      if (reply.sealed) {
+        reply.founding = r.founding;
+        reply.slots = r.slots;
+      }
+      return from_before;
+    });
+    SealReply const none;
+    co_return kept ? reply : none;
+  }
+
+  // A voter of the set before goes on with what it holds; an empty disk is taken
+  // only if it is the very one that was added: it has never voted.
+  Task<ActivateReply> activate(Activate q) {
+    ActivateReply reply;
+    bool const kept = co_await change([&](VoterRecord& r) {
+      VoterEntry const* const mine = entry_of(q.set, own_);
+      if (r.phase == Phase::voting && r.set.epoch > q.set.epoch) reply.newer = r.set;
+      reply.active = votes(r) && r.set.epoch == q.set.epoch;
+      bool const goes_on = r.phase == Phase::voting && r.active_epoch + 1 == q.set.epoch && r.set.epoch <= q.set.epoch;
+      bool const added = r.phase != Phase::voting && mine != nullptr && mine->disk != 0 && mine->disk == r.disk;
+      if (reply.active || mine == nullptr || !(goes_on || added)) return false;
+      for (std::size_t i = 0; i < register_count; ++i) take_up(r.slots[i], q.slots[i]);
+      r.phase = Phase::voting;
+      r.founding = q.founding;
+      r.set = q.set;
+      r.active_epoch = q.set.epoch;
+      reply.active = true;
+      return true;
+    });
+    if (!kept) co_return ActivateReply{};
+    co_return reply;
+  }
+
+  static void take_up(Slot& mine, Slot const& told) {
+    mine.promised = std::max(mine.promised, told.promised);
+    if (told.accepted <= mine.accepted) return;
+    mine.accepted = told.accepted;
+    mine.held = told.held;
+  }
+
   Task<FoundReply> found(Found q) {
-    if (q.want == Phase::prepared && record_.phase != Phase::voting && own_ != 0)
+    if (q.want == Phase::prepared && record_.phase != Phase::voting && !founder() &&
+        entry_of(record_.set, own_) != nullptr)
       co_await change([&](VoterRecord& r) {
-        if (r.phase == Phase::voting) return false;
+        if (r.phase == Phase::voting || entry_of(r.set, own_) == nullptr) return false;
         r.phase = Phase::prepared;
         r.founding = q.founding;
         return true;
@@ -205,69 +371,50 @@
     co_await ask_all<Found>(w_, others, open, w_.now() + 2s, [](auto const&) { return false; });
   }
 
-  // How many of the others must complete a round for a voter that has lost its
-  // disk: so many that with any majority that it was part of they have one in
-  // common, and that with it they are a majority again.
-  std::size_t enough_others() const {
-    std::size_t const n = voters_.size(), majority = n / 2 + 1;
-    return std::max(n - majority + 1, majority - 1);
-  }
-
-  Task<void> rejoin(std::vector<Address> others) {
-    std::uint64_t const nonce = w_.chance()();
-    VoterRecord next;
-    Found const question{};
-    auto const whose = co_await ask_all<Found>(w_, others, question, w_.now() + 1s, [](auto const&) { return false; });
-    std::map<std::uint64_t, std::size_t> foundings;
-    for (auto const& [i, r] : whose)
-      if (r && r->phase == Phase::voting && ++foundings[r->founding] >= enough_others()) next.founding = r->founding;
-    if (next.founding == 0) co_return;
-    for (Register const reg : all_registers) {
-      Ballot ballot{1, nonce};
+  // One register's part of `rejoin`: the round, and what it left here.
+  Task<std::optional<Slot>> recover(Register const reg, VoterSet const& set, std::vector<Address> const& others,
+                                    std::size_t const enough, std::uint64_t const nonce) {
+    Ballot ballot{set.epoch, 1, nonce};
+    for (int attempt = 0; attempt < recovery_attempts; ++attempt) {
+      Prepare const asked{reg, ballot};
+      auto const got = co_await ask_all<Prepare>(w_, others, asked, w_.now() + 1s, [](auto const&) { return false; });
+      std::size_t promised = 0;
+      Ballot best;
+      std::uint64_t top_round = ballot.round;
       Held held;
-      for (int attempt = 0;; ++attempt) {
-        if (attempt == 20) co_return;
-        Prepare const asked{reg, ballot};
-        auto const got = co_await ask_all<Prepare>(w_, others, asked, w_.now() + 1s, [](auto const&) { return false; });
-        std::size_t promised = 0;
-        Ballot best, top;
-        held = Held{};
-        for (auto const& [i, r] : got) {
-          if (!r || !r->voting) continue;
-          promised += r->promised;
-          top = std::max(top, r->slot.promised);
-          if (r->slot.accepted > best) {
-            best = r->slot.accepted;
-            held = r->slot.held;
-          }
-        }
-        if (promised >= enough_others()) {
-          Accept const question{reg, ballot, held};
-          auto const taken =
-              co_await ask_all<Accept>(w_, others, question, w_.now() + 1s, [](auto const&) { return false; });
-          std::size_t accepted = 0;
-          for (auto const& [i, r] : taken) accepted += r && r->accepted;
-          if (accepted >= enough_others()) break;
+      for (auto const& [i, r] : got) {
+        if (r && r->newer) co_return std::nullopt;
+        if (!r || !r->voting) continue;
+        promised += r->promised;
+        top_round = std::max(top_round, r->slot.promised.round);
+        if (r->slot.accepted > best) {
+          best = r->slot.accepted;
+          held = r->slot.held;
         }
-        ballot.round = std::max(ballot.round, top.round) + 1;
-        co_await sleep_for(w_, std::chrono::milliseconds(5 + w_.chance()() % 50));
       }
-      next.slots[static_cast<std::size_t>(reg)] = Slot{ballot, ballot, held};
+      if (promised >= enough) {
+        Accept const question{reg, ballot, held};
+        auto const taken =
+            co_await ask_all<Accept>(w_, others, question, w_.now() + 1s, [](auto const&) { return false; });
+        std::size_t accepted = 0;
+        for (auto const& [i, r] : taken) accepted += r && r->accepted;
+        if (accepted >= enough) co_return Slot{ballot, ballot, held};
+      }
+      ballot.round = top_round + 1;
+      co_await sleep_for(w_, std::chrono::milliseconds(5 + w_.chance()() % 50));
     }
-    next.phase = Phase::voting;
-    co_await change([&](VoterRecord& r) {
-      r = next;
-      return true;
-    });
-    log_info("rejoined", {{"founding", std::to_string(next.founding)}});
+    co_return std::nullopt;
   }
 
   W& w_;
   D& disk_;
-  std::vector<Address> const voters_;
-  std::size_t const own_;
+  std::vector<Address> const fixed_;
+  Address const own_;
   Turn<W> turn_;
   VoterRecord record_;
+  std::uint64_t heard_epoch_ = 0;
+  Address last_asker_;
+  std::optional<Instant> last_mishap_;
 };
 
 }  // namespace banktide
--- /dev/null
+++ b/source/coordination/key_coordinator.hpp
@@ -0,0 +1,112 @@
+// In every registry: hears the nodes' reports about keys, and while it is the
+// acting coordinator, writes the tables that its planner makes. Two that act at
+// once do no harm: a table is written only over the one that it was made from.
+#pragma once
+
+#include "protocol/digest.hpp"
+#include "state/key_planner.hpp"
+#include "transport/surroundings.hpp"
+
+#include <functional>
+
+namespace banktide {
+
+/// `Store` reads and changes the register: `read(Register, Held, Instant)` and
+/// `change(Register, std::string, Instant, step)`, as RegisterClient does.
+template <Surroundings W, class Store>
+class KeyCoordinator {
+ public:
+  KeyCoordinator(W& w, Store& store, KeySettings settings, std::function<bool()> acting)
+      : w_(w), store_(store), planner_(settings), acting_(std::move(acting)), alarm_(w) {}
+
+  void attach(Desk& desk) {
+    desk.on<KeyReport>([this](KeyReport report) -> Task<KeyReportReply> {
+      bool const news = !report.released.empty() || !report.ended.empty() || report.standing != KeyStanding::serving;
+      newest_heard_ = std::max(newest_heard_, report.table);
+      planner_.on_report(w_.now(), std::move(report));
+      if (news && acting_()) alarm_.wake();
+      KeyReportReply reply{planner_.table().revision};
+      co_return reply;
+    });
+  }
+
+  /// A chosen value of the register, learnt by other ways.
+  void on_chosen(Held const& held) { take(held); }
+  /// Called with each table that this coordinator has written or read.
+  std::function<void(Held const&)> on_table;
+
+  Task<void> run() {
+    while (!stopped_) {
+      co_await alarm_.wait(w_.now() + step);
+      planner_.tick(w_.now());
+      if (!acting_()) {
+        fresh_ = false;
+        continue;
+      }
+      if (!fresh_ || newest_heard_ > planner_.table().revision) co_await refresh();
+      if (fresh_) co_await act();
+    }
+  }
+  void stop() {
+    stopped_ = true;
+    alarm_.wake();
+  }
+
+  KeyTable const& table() const { return planner_.table(); }
+
+ private:
+  static constexpr Duration step = 100ms;
+  static constexpr Duration register_patience = 2s;
+
+  void take(Held const& held) {
+    if (held.revision <= held_.revision) return;
+    Result<KeyTable> table = unpack_key_table(held.bytes, held.revision);
+    if (!table) {
+      log_warn("key_table_unreadable", {{"reason", table.error().reason}});
+      return;
+    }
+    held_ = held;
+    planner_.on_table(w_.now(), std::move(*table));
+    if (on_table) on_table(held_);
+  }
+
+  Task<void> refresh() {
+    Result<Held> const read = co_await store_.read(Register::keys, held_, w_.now() + register_patience);
+    fresh_ = read.has_value();
+    if (read) take(*read);
+  }
+
+  Task<void> act() {
+    std::optional<KeyTable> const plan = planner_.plan(w_.now());
+    if (!plan) co_return;
+    Held next;
+    next.revision = plan->revision;
+    next.bytes = pack_key_table(*plan);
+    next.digest = digest_of(next.bytes);
+    auto const over = [next](Held const& newest) -> Result<Held> {
+      if (newest.revision + 1 != next.revision) return mishap("key table", "", "another table came first");
+      Held written = next;
+      written.requests = newest.requests;
+      return written;
+    };
+    std::string const request = "keys-" + std::to_string(w_.chance()());
+    Result<Held> const done = co_await store_.change(Register::keys, request, w_.now() + register_patience, over);
+    if (done) {
+      take(*done);
+    } else {
+      fresh_ = false;  // it may have been written all the same: read before the next plan
+    }
+  }
+
+  W& w_;
+  Store& store_;
+  KeyPlanner planner_;
+  std::function<bool()> acting_;
+  typename W::Alarm alarm_;
+  Held held_;
+  Revision newest_heard_ = 0;
+  bool fresh_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/source/coordination/key_holder.cpp
@@ -0,0 +1,314 @@
+// Grants under a lease, and the proof that a row was let go: the backend names
+// it as released, or a later beat than the first whose answer left the row out
+// no longer shows it.
+#include "coordination/key_holder.hpp"
+
+#include <algorithm>
+
+namespace banktide {
+
+namespace {
+
+constexpr std::size_t remembered_releases = 256;
+constexpr std::size_t remembered_ends = 8;
+constexpr Duration wake_gap = 1s;    // no report for longer than this: the process was frozen
+constexpr float rate_memory = 0.6F;  // the weight of former rates in a new one
+
+template <class A, class B>
+bool overlap(A const& a, B const& b) {
+  return a.from <= b.to && b.from <= a.to;
+}
+
+template <class A, class B>
+bool covers(A const& outer, B const& inner) {
+  return outer.from <= inner.from && outer.to >= inner.to;
+}
+
+Duration scaled(Duration const d, double const factor) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(d) * factor);
+}
+
+}  // namespace
+
+KeyHolder::KeyHolder(std::string service, std::string node, std::string address, std::string zone, KeySettings settings)
+    : service_(std::move(service)),
+      node_(std::move(node)),
+      address_(std::move(address)),
+      zone_(std::move(zone)),
+      settings_(settings) {}
+
+void KeyHolder::begin_life(std::string const& instance) {
+  if (!instance_.empty()) end_life(instance_, "a new life began beside the same node");
+  instance_ = instance;
+  sequence_ = 0;
+  news_ = true;
+  find_ended_in_table();
+  refresh_leaving();
+}
+
+void KeyHolder::end_life(std::string const& instance, std::string const& reason) {
+  if (!ended_ids_.insert(instance).second) return;
+  ended_.push_back(KeyEnd{instance, reason});
+  if (ended_.size() > remembered_ends) ended_.erase(ended_.begin());
+  news_ = true;
+  if (instance != instance_) return;
+  instance_.clear();
+  standing_ = KeyStanding::serving;
+  held_.clear();
+  released_.clear();
+  serving_.clear();
+  leaving_.clear();
+}
+
+void KeyHolder::take_beat(Instant const now, KeyBeat const& beat) {
+  if (ended_ids_.contains(beat.instance)) return;
+  if (beat.instance != instance_) {
+    if (!instance_.empty() && !awake(now)) return;
+    begin_life(beat.instance);
+  }
+  if (beat.sequence <= sequence_) return;
+  sequence_ = beat.sequence;
+  arrived_ = now;
+  slots_ = beat.slots;
+  news_ = news_ || beat.standing != standing_;
+  standing_ = beat.standing;
+  held_ = beat.held;
+  take_releases(beat);
+  judge_leaving(beat);
+}
+
+// Whether this process has been running for a while: right after a freeze, beats
+// of a former life may still be read after those of a later one.
+bool KeyHolder::awake(Instant const now) const {
+  return now - last_report_ < wake_gap && now - awake_since_ > wake_gap / 2;
+}
+
+void KeyHolder::take_releases(KeyBeat const& beat) {
+  for (ReleasedRange const& range : beat.released) {
+    std::erase_if(released_, [&](KnownRelease const& known) { return overlap(known, range); });
+    released_.push_back(KnownRelease{range.from, range.to, 0, range.handover});
+  }
+  // What it holds again is no longer released.
+  std::erase_if(released_, [&](KnownRelease const& known) {
+    return std::any_of(held_.begin(), held_.end(), [&](HeldRange const& h) { return overlap(h, known); });
+  });
+  if (released_.size() > remembered_releases) released_.erase(released_.begin(), released_.end() - remembered_releases);
+  match_releases();
+}
+
+// A token is worth something only for the fence under which it was given.
+void KeyHolder::match_releases() {
+  if (table_revision_ == 0) return;
+  std::erase_if(released_, [&](KnownRelease& known) {
+    for (Mine const& mine : mine_) {
+      if (mine.instance != instance_ || !overlap(known, mine.row)) continue;
+      if (known.fence == 0) known.fence = mine.row.fence;
+      if (known.fence == mine.row.fence) return false;
+    }
+    return true;
+  });
+}
+
+std::string KeyHolder::own_token(KeyRow const& row) const {
+  for (KnownRelease const& known : released_)
+    if (known.fence == row.fence && covers(known, row)) return known.handover;
+  return "";
+}
+
+// A backend calls one beat after the other, so a beat shows the effect of every
+// answer before it: none of them can give the row back later.
+void KeyHolder::judge_leaving(KeyBeat const& beat) {
+  for (Leaving& leaving : leaving_) {
+    if (leaving.released) continue;
+    auto const on_row = [&](auto const& range) { return overlap(range, leaving.row); };
+    if (std::any_of(beat.held.begin(), beat.held.end(), on_row)) continue;
+    bool const named = std::any_of(beat.released.begin(), beat.released.end(),
+                                   [&](ReleasedRange const& range) { return covers(range, leaving.row); });
+    bool const later = leaving.left_out_at != 0 && beat.sequence > leaving.left_out_at;
+    if (!named && !later) continue;
+    leaving.released = true;
+    leaving.handover = own_token(leaving.row);
+    news_ = true;
+  }
+}
+
+bool KeyHolder::leased(Instant const now) const {
+  return lease_until_ && now < *lease_until_ && table_revision_ >= confirmed_revision_;
+}
+
+// The rows of this instance, without those on the move. Beyond the bound,
+// neighbours under one fence go as one row.
+std::vector<KeyGrant> KeyHolder::rows_to_grant() const {
+  std::vector<KeyGrant> rows;
+  for (Mine const& mine : mine_) {
+    if (mine.instance != instance_ || mine.row.revoked != 0 || mine.row.moving != 0) continue;
+    std::string token = own_token(mine.row);
+    if (token.empty()) token = mine.row.handover;
+    rows.push_back(KeyGrant{mine.row.from, mine.row.to, mine.row.fence, std::move(token)});
+  }
+  for (std::size_t i = 1; rows.size() > settings_.held_rows_limit && i < rows.size();) {
+    KeyGrant& left = rows[i - 1];
+    KeyGrant const& right = rows[i];
+    bool const one = left.to + 1 == right.from && left.fence == right.fence && left.handover == right.handover;
+    if (!one) {
+      ++i;
+      continue;
+    }
+    left.to = right.to;
+    rows.erase(rows.begin() + static_cast<std::ptrdiff_t>(i));
+  }
+  if (rows.size() > settings_.held_rows_limit) rows.resize(settings_.held_rows_limit);
+  return rows;
+}
+
+KeyBeatAnswer KeyHolder::answer(Instant const now, std::string const& instance, std::uint64_t const sequence) {
+  KeyBeatAnswer answer;
+  if (instance.empty() || instance != instance_ || sequence != sequence_) return answer;
+  for (Leaving& leaving : leaving_)
+    if (leaving.left_out_at == 0) leaving.left_out_at = sequence;
+  if (!leased(now)) return answer;
+  // Counted from the beat's arrival, which is no sooner than its sending.
+  Duration const within_lease =
+      scaled(*lease_until_ - settings_.lease_margin - arrived_, 1 / (1 + settings_.clock_drift));
+  Duration const hold = std::min(within_lease, settings_.hold_limit);
+  if (hold <= settings_.hold_margin) return answer;
+  answer.renews = true;
+  answer.hold = hold;
+  answer.rows = rows_to_grant();
+  serve(answer.rows);
+  hold_end_ = arrived_ + hold - settings_.hold_margin;
+  return answer;
+}
+
+KeyBeatAnswer KeyHolder::on_beat(Instant const now, KeyBeat const& beat) {
+  take_beat(now, beat);
+  return answer(now, beat.instance, beat.sequence);
+}
+
+bool KeyHolder::answer_may_wait(Instant const now) const {
+  if (!leased(now)) return true;
+  std::vector<KeyGrant> const rows = rows_to_grant();
+  if (rows.size() != held_.size()) return false;
+  std::vector<HeldRange> held = held_;
+  std::sort(held.begin(), held.end(), [](HeldRange const& a, HeldRange const& b) { return a.from < b.from; });
+  return std::equal(rows.begin(), rows.end(), held.begin(), [](KeyGrant const& g, HeldRange const& h) {
+    return g.from == h.from && g.to == h.to && g.fence == h.fence;
+  });
+}
+
+// The counts of rows that stay are kept.
+void KeyHolder::serve(std::vector<KeyGrant> const& rows) {
+  std::vector<Serving> serving;
+  serving.reserve(rows.size());
+  std::size_t old = 0;
+  for (KeyGrant const& grant : rows) {
+    while (old < serving_.size() && serving_[old].grant.from < grant.from) ++old;
+    bool const same = old < serving_.size() && serving_[old].grant.from == grant.from &&
+                      serving_[old].grant.to == grant.to && serving_[old].grant.fence == grant.fence;
+    Serving one = same ? std::move(serving_[old]) : Serving{};
+    one.grant = grant;
+    serving.push_back(std::move(one));
+  }
+  serving_ = std::move(serving);
+}
+
+void KeyHolder::on_table(KeyTable const& table) {
+  if (table.revision <= table_revision_) return;
+  table_revision_ = table.revision;
+  mine_.clear();
+  if (KeyService const* const service = table.service(service_)) {
+    for (KeyRow const& row : service->rows) {
+      if (row.holder == no_holder || table.holders[row.holder].node != node_) continue;
+      mine_.push_back(Mine{row, table.holders[row.holder].instance});
+    }
+  }
+  find_ended_in_table();
+  match_releases();
+  refresh_leaving();
+}
+
+// One backend runs beside a node: an instance that the table still names here,
+// while another one beats, belongs to a life before it.
+void KeyHolder::find_ended_in_table() {
+  if (instance_.empty()) return;
+  for (Mine const& mine : mine_)
+    if (mine.instance != instance_) end_life(mine.instance, "another instance runs beside its node");
+}
+
+void KeyHolder::refresh_leaving() {
+  std::vector<Leaving> leaving;
+  for (Mine const& mine : mine_) {
+    if (mine.instance != instance_ || mine.row.moving == 0) continue;
+    Leaving one;
+    for (Leaving const& known : leaving_)
+      if (known.row.from == mine.row.from && known.row.to == mine.row.to && known.row.moving == mine.row.moving)
+        one = known;
+    one.row = mine.row;
+    leaving.push_back(std::move(one));
+  }
+  leaving_ = std::move(leaving);
+}
+
+void KeyHolder::on_confirmed(Revision const revision, Instant const sent) {
+  confirmed_revision_ = std::max(confirmed_revision_, revision);
+  Instant const until = sent + settings_.term;
+  if (!lease_until_ || *lease_until_ < until) lease_until_ = until;
+}
+
+void KeyHolder::on_instance_ended(std::string const& instance, std::string const& reason) {
+  end_life(instance, reason);
+}
+
+std::optional<std::uint32_t> KeyHolder::may_run(std::uint16_t const key, Instant const now, Duration const expected) {
+  if (now + expected >= hold_end_) return std::nullopt;
+  std::vector<Serving>::iterator const after = std::upper_bound(
+      serving_.begin(), serving_.end(), key, [](std::uint16_t k, Serving const& s) { return k < s.grant.from; });
+  if (after == serving_.begin()) return std::nullopt;
+  Serving& row = *(after - 1);
+  if (key > row.grant.to) return std::nullopt;
+  ++row.count;
+  if (key <= row.grant.from + (row.grant.to - row.grant.from) / 2) ++row.lower_count;
+  return row.grant.fence;
+}
+
+void KeyHolder::measure(Instant const now) {
+  double const seconds = std::chrono::duration<double>(now - measured_).count();
+  if (seconds < 0.4) return;
+  measured_ = now;
+  auto const blend = [&](float& rate, std::uint32_t& count) {
+    rate = rate_memory * rate + (1 - rate_memory) * static_cast<float>(count / seconds);
+    count = 0;
+  };
+  for (Serving& row : serving_) {
+    blend(row.rate, row.count);
+    blend(row.lower_rate, row.lower_count);
+  }
+}
+
+KeyReport KeyHolder::report(Instant const now, float const busy) {
+  measure(now);
+  if (now - last_report_ > wake_gap) awake_since_ = now;
+  last_report_ = now;
+  news_ = false;
+  KeyReport report;
+  report.service = service_;
+  report.instance = instance_;
+  report.node = node_;
+  report.address = address_;
+  report.zone = zone_;
+  report.standing = standing_;
+  report.leased = leased(now);
+  report.slots = slots_;
+  report.busy = busy;
+  report.table = table_revision_;
+  for (Serving const& row : serving_)
+    report.held.push_back(KeyRowLoad{row.grant.from, row.grant.to, row.grant.fence, row.rate, row.lower_rate});
+  for (Leaving const& leaving : leaving_)
+    if (leaving.released)
+      report.released.push_back(
+          KeyRelease{leaving.row.from, leaving.row.to, leaving.row.fence, leaving.row.moving, leaving.handover});
+  report.ended = ended_;
+  return report;
+}
+
+}  // namespace banktide
--- /dev/null
+++ b/source/coordination/key_holder.hpp
@@ -0,0 +1,153 @@
+// Beside a backend of a keyed service: which keys the backend may hold, for how
+// long, and whether a request may be sent to it. A node grants only under its
+// lease, which a reading of the table confirmed by a majority gives from when
+// the question was sent; every hold ends before that lease, even by a slow
+// clock. State only: the caller brings the time, the beats and the tables.
+#pragma once
+
+#include "protocol/key_messages.hpp"
+#include "state/key_table.hpp"
+
+#include <optional>
+#include <set>
+
+namespace banktide {
+
+struct HeldRange {
+  std::uint16_t from = 0;
+  std::uint16_t to = 0;
+  std::uint32_t fence = 0;
+};
+struct ReleasedRange {
+  std::uint16_t from = 0;
+  std::uint16_t to = 0;
+  std::string handover;
+};
+
+// A backend's heartbeat, as far as it's about keys.
+struct KeyBeat {
+  std::string instance;
+  std::uint64_t sequence = 0;  // rises with each beat of an instance
+  KeyStanding standing = KeyStanding::serving;
+  std::uint32_t slots = 1;
+  std::vector<HeldRange> held;  // holds or still works on
+  std::vector<ReleasedRange> released;
+};
+
+struct KeyGrant {
+  std::uint16_t from = 0;
+  std::uint16_t to = 0;
+  std::uint32_t fence = 0;
+  std::string handover;
+  bool operator==(KeyGrant const&) const = default;
+};
+
+// The answer to a beat. Without `renews` it says nothing of keys.
+struct KeyBeatAnswer {
+  bool renews = false;
+  std::vector<KeyGrant> rows;
+  Duration hold{};
+};
+
+class KeyHolder {
+ public:
+  KeyHolder(std::string service, std::string node, std::string address, std::string zone, KeySettings settings);
+
+  /// Takes a beat in when it arrives. The answer may be given later, when
+  /// `answer_may_wait` says that nothing new is to be told.
+  void take_beat(Instant now, KeyBeat const& beat);
+  /// The answer to the beat with that number, which must be the last taken in.
+  KeyBeatAnswer answer(Instant now, std::string const& instance, std::uint64_t sequence);
+  /// Both at once.
+  KeyBeatAnswer on_beat(Instant now, KeyBeat const& beat);
+  /// Whether the answer to the last beat would change nothing at the backend.
+  bool answer_may_wait(Instant now) const;
+
+  /// A chosen table, from whomever; older ones change nothing.
+  void on_table(KeyTable const& table);
+  /// A majority confirmed that this was the newest table; the question was sent at `sent`.
+  void on_confirmed(Revision revision, Instant sent);
+  /// The process of an instance is proved to have ended, or left in order.
+  void on_instance_ended(std::string const& instance, std::string const& reason);
+
+  /// Whether a request on a key may be sent to the backend now: the fence of
+  /// its row, if work of the expected length ends within the hold.
+  std::optional<std::uint32_t> may_run(std::uint16_t key, Instant now, Duration expected);
+
+  /// What the coordinators are to know; takes the count of requests since the last.
+  KeyReport report(Instant now, float busy);
+  /// Whether there is news that a report should carry at once.
+  bool has_news() const { return news_; }
+
+  std::string const& instance() const { return instance_; }
+  Revision table_revision() const { return table_revision_; }
+  bool leased(Instant now) const;
+
+ private:
+  // A row that the table gives to this node's instance, or to one that ended here.
+  struct Mine {
+    KeyRow row;
+    std::string instance;
+  };
+  struct Serving {
+    KeyGrant grant;
+    std::uint32_t count = 0;
+    std::uint32_t lower_count = 0;
+    float rate = 0;
+    float lower_rate = 0;
+  };
+  struct KnownRelease {
+    std::uint16_t from = 0;
+    std::uint16_t to = 0;
+    std::uint32_t fence = 0;  // 0: not known yet
+    std::string handover;
+  };
+  // A row in a planned move away from here.
+  struct Leaving {
+    KeyRow row;
+    std::uint64_t left_out_at = 0;  // the first beat whose answer left it out
+    bool released = false;
+    std::string handover;
+  };
+
+  void begin_life(std::string const& instance);
+  void end_life(std::string const& instance, std::string const& reason);
+  bool awake(Instant now) const;
+  void take_releases(KeyBeat const& beat);
+  void judge_leaving(KeyBeat const& beat);
+  void refresh_leaving();
+  void find_ended_in_table();
+  void match_releases();
+  std::string own_token(KeyRow const& row) const;
+  std::vector<KeyGrant> rows_to_grant() const;
+  void serve(std::vector<KeyGrant> const& rows);
+  void measure(Instant now);
+
+  std::string const service_, node_, address_, zone_;
+  KeySettings const settings_;
+
+  std::string instance_;
+  std::uint64_t sequence_ = 0;  // of the last beat
+  Instant arrived_{};
+  KeyStanding standing_ = KeyStanding::serving;
+  std::uint32_t slots_ = 1;
+  std::vector<HeldRange> held_;         // by the last beat
+  std::vector<KnownRelease> released_;  // tokens of what was let go and not granted again
+  std::vector<Serving> serving_;        // by the last answer that renewed
+  Instant hold_end_{};
+  std::vector<Leaving> leaving_;
+  std::vector<KeyEnd> ended_;
+  std::set<std::string> ended_ids_;
+
+  Revision table_revision_ = 0;
+  Revision confirmed_revision_ = 0;
+  std::optional<Instant> lease_until_;
+  std::vector<Mine> mine_;
+
+  Instant measured_{};
+  Instant last_report_{};
+  Instant awake_since_{};
+  bool news_ = false;
+};
+
+}  // namespace banktide
--- a/source/coordination/node_state.hpp
+++ b/source/coordination/node_state.hpp
@@ -3,7 +3,7 @@
 // these for one service or backend.
 #pragma once
 
-#include "state/cell_view.hpp"
+#include "coordination/zone_follower.hpp"
 #include "state/layout.hpp"
 #include "state/mishaps.hpp"
 #include "transport/mutant.hpp"
@@ -48,7 +48,7 @@
         life(w.chance()()),
         holder(s.id + "#" + std::to_string(life)),
         started(w.now()),
-        join_alarm(w) {}
+        zone(w, FollowerSettings{s.id, s.cell, s.address, s.gateway, s.seeds, FeedTiming{}}) {}
 
   bool ready() const { return fresh && viewed && !leaving; }
 
@@ -103,16 +103,12 @@
     return best;
   }
 
-  Address own_registry() const {
-    for (RegistryEntry const& e : directory)
-      if (e.cell == s.cell) return e.address;
-    return "";
-  }
-
   // The registry is to be told anew what this node has.
   void touch() {
-    dirty = true;
-    join_alarm.wake();
+    if (leaving)
+      zone.leave();
+    else
+      zone.touch();
   }
 
   void note(std::string const& what, Mishap const& m) { mishaps.note(w.now() - started, what, m); }
@@ -122,16 +118,17 @@
   std::uint64_t const life;
   std::string const holder;
   Instant const started;
-  CellView view;
+  ZoneFollower<W> zone;
+  CellView const& view = zone.view();
   std::shared_ptr<Rules const> rules = std::make_shared<Rules>();
   std::map<std::pair<std::string, std::string>, Local> local;
   std::map<std::pair<std::string, std::string>, Instant> drained;
+  // As the follower of the zone last said.
   std::vector<RegistryEntry> directory;
   std::uint32_t cores = 0;
   Mishaps mishaps;
-  typename W::Alarm join_alarm;
   Instant left_at{};
-  bool fresh = false, viewed = false, leaving = false, dirty = true;
+  bool fresh = false, viewed = false, leaving = false;
 };
 
 }  // namespace banktide
--- a/source/coordination/register_client.hpp
+++ b/source/coordination/register_client.hpp
@@ -1,10 +1,13 @@
 // The coordinating side of the register, in the registry: each change is a
 // prepare and an accept round with a majority of the voters, made from the
-// newest value that the majority holds, so revisions are dense and ordered with
-// no log and no leader. A reading is vouched for by a majority that holds the
-// same ballot; otherwise a round writes back what it found.
+// newest value that the majority holds, so changes are ordered with no log and
+// no leader; their numbers are what the caller sets. A reading is vouched for by
+// a majority that holds the same ballot; otherwise a round writes back what it
+// found. "Majority" is the quorum of coordination/voter_set.hpp, in a set of
+// voters that a voter has told, or that is fixed; newer sets are followed.
 #pragma once
 
+#include "coordination/voter_set.hpp"
 #include "protocol/digest.hpp"
 #include "protocol/messages.hpp"
 #include "transport/surroundings.hpp"
@@ -16,10 +19,56 @@
 
 inline constexpr std::size_t remembered_requests = 128;
 
+/// Stores to ask for the set of voters.
+struct StoreSeeds {
+  std::vector<Address> addresses;
+};
+
+/// A reading, and when its question was sent: it holds every change that was
+/// completed before that.
+struct Confirmed {
+  Held held;
+  Instant asked{};
+};
+
 template <Surroundings W>
 class RegisterClient {
  public:
-  RegisterClient(W& w, std::vector<Address> voters) : w_(w), voters_(std::move(voters)), nonce_(w.chance()()) {}
+  /// Of a fixed list of voters: epoch 0, for good.
+  RegisterClient(W& w, std::vector<Address> voters)
+      : w_(w), set_(first_set(voters, 0)), set_known_(true), nonce_(w.chance()()) {}
+  /// Learns the voters from the stores named here and by `learn`.
+  RegisterClient(W& w, StoreSeeds seeds) : w_(w), nonce_(w.chance()()) { learn(std::move(seeds.addresses)); }
+
+  /// Further stores to ask for the set of voters.
+  void learn(std::vector<Address> const& stores) {
+    for (Address const& a : stores)
+      if (contacts_.size() < most_contacts && std::find(contacts_.begin(), contacts_.end(), a) == contacts_.end())
+        contacts_.push_back(a);
+  }
+
+  /// Takes up a set that a voter has told, if it is newer.
+  void follow(VoterSet const& told) {
+    if (told.voters.empty() || (set_known_ && told.epoch <= set_.epoch)) return;
+    set_ = told;
+    set_known_ = true;
+  }
+  VoterSet const& set() const { return set_; }
+  bool knows_voters() const { return set_known_; }
+
+  /// Asks the contacts and the voters known which set is the newest. True if one
+  /// is known then.
+  Task<bool> discover(Instant const deadline) {
+    std::vector<Address> peers = contacts_;
+    for (VoterEntry const& e : set_.voters)
+      if (std::find(peers.begin(), peers.end(), e.address) == peers.end()) peers.push_back(e.address);
+    VotersAsk const question{};
+    auto const replies = co_await ask_all<VotersAsk>(w_, peers, question, std::min(deadline, w_.now() + round_patience),
+                                                     [](auto const&) { return false; });
+    for (auto const& [i, r] : replies)
+      if (r && r->member) follow(r->set);
+    co_return set_known_;
+  }
 
   // `step` sees the newest value and changes it, or says why not (its mishap
   // is handed on untouched). A mishap of a round is `unknown` once any voter
@@ -33,11 +82,19 @@
       if (attempt > 0)
         co_await sleep_for(
             w_, std::chrono::milliseconds(2 + w_.chance()() % (20ull << std::min<std::uint64_t>(attempt, 4))));
-      Ballot const ballot{++round_, nonce_};
+      bool const known = co_await find_voters(attempt, deadline);
+      if (!known) {
+        last = "no voter has told the set of voters";
+        continue;
+      }
+      std::vector<Address> const voters = addresses_of(set_);
+      std::size_t const needed = quorum_of(set_);
+      Ballot const ballot{set_.epoch, ++round_, nonce_};
       Prepare const first{reg, ballot};
       auto const prepared = co_await ask_all<Prepare>(
-          w_, voters_, first, std::min(deadline, w_.now() + 600ms),
-          [this](auto const& replies) { return count(replies, &PrepareReply::promised) >= majority(); });
+          w_, voters, first, std::min(deadline, w_.now() + round_patience),
+          [needed](auto const& replies) { return count(replies, &PrepareReply::promised) >= needed; });
+      follow_newer(prepared);
       Ballot best;
       Held held;
       for (auto const& [i, r] : prepared) {
@@ -48,7 +105,7 @@
           held = r->slot.held;
         }
       }
-      if (count(prepared, &PrepareReply::promised) < majority()) {
+      if (count(prepared, &PrepareReply::promised) < needed) {
         last = "prepare had no majority";
         continue;
       }
@@ -69,11 +126,12 @@
       offered = true;
       Accept const second{reg, ballot, held};
       auto const accepted = co_await ask_all<Accept>(
-          w_, voters_, second, std::min(deadline, w_.now() + 600ms),
-          [this](auto const& replies) { return count(replies, &AcceptReply::accepted) >= majority(); });
+          w_, voters, second, std::min(deadline, w_.now() + round_patience),
+          [needed](auto const& replies) { return count(replies, &AcceptReply::accepted) >= needed; });
+      follow_newer(accepted);
       for (auto const& [i, r] : accepted)
         if (r) round_ = std::max(round_, r->promised.round);
-      if (count(accepted, &AcceptReply::accepted) >= majority()) {
+      if (count(accepted, &AcceptReply::accepted) >= needed) {
         if (round != nullptr) *round = ballot.round;
         co_return held;
       }
@@ -84,29 +142,51 @@
 
   // The newest chosen value, vouched for by a majority as of this call.
   Task<Result<Held>> read(Register const reg, Held const known, Instant const deadline) {
-    Peek const question{reg, known.revision};
-    auto const replies = co_await ask_all<Peek>(w_, voters_, question, std::min(deadline, w_.now() + 600ms),
-                                                [this](auto const& r) { return agreeing(r).second >= majority(); });
-    auto const [at, n] = agreeing(replies);
-    if (n >= majority()) {
-      PeekReply const& r = *replies[at].second;
-      co_return r.revision > known.revision ? r.held : known;
+    bool const ready = co_await find_voters(0, deadline);
+    if (ready) {
+      std::optional<Held> const agreed = co_await peek(reg, known, deadline);
+      if (agreed) co_return *agreed;
     }
     co_return co_await change(reg, "", deadline, [](Held const& h) -> Result<Held> { return h; });
   }
 
+  /// A reading that a majority agrees on, with nothing written back: asked again
+  /// until the deadline. Each change must have a greater revision than the one
+  /// before, as `known` is taken to be current if the revision is the same.
+  Task<Result<Confirmed>> confirm(Register const reg, Held const known, Instant const deadline) {
+    for (std::uint64_t attempt = 0; w_.now() < deadline; ++attempt) {
+      if (attempt > 0) co_await sleep_for(w_, std::chrono::milliseconds(2 + w_.chance()() % 8));
+      bool const ready = co_await find_voters(attempt, deadline);
+      if (!ready) continue;
+      Instant const asked = w_.now();
+      std::optional<Held> agreed = co_await peek(reg, known, deadline);
+      if (!agreed) continue;
+      Confirmed out;
+      out.held = std::move(*agreed);
+      out.asked = asked;
+      co_return out;
+    }
+    co_return mishap("confirm", register_name(reg), set_known_ ? "no majority agrees" : "no voters known",
+                     Proof::not_run);
+  }
+
   // A number greater than every one that this has given before, to anyone.
   Task<Result<std::uint64_t>> rise(Register const reg, Instant const deadline) {
-    Peek const question{reg, std::numeric_limits<Revision>::max()};
-    auto const replies = co_await ask_all<Peek>(w_, voters_, question, std::min(deadline, w_.now() + 600ms),
-                                                [](auto const&) { return false; });
+    bool const ready = co_await find_voters(0, deadline);
     std::size_t heard = 0;
-    for (auto const& [i, r] : replies) {
-      if (!r || !r->voting) continue;
-      ++heard;
-      round_ = std::max(round_, r->accepted.round);
+    if (ready) {
+      Peek const question{reg, std::numeric_limits<Revision>::max(), set_.epoch};
+      auto const replies =
+          co_await ask_all<Peek>(w_, addresses_of(set_), question, std::min(deadline, w_.now() + round_patience),
+                                 [](auto const&) { return false; });
+      follow_newer(replies);
+      for (auto const& [i, r] : replies) {
+        if (!r || !r->voting) continue;
+        ++heard;
+        round_ = std::max(round_, r->accepted.round);
+      }
     }
-    if (heard < majority()) co_return mishap("register", register_name(reg), "no majority", Proof::not_run);
+    if (!ready || heard < majority()) co_return mishap("register", register_name(reg), "no majority", Proof::not_run);
     std::uint64_t round = 0;
     Result<Held> const done = co_await change(
         reg, "", deadline, [](Held const& h) -> Result<Held> { return h; }, &round);
@@ -114,9 +194,13 @@
     co_return round;
   }
 
-  std::size_t majority() const { return voters_.size() / 2 + 1; }
+  std::size_t majority() const { return quorum_of(set_); }
 
  private:
+  static constexpr Duration round_patience = 600ms;
+  static constexpr std::size_t most_contacts = 16;
+  static constexpr std::uint64_t attempts_before_asking_again = 3;
+
   template <class Replies, class Field>
   static std::size_t count(Replies const& replies, Field const field) {
     std::size_t n = 0;
@@ -125,10 +209,39 @@
   }
 
   template <class Replies>
-  static std::pair<std::size_t, std::size_t> agreeing(Replies const& replies) {
+  void follow_newer(Replies const& replies) {
+    for (auto const& [i, r] : replies)
+      if (r && r->newer) follow(*r->newer);
+  }
+
+  // Asks when no set is known, and again when rounds keep failing.
+  Task<bool> find_voters(std::uint64_t const attempt, Instant const deadline) {
+    bool const again = attempt > 0 && attempt % attempts_before_asking_again == 0 && !contacts_.empty();
+    if (set_known_ && !again) co_return true;
+    co_return co_await discover(deadline);
+  }
+
+  // What a majority agrees on. A ballot of an older epoch is no agreement: it
+  // may have been copied here from less than a majority.
+  Task<std::optional<Held>> peek(Register const reg, Held const known, Instant const deadline) {
+    std::uint64_t const epoch = set_.epoch;
+    std::size_t const needed = quorum_of(set_);
+    Peek const question{reg, known.revision, epoch};
+    auto const replies =
+        co_await ask_all<Peek>(w_, addresses_of(set_), question, std::min(deadline, w_.now() + round_patience),
+                               [epoch, needed](auto const& r) { return agreeing(r, epoch).second >= needed; });
+    follow_newer(replies);
+    auto const [at, n] = agreeing(replies, epoch);
+    if (n < needed) co_return std::nullopt;
+    PeekReply const& r = *replies[at].second;
+    co_return r.revision > known.revision ? r.held : known;
+  }
+
+  template <class Replies>
+  static std::pair<std::size_t, std::size_t> agreeing(Replies const& replies, std::uint64_t const epoch) {
     std::pair<std::size_t, std::size_t> best{0, 0};
     for (std::size_t i = 0; i < replies.size(); ++i) {
-      if (!replies[i].second || !replies[i].second->voting) continue;
+      if (!replies[i].second || !replies[i].second->voting || replies[i].second->accepted.epoch != epoch) continue;
       std::size_t n = 0;
       for (auto const& [at, r] : replies) n += r && r->voting && r->accepted == replies[i].second->accepted;
       if (n > best.second) best = {i, n};
@@ -137,7 +250,9 @@
   }
 
   W& w_;
-  std::vector<Address> const voters_;
+  VoterSet set_;
+  bool set_known_ = false;
+  std::vector<Address> contacts_;
   std::uint64_t const nonce_;
   std::uint64_t round_ = 0;
 };
--- /dev/null
+++ b/source/coordination/voter_set.cpp
@@ -0,0 +1,56 @@
+// The arithmetic of quorums, and the steps from one set of voters to the next.
+#include "coordination/voter_set.hpp"
+
+#include <algorithm>
+
+namespace banktide {
+
+std::size_t quorum_of(VoterSet const& s) { return quorum_of(s.voters.size(), s.losses); }
+
+std::size_t recovery_quorum_of(VoterSet const& s) { return recovery_quorum_of(s.voters.size(), s.losses); }
+
+std::size_t quorum_of(std::size_t const count, std::size_t const losses) {
+  std::size_t const majority = count / 2 + 1;
+  return std::min(count, std::max(majority, losses + 1));
+}
+
+std::size_t recovery_quorum_of(std::size_t const count, std::size_t const losses) {
+  return count - quorum_of(count, losses) + 1;
+}
+
+std::vector<std::string> addresses_of(VoterSet const& s) {
+  std::vector<std::string> out;
+  for (VoterEntry const& e : s.voters) out.push_back(e.address);
+  return out;
+}
+
+VoterEntry const* entry_of(VoterSet const& s, std::string const& address) {
+  auto const it =
+      std::find_if(s.voters.begin(), s.voters.end(), [&](VoterEntry const& e) { return e.address == address; });
+  return it == s.voters.end() ? nullptr : &*it;
+}
+
+VoterSet first_set(std::vector<std::string> const& addresses, std::uint32_t const losses) {
+  VoterSet s;
+  s.losses = losses;
+  for (std::string const& a : addresses) s.voters.push_back(VoterEntry{a, 0});
+  return s;
+}
+
+VoterSet set_with(VoterSet const& s, VoterEntry const& added) {
+  VoterSet next = s;
+  ++next.epoch;
+  next.before = addresses_of(s);
+  next.voters.push_back(added);
+  return next;
+}
+
+VoterSet set_without(VoterSet const& s, std::string const& removed) {
+  VoterSet next = s;
+  ++next.epoch;
+  next.before = addresses_of(s);
+  std::erase_if(next.voters, [&](VoterEntry const& e) { return e.address == removed; });
+  return next;
+}
+
+}  // namespace banktide
--- /dev/null
+++ b/source/coordination/zone_entries.hpp
@@ -0,0 +1,89 @@
+// What zones tell each other through their registries: of the zones kept here,
+// when their entries are due to be told; of the others, what was last heard.
+#pragma once
+
+#include "coordination/feed_timing.hpp"
+#include "coordination/registry_directory.hpp"
+
+namespace banktide {
+
+class ZoneEntries {
+ public:
+  explicit ZoneEntries(FeedTiming const& timing) : t_(timing) {}
+
+  /// The entry of a zone kept here, if it is to be told now. `make` is called
+  /// only if its feed has moved. The caller fills in the sender.
+  template <class Make>
+  std::optional<CellTold> due(std::string const& zone, Position const at, Instant const now, Make make) {
+    Outgoing& out = outgoing_[zone];
+    if (!(out.at == at)) {
+      CellEntry entry = make();
+      if (!(entry == out.entry)) out.copies_left = copies;
+      out.entry = std::move(entry);
+      out.at = at;
+    }
+    Duration const pause = out.copies_left > 0 ? t_.entry_every : t_.entry_repeat;
+    if (now - out.sent_at < pause) return std::nullopt;
+    out.sent_at = now;
+    if (out.copies_left > 0) --out.copies_left;
+    CellTold told;
+    told.entry = out.entry;
+    told.at = at;
+    return told;
+  }
+
+  /// The zone is kept here no more.
+  void stop(std::string const& zone) { outgoing_.erase(zone); }
+
+  /// What another registry told; the entry if it counts. Two may tell of one zone
+  /// while its nodes go from one to the other: who has more gateways counts.
+  CellEntry const* take(CellTold told, Instant const now) {
+    Incoming& known = incoming_[told.entry.cell];
+    bool const same = told.sender == known.sender;
+    bool const overtaken = same && told.at.epoch == known.at.epoch && told.at.seq < known.at.seq;
+    bool const rivals = !same && now - known.heard < fresh_for;
+    if (overtaken || (rivals && told.entry.gateways.size() <= known.entry.gateways.size())) return nullptr;
+    known = Incoming{std::move(told.entry), std::move(told.sender), told.at, now};
+    return &known.entry;
+  }
+
+  /// Zones of which nobody has told for long, each as an entry with nothing in it.
+  std::vector<CellEntry> forget(Instant const now) {
+    std::vector<CellEntry> gone;
+    std::erase_if(incoming_, [&](auto const& e) {
+      if (now - e.second.heard < RegistryDirectory::kept_for) return false;
+      gone.push_back(CellEntry{e.first, {}, {}, {}});
+      return true;
+    });
+    return gone;
+  }
+
+  template <class F>
+  void each(F f) const {
+    for (auto const& [zone, in] : incoming_) f(in.entry);
+    for (auto const& [zone, out] : outgoing_) f(out.entry);
+  }
+
+ private:
+  static constexpr Duration fresh_for = 3s;
+  static constexpr unsigned copies = 3;  // of a changed entry, as one-way messages may be lost
+
+  struct Outgoing {
+    Position at;
+    CellEntry entry;
+    Instant sent_at{};
+    unsigned copies_left = 0;
+  };
+  struct Incoming {
+    CellEntry entry;
+    Address sender;
+    Position at;
+    Instant heard{};
+  };
+
+  FeedTiming const& t_;
+  std::map<std::string, Outgoing> outgoing_;
+  std::map<std::string, Incoming> incoming_;
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/source/coordination/zone_feed.hpp
@@ -0,0 +1,338 @@
+// What a registry keeps of one zone: its members and backends, the journal of
+// their changes, the news of these that go down the relay tree, and the watch on
+// the members that beat to it. It is memory only: a feed that begins takes its
+// zone from the nodes, and tells nothing of it until they had time to join.
+#pragma once
+
+#include "coordination/feed_timing.hpp"
+#include "coordination/ring_places.hpp"
+#include "state/journal.hpp"
+#include "state/view_json.hpp"
+#include "transport/surroundings.hpp"
+
+namespace banktide {
+
+/// Whose feed it is, of which zone.
+struct FeedSettings {
+  std::string zone;
+  std::string registry_id;
+  Address registry_address;
+  FeedTiming timing{};
+};
+
+/// What the feed's pulses say of the registry besides the zone.
+struct FeedSources {
+  std::function<bool()> vouched;
+  std::function<Revisions()> revisions;
+};
+
+// Always made by make_shared: news on their way keep it.
+template <Surroundings W>
+class ZoneFeed : public std::enable_shared_from_this<ZoneFeed<W>> {
+ public:
+  ZoneFeed(W& w, FeedSettings settings, FeedSources sources)
+      : w_(w),
+        s_(std::move(settings)),
+        t_(s_.timing),
+        sources_(std::move(sources)),
+        epoch_(w.chance()() | 1),
+        started_(w.now()),
+        watched_at_(w.now()),
+        warm_at_(w.now() + t_.warm_up),
+        last_node_at_(w.now()),
+        places_(s_.registry_id) {
+    Member const self{s_.registry_id, s_.zone, s_.registry_address, Role::registry, 1, Standing::fit};
+    journal_and_fold(Change{0, self, std::nullopt, std::nullopt});
+  }
+
+  std::string const& zone() const { return s_.zone; }
+  CellView const& view() const { return view_; }
+  std::uint64_t epoch() const { return epoch_; }
+  Position position() const { return Position{epoch_, journal_.last()}; }
+  /// Nodes had time to join, so that what is known here may be told.
+  bool warm() const { return w_.now() >= warm_at_; }
+  bool has_nodes() const { return nodes_ > 0; }
+  bool had_nodes() const { return had_nodes_; }
+  /// How long there has been no node.
+  Duration empty_for() const { return has_nodes() ? Duration::zero() : w_.now() - last_node_at_; }
+
+  // ---- what members say
+
+  JoinReply join(Join q) {
+    JoinReply reply;
+    reply.epoch = epoch_;
+    if (!acceptable(q)) return reply;
+    auto const it = view_.members.find(q.self.id);
+    bool const suspected = it != view_.members.end() && it->second.standing == Standing::suspected;
+    if (suspected && q.self.standing == Standing::fit && q.self.incarnation <= it->second.incarnation) {
+      reply.incarnation = it->second.incarnation + 1;  // refute with this
+      return reply;
+    }
+    if (!has_nodes()) begin_warm_up();
+    heard_[q.self.id] = w_.now();
+    joined_[q.self.id] = w_.now();
+    if (it == view_.members.end() || !(it->second == q.self)) {
+      log_info("member", {{"id", q.self.id},
+                          {"zone", s_.zone},
+                          {"standing", standing_name(q.self.standing)},
+                          {"incarnation", std::to_string(q.self.incarnation)}});
+      publish_member(q.self);
+    }
+    take_backends(q.self.id, std::move(q.backends));
+    reply.taken = true;
+    reply.incarnation = q.self.incarnation;
+    return reply;
+  }
+
+  FollowReply follow(Follow const& q) const {
+    FollowReply reply;
+    // A feed without nodes has nothing to tell those that are about to join it.
+    reply.known = warm() && (has_nodes() || q.zone != s_.zone);
+    if (!reply.known) return reply;
+    reply.at = position();
+    std::optional<std::vector<Change>> changes;
+    if (q.have.epoch == epoch_) changes = journal_.since(q.have.seq);
+    if (changes)
+      reply.changes = std::move(*changes);
+    else
+      reply.snapshot = view_.snapshot(position());
+    return reply;
+  }
+
+  void beat(Beat const& q) { heard_[q.id] = w_.now(); }
+
+  void suspect(Suspect const& q) {
+    auto const it = view_.members.find(q.id);
+    if (it == view_.members.end() || it->second.incarnation != q.incarnation || it->second.standing != Standing::fit ||
+        it->second.role == Role::registry)
+      return;
+    Member m = it->second;
+    m.standing = Standing::suspected;
+    suspected_[m.id] = w_.now();
+    log_info("member", {{"id", m.id}, {"zone", s_.zone}, {"standing", "suspected"}, {"by", q.by}});
+    publish_member(m);
+  }
+
+  // ---- what is told to them
+
+  /// To be called every `pulse_every`.
+  void pulse() {
+    if (unsent_.empty()) send_down(next_news());
+  }
+
+  /// A newer value of a register, at once.
+  void send_value(Register const reg, Held const& held) {
+    News n = next_news();
+    n.layouts.emplace_back(reg, held);
+    send_down(n);
+  }
+
+  /// What another zone offers.
+  void take_entry(CellEntry const& entry) {
+    if (entry.cell == s_.zone) return;
+    auto const it = view_.cells.find(entry.cell);
+    if (it == view_.cells.end() || !(it->second == entry)) publish(Change{0, std::nullopt, std::nullopt, entry});
+  }
+
+  /// To be called every `beat_every`: beats to the registry's own watchers, and
+  /// looks for members that are silent.
+  void watch() {
+    Instant const now = w_.now();
+    bool const overslept = now - watched_at_ > 4 * t_.beat_every;  // we were frozen: nobody else was silent
+    watched_at_ = now;
+    places_.follow(view_);
+    tell_watchers();
+    std::vector<Member> dead;
+    std::vector<Suspect> silent;
+    for (auto const& [id, m] : view_.members) {
+      if (m.role == Role::registry) continue;
+      bool const watched = places_.watched().contains(id);
+      Instant const heard = take_silence(id, watched, overslept);
+      if (watched && now - heard > t_.suspect_after && m.standing == Standing::fit)
+        silent.push_back(Suspect{id, m.incarnation, s_.registry_id, s_.zone});
+      if (is_dead(m, watched)) dead.push_back(m);
+    }
+    for (Suspect const& q : silent) suspect(q);
+    for (Member& m : dead) bury(m);
+  }
+
+  /// The zone as others see it.
+  CellEntry entry() const {
+    CellEntry e;
+    e.cell = s_.zone;
+    for (auto const& [id, m] : view_.members)
+      if (m.role == Role::gateway && m.standing == Standing::fit) e.gateways.push_back(m);
+    std::map<std::pair<std::string, std::string>, ServiceOffer> by_node;
+    for (auto const& [key, b] : view_.backends) {
+      if (b.standing != Standing::fit || !view_.usable_node(b.node)) continue;
+      if (e.offers.empty() || e.offers.back() != b.service) e.offers.push_back(b.service);
+      Member const& beside = view_.members.at(b.node);
+      if (beside.role != Role::gateway) continue;
+      ServiceOffer& o = by_node[{b.service, b.node}];
+      o.service = b.service;
+      o.node = b.node;
+      o.address = beside.address;
+      o.slots += b.slots;
+      o.burden += b.slots > 0 ? b.burden : 0;
+      o.waiting += b.slots > 0 ? b.waiting : 0;
+    }
+    for (auto& [key, o] : by_node) {
+      o.burden = rounded(o.burden, o.slots);
+      o.waiting = rounded(o.waiting, o.slots);
+      e.services.push_back(std::move(o));
+    }
+    return e;
+  }
+
+ private:
+  static constexpr std::size_t most_backends = 1000;
+  static constexpr std::size_t journal_length = 512;
+  static constexpr Duration flush_after = 2ms;
+  static constexpr std::uint32_t load_steps = 8;  // in which an offer's load is told
+
+  bool acceptable(Join const& q) const {
+    bool const named = !q.self.id.empty() && q.self.id != s_.registry_id && q.self.cell == s_.zone;
+    bool const node = q.self.role == Role::node || q.self.role == Role::gateway;
+    bool const present = q.self.standing == Standing::fit || q.self.standing == Standing::leaving;
+    return named && node && present && q.backends.size() <= most_backends;
+  }
+
+  // Rounded up, so that 0 means that there is nothing.
+  static std::uint32_t rounded(std::uint32_t const load, std::uint32_t const slots) {
+    std::uint32_t const step = std::max<std::uint32_t>(1, slots / load_steps);
+    return (load + step - 1) / step * step;
+  }
+
+  // Nodes that come to a feed that has none come one after the other: from their
+  // start, or from another registry that has kept them until now.
+  void begin_warm_up() {
+    bool const moved = w_.now() - started_ > t_.warm_up;
+    warm_at_ = std::max(warm_at_, w_.now() + (moved ? t_.moved_warm_up : t_.warm_up));
+    unsent_.clear();
+  }
+
+  void take_backends(std::string const& node, std::vector<BackendRecord> told) {
+    std::set<std::pair<std::string, std::string>> named;
+    for (BackendRecord& b : told) {
+      b.node = node;
+      named.insert({b.service, b.instance});
+      auto const at = view_.backends.find({b.service, b.instance});
+      if (at == view_.backends.end() || !(at->second == b)) publish(Change{0, std::nullopt, b, std::nullopt});
+    }
+    std::vector<BackendRecord> gone;
+    for (auto const& [key, b] : view_.backends)
+      if (b.node == node && !named.contains(key)) gone.push_back(b);
+    for (BackendRecord& b : gone) {
+      b.standing = Standing::dead;
+      publish(Change{0, std::nullopt, b, std::nullopt});
+    }
+  }
+
+  // ---- news
+
+  void journal_and_fold(Change c) {
+    c.seq = journal_.last() + 1;
+    journal_.append(c);
+    view_.fold(c);
+    if (c.member) count_nodes();
+    if (warm()) unsent_.push_back(std::move(c));
+  }
+  void count_nodes() {
+    nodes_ = 0;
+    for (auto const& [id, m] : view_.members) nodes_ += m.role != Role::registry;
+    if (nodes_ == 0) return;
+    had_nodes_ = true;
+    last_node_at_ = w_.now();
+  }
+
+  void publish(Change c) {
+    if (has_nodes()) last_node_at_ = w_.now();
+    journal_and_fold(std::move(c));
+    if (unsent_.empty() || flushing_) return;
+    flushing_ = true;
+    spawn(w_, flush_soon(this->shared_from_this()));
+  }
+  void publish_member(Member const& m) { publish(Change{0, m, std::nullopt, std::nullopt}); }
+
+  // Changes of one moment go in one piece of news.
+  static Task<void> flush_soon(std::shared_ptr<ZoneFeed> const feed) {
+    co_await sleep_for(feed->w_, flush_after);
+    feed->flushing_ = false;
+    News n = feed->next_news();
+    n.changes = std::move(feed->unsent_);
+    feed->unsent_.clear();
+    feed->send_down(n);
+  }
+
+  News next_news() {
+    News n;
+    n.at = position();
+    n.pulse = ++pulse_;
+    n.vouched = sources_.vouched();
+    n.root = s_.registry_address;
+    n.revisions = sources_.revisions();
+    return n;
+  }
+
+  void send_down(News const& n) {
+    if (!warm() || !has_nodes()) return;
+    places_.follow(view_);
+    Bytes const raw = pack(n);
+    for (std::string const& id : places_.first_relays()) w_.tell_raw(view_.members.at(id).address, News::kind, raw);
+  }
+
+  // ---- watching
+
+  void tell_watchers() {
+    if (places_.watchers().empty()) return;
+    Position const at = warm() ? position() : Position{};
+    Bytes const raw = pack(Beat{s_.registry_id, s_.registry_address, 1, at, s_.zone});
+    for (std::string const& id : places_.watchers()) w_.tell_raw(view_.members.at(id).address, Beat::kind, raw);
+  }
+
+  // When the member was last heard, as far as silence counts against it: one
+  // that isn't watched here, or while we were frozen, isn't silent.
+  Instant take_silence(std::string const& id, bool const watched, bool const overslept) {
+    Instant const now = w_.now();
+    Instant& heard = heard_.try_emplace(id, watched ? now : Instant{}).first->second;
+    if (overslept) heard = now;
+    if (!watched) heard = std::max(heard, now - t_.suspect_after / 2);
+    return heard;
+  }
+
+  bool is_dead(Member const& m, bool const watched) const {
+    Instant const now = w_.now();
+    if (m.standing == Standing::suspected) return now - suspected_.at(m.id) > t_.dead_after;
+    if (m.standing != Standing::leaving) return false;
+    if (watched && now - heard_.at(m.id) > t_.suspect_after) return true;
+    auto const joined = joined_.find(m.id);
+    return joined != joined_.end() && now - joined->second > t_.leave_after;
+  }
+
+  void bury(Member& m) {
+    m.standing = Standing::dead;
+    log_info("member", {{"id", m.id}, {"zone", s_.zone}, {"standing", "dead"}});
+    publish_member(m);
+    heard_.erase(m.id);
+    suspected_.erase(m.id);
+    joined_.erase(m.id);
+  }
+
+  W& w_;
+  FeedSettings const s_;
+  FeedTiming const& t_;
+  FeedSources const sources_;
+  std::uint64_t const epoch_;
+  Instant const started_;
+  Instant watched_at_, warm_at_, last_node_at_;
+  Journal<Change> journal_{journal_length};
+  CellView view_;
+  RingPlaces places_;
+  std::size_t nodes_ = 0;
+  std::uint64_t pulse_ = 0;
+  bool flushing_ = false, had_nodes_ = false;
+  std::vector<Change> unsent_;
+  std::map<std::string, Instant> heard_, suspected_, joined_;
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/source/data_path/endpoint_selector.hpp
@@ -0,0 +1,78 @@
+// Which endpoint a request goes to. An endpoint is a node beside a backend of
+// the service: in the own zone the node itself, in another zone one of that
+// zone's gateways for the service. What is known of each comes from the zone's
+// feed and, fresher, from its answers to this node. Local endpoints come first;
+// a request crosses to another zone when no local one has a free slot and the
+// remote one would finish it clearly sooner.
+#pragma once
+
+#include "protocol/forward_messages.hpp"
+#include "transport/surroundings.hpp"
+
+#include <map>
+#include <set>
+#include <tsl/robin_map.h>
+
+namespace banktide {
+
+/** One place that can serve a service. */
+struct Endpoint {
+  std::string node;
+  Address address;
+  std::string zone;
+  bool local_zone = false;
+  std::uint32_t slots = 1;
+  /** Requests running and waiting there, as last announced by the feed. */
+  std::uint32_t announced_busy = 0;
+};
+
+/** What this node has itself seen of one peer address. */
+struct EndpointHistory {
+  std::uint32_t in_flight = 0;
+  /** Requests of other nodes there, as of the last answer. */
+  double others = 0;
+  Instant others_at{};
+  std::uint32_t run_us = 0;
+  std::uint32_t failures_in_row = 0;
+  std::uint32_t ejections = 0;
+  Instant avoid_until{};
+  /** For how long refusals for being busy are believed. */
+  Instant busy_until{};
+};
+
+class EndpointSelector {
+ public:
+  using Endpoints = std::vector<Endpoint>;
+
+  /** All endpoints by service, from the newest view. */
+  void replace(std::map<std::string, Endpoints> endpoints);
+  Endpoints const& of(std::string const& service) const;
+
+  /** The best endpoint whose address isn't in `tried`; nullptr when there is none. */
+  Endpoint const* select(std::string const& service, std::set<Address> const& tried, Instant now,
+                         std::mt19937_64& chance);
+
+  void sent(Address const& address);
+  /** The request that `sent` counted is over; its answer told the load there. */
+  void answered(Address const& address, EndpointLoad const& load, Instant now);
+  void busy(Address const& address, EndpointLoad const& load, Duration for_time, Instant now);
+  /** The request that `sent` counted failed; `certain`: nothing is there at all. */
+  void failed(Address const& address, bool certain, Instant now);
+  bool avoided(Address const& address, Instant now) const;
+  std::size_t in_flight(Address const& address) const;
+
+  /** A remote endpoint must look this much better than a local one that has no free slot. */
+  static constexpr double crossing_penalty = 1.3;
+
+ private:
+  double cost(Endpoint const& endpoint, Instant now, double mean_run_us) const;
+  bool has_free_slot(Endpoint const& endpoint, Instant now) const;
+  double busy_there(Endpoint const& endpoint, Instant now) const;
+  double mean_run(Endpoints const& endpoints) const;
+
+  static constexpr std::uint32_t failures_to_eject = 3;
+  std::map<std::string, Endpoints> endpoints_;
+  tsl::robin_map<Address, EndpointHistory> history_;
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/source/data_path/local_backend.hpp
@@ -0,0 +1,341 @@
+// The backend beside this node, of which the node is the only caller: its
+// heartbeats, its queue, its connections, and the sending of one request to it.
+// A request that was not sent, or that the backend says it did not run, is
+// "not run"; an answer counts only when it is whole and names our attempt.
+#pragma once
+
+#include "coordination/key_holder.hpp"
+#include "data_path/backend_queue.hpp"
+#include "protocol/backend_heartbeat.hpp"
+#include "protocol/data_path_headers.hpp"
+#include "protocol/forward_messages.hpp"
+#include "protocol/http_words.hpp"
+#include "transport/backend_connections.hpp"
+#include "transport/surroundings.hpp"
+
+#include <tsl/robin_map.h>
+
+namespace banktide {
+
+struct LocalBackendSettings {
+  std::string node;
+  /** A backend that has not sent a heartbeat for longer is taken for gone. */
+  Duration silent_after = 6s;
+  /** After the acknowledgement of a drain, requests on their way are still taken for this long. */
+  Duration drain_tail = 700ms;
+  /** After this no request is sent to a draining backend, whatever waits. */
+  Duration drain_end = 1500ms;
+};
+
+/** Opens connections to a backend; made anew for each life of a backend. */
+using ConnectionsFactory = std::function<std::unique_ptr<BackendConnections>(Address const&, std::size_t limit)>;
+
+template <Surroundings W>
+class LocalBackend {
+ public:
+  struct Events {
+    /** The record for the zone's feed changed. */
+    std::function<void()> record_changed;
+    /** An instance's process is proved to have ended. */
+    std::function<void(std::string const& service, std::string const& instance, std::string const& reason)> ended;
+    /** Connections that a backend of the service takes. */
+    std::function<std::size_t(std::string const& service)> connection_limit;
+  };
+
+  LocalBackend(W& w, LocalBackendSettings settings, DataPathHeaders const& headers, ConnectionsFactory factory,
+               Events events)
+      : w_(w), s_(std::move(settings)), headers_(headers), factory_(std::move(factory)), events_(std::move(events)) {}
+
+  /** Takes a heartbeat up. False: it is older than one already seen, or of a former life. */
+  bool heartbeat(BackendHeartbeat const& beat) {
+    Instant const now = w_.now();
+    if (former_.contains(beat.id)) return false;
+    if (instance_ && instance_->beat.id == beat.id && beat.sequence < instance_->beat.sequence) return false;
+    bool changed = false;
+    if (!instance_ || instance_->beat.id != beat.id) {
+      if (instance_) retire("a new instance beats here");
+      start(beat);
+      changed = true;
+    }
+    Instance& i = *instance_;
+    changed = changed || i.beat.slots != beat.slots || i.refused || (beat.leaving && !i.draining_since);
+    if (beat.leaving && !i.draining_since) i.draining_since = now;
+    i.beat = beat;
+    i.heard = now;
+    i.refused = false;
+    i.queue.set_slots(beat.slots);
+    carry_out();
+    if (changed) events_.record_changed();
+    return true;
+  }
+
+  /** The backend signs off. */
+  void leave(std::string const& id) {
+    if (!instance_ || instance_->beat.id != id) return;
+    retire("it signed off");
+    events_.record_changed();
+  }
+
+  /** What the zone is told of it; none while it isn't usable for new requests. */
+  std::vector<BackendRecord> records() const {
+    if (!instance_) return {};
+    Instance const& i = *instance_;
+    if (i.refused || w_.now() - i.heard > s_.silent_after) return {};
+    BackendRecord r;
+    r.service = i.beat.service;
+    r.instance = i.beat.id;
+    r.node = s_.node;
+    r.burden = i.queue.running();
+    r.waiting = i.queue.waiting();
+    r.slots = i.beat.slots;
+    r.warming = i.beat.warm_left > Duration::zero();
+    r.standing = i.draining_since ? Standing::leaving : Standing::fit;
+    return {r};
+  }
+
+  bool draining() const { return instance_ && instance_->draining_since; }
+  std::string service() const { return instance_ ? instance_->beat.service : ""; }
+  std::string instance_id() const { return instance_ ? instance_->beat.id : ""; }
+  std::size_t in_flight() const { return requests_.size(); }
+  std::uint64_t connections_opened() const { return instance_ ? instance_->connections->opened() : 0; }
+  void set_keys(KeyHolder* const keys) { keys_ = keys; }
+  std::uint32_t slots() const { return instance_ ? instance_->beat.slots : 0; }
+
+  EndpointLoad load() const {
+    EndpointLoad l;
+    if (!instance_) return l;
+    l.running = instance_->queue.running();
+    l.waiting = instance_->queue.waiting();
+    l.slots = instance_->beat.slots;
+    l.run_us = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(instance_->queue.estimate().overall()).count());
+    return l;
+  }
+
+  /** Runs one request on the backend: at once, after a wait for a slot, or not at all. */
+  Task<ForwardReply> run(Forward forward) {
+    Instant const arrived = w_.now();
+    Instant const deadline = arrived + std::chrono::milliseconds(forward.remaining_ms);
+    if (ForwardReply const refused = check(forward, arrived); refused.refusal != Refusal::none) co_return refused;
+    std::uint64_t const id = ++last_id_;
+    Duration const useful = std::max<Duration>(std::chrono::milliseconds(forward.aim_ms), (deadline - arrived) * 6 / 10);
+    QueuedRequest const queued{id, forward.rank, forward.work_class, std::min(deadline, arrived + useful)};
+    Admission const admission = instance_->queue.admit(arrived, queued);
+    if (admission == Admission::refuse) co_return refuse(Refusal::busy, "queue too long", expected_wait(forward.rank));
+    std::shared_ptr<Waiter> const waiter = std::make_shared<Waiter>(w_);
+    requests_[id] = waiter;
+    std::uint64_t const life = life_;
+    if (admission == Admission::wait) {
+      carry_out();
+      std::optional<bool> const turn = co_await waiter->turn.wait(deadline);
+      if (!turn || !*turn) co_return give_up_waiting(id, life, forward.rank);
+    }
+    ForwardReply reply = co_await send(forward, deadline, life);
+    requests_.erase(id);
+    co_return reply;
+  }
+
+  /** Called now and then: what is silent or drained is let go. */
+  void tick() {
+    if (!instance_) return;
+    Instant const now = w_.now();
+    if (instance_->draining_since && now - *instance_->draining_since > s_.drain_end) {
+      instance_->queue.refuse_all();
+      carry_out();
+    }
+    if (now - instance_->heard > s_.silent_after && !instance_->silent) {
+      instance_->silent = true;
+      log_info("backend_silent", {{"instance", instance_->beat.id}});
+      events_.record_changed();
+    }
+  }
+
+ private:
+  /** One life of the backend. */
+  struct Instance {
+    BackendHeartbeat beat;
+    std::shared_ptr<BackendConnections> connections;
+    BackendQueue queue;
+    Instant heard{};
+    std::optional<Instant> draining_since;
+    bool refused = false;
+    bool silent = false;
+  };
+
+  struct Waiter {
+    explicit Waiter(W& w) : turn(w) {}
+    OneShot<W, bool> turn;
+  };
+
+  void start(BackendHeartbeat const& beat) {
+    ++life_;
+    instance_.emplace();
+    instance_->connections = factory_(beat.address, events_.connection_limit(beat.service));
+    instance_->queue.set_slots(beat.slots);
+    log_info("backend_up", {{"service", beat.service}, {"instance", beat.id}, {"address", beat.address}});
+  }
+
+  void retire(std::string const& reason) {
+    log_info("backend_ended", {{"instance", instance_->beat.id}, {"reason", reason}});
+    instance_->queue.refuse_all();
+    carry_out();
+    instance_->connections->close();
+    former_.insert(instance_->beat.id);
+    events_.ended(instance_->beat.service, instance_->beat.id, reason);
+    instance_.reset();
+    ++life_;
+  }
+
+  ForwardReply refuse(Refusal const why, std::string reason, Duration const retry_after) const {
+    ForwardReply r;
+    r.outcome = Outcome::not_run;
+    r.refusal = why;
+    r.reason = std::move(reason);
+    r.load = load();
+    r.retry_after_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(as_ms(retry_after), 0));
+    return r;
+  }
+
+  Duration expected_wait(std::uint32_t const rank) const {
+    return std::clamp<Duration>(instance_ ? instance_->queue.expected_wait(rank) : 100ms, 20ms, 250ms);
+  }
+
+  ForwardReply check(Forward const& forward, Instant const now) const {
+    if (!instance_ || instance_->beat.service != forward.service)
+      return refuse(Refusal::no_backend, "no backend of the service here", 100ms);
+    Instance const& i = *instance_;
+    if (i.refused || now - i.heard > s_.silent_after)
+      return refuse(Refusal::no_backend, "backend is gone or silent", 100ms);
+    if (i.draining_since && now - *i.draining_since > s_.drain_tail && !forward.keyed)
+      return refuse(Refusal::no_backend, "backend is draining", 30ms);
+    if (i.draining_since && now - *i.draining_since > s_.drain_end)
+      return refuse(Refusal::no_backend, "backend is draining", 100ms);
+    if (forward.keyed && !key_held(forward, now)) return refuse(Refusal::key_not_held, "key is not held here", 150ms);
+    return ForwardReply{};
+  }
+
+  bool key_held(Forward const& forward, Instant const now) const {
+    if (keys_ == nullptr) return false;
+    Duration const expected = instance_->queue.estimate().expected(forward.work_class);
+    return keys_->may_run(forward.key, now, expected).has_value();
+  }
+
+  ForwardReply give_up_waiting(std::uint64_t const id, std::uint64_t const life, std::uint32_t const rank) {
+    requests_.erase(id);
+    if (life == life_ && instance_) instance_->queue.withdraw(id);
+    return refuse(Refusal::busy, "no slot in time", expected_wait(rank));
+  }
+
+  // Wakes the requests that the queue has decided about.
+  void carry_out() {
+    if (!instance_) return;
+    BackendQueue::Decisions const decisions = instance_->queue.take_decisions();
+    for (std::uint64_t const id : decisions.refuse) wake(id, false);
+    for (std::uint64_t const id : decisions.run) {
+      if (wake(id, true)) continue;
+      instance_->queue.finished(w_.now(), 0, Duration::zero(), false);
+    }
+  }
+
+  bool wake(std::uint64_t const id, bool const run) {
+    auto const it = requests_.find(id);
+    if (it == requests_.end()) return false;
+    it->second->turn.give(run);
+    return true;
+  }
+
+  BackendCall call_of(Forward& forward, Instant const deadline) const {
+    BackendCall call;
+    call.attempt_header = std::string(headers_.attempt_id);
+    call.attempt_id = forward.attempt_id;
+    call.deadline = deadline;
+    call.repeatable = forward.repeatable;
+    call.request = std::move(forward.request);
+    std::erase_if(call.request.headers, [&](Header const& h) {
+      return same_name(h.name, headers_.remaining_ms) || same_name(h.name, headers_.target_instance) ||
+             same_name(h.name, headers_.calling_service);
+    });
+    std::int64_t const left = std::max<std::int64_t>(as_ms(deadline - w_.now()), 1);
+    call.request.headers.push_back({std::string(headers_.remaining_ms), std::to_string(left)});
+    call.request.headers.push_back({std::string(headers_.target_instance), instance_->beat.id});
+    call.request.headers.push_back({std::string(headers_.calling_service), forward.calling_service});
+    return call;
+  }
+
+  Task<ForwardReply> send(Forward& forward, Instant const deadline, std::uint64_t const life) {
+    // While it waited its keys may have moved, or its time have gone.
+    Instant const begun = w_.now();
+    if (life != life_ || !instance_) co_return refuse(Refusal::no_backend, "backend ended", 100ms);
+    bool const held = !forward.keyed || key_held(forward, begun);
+    bool const drained = instance_->draining_since && begun - *instance_->draining_since > s_.drain_end;
+    if (!held || drained || begun >= deadline) {
+      finished(life, forward.work_class, Duration::zero(), false);
+      co_return refuse(held ? (drained ? Refusal::no_backend : Refusal::too_late) : Refusal::key_not_held,
+                       "not sendable any more", 50ms);
+    }
+    std::shared_ptr<BackendConnections> const connections = instance_->connections;
+    std::string const instance = instance_->beat.id;
+    BackendCall call = call_of(forward, deadline);
+    Result<HttpReply> got = co_await connections->call(std::move(call));
+    Duration const took = w_.now() - begun;
+    bool const good = got && got->status < 500 && got->status >= 200;
+    finished(life, forward.work_class, took, good);
+    ForwardReply reply = got ? judge(std::move(*got), instance) : judge_failure(got.error(), instance);
+    reply.run_us = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::microseconds>(took).count());
+    co_return reply;
+  }
+
+  void finished(std::uint64_t const life, std::uint32_t const work_class, Duration const took, bool const measured) {
+    if (life != life_ || !instance_) return;
+    instance_->queue.finished(w_.now(), work_class, took, measured);
+    carry_out();
+  }
+
+  ForwardReply judge(HttpReply http, std::string const& instance) {
+    bool const marked = has_header(http.headers, headers_.not_executed) || http.status == 421;
+    if (marked) {
+      log_info("backend_refused", {{"instance", instance}, {"status", std::to_string(http.status)}});
+      return refuse(Refusal::by_backend, "backend did not run it", 50ms);
+    }
+    ForwardReply reply;
+    reply.load = load();
+    // Without the mark these promise nothing, though they read like a promise.
+    bool const like_promise = http.status == 503 || http.status == 429 || http.status == 408;
+    reply.outcome = like_promise ? Outcome::unknown : Outcome::answered;
+    if (like_promise) reply.reason = "backend failed with " + std::to_string(http.status);
+    reply.reply = std::move(http);
+    return reply;
+  }
+
+  ForwardReply judge_failure(Mishap const& error, std::string const& instance) {
+    bool const nobody_listens = error.step == "connect" && error.reason == "refused";
+    if (nobody_listens && instance_ && instance_->beat.id == instance) {
+      instance_->refused = true;
+      instance_->queue.refuse_all();
+      carry_out();
+      log_info("backend_refuses", {{"instance", instance}});
+      events_.ended(instance_->beat.service, instance, "nobody listens at its port");
+      events_.record_changed();
+    }
+    if (error.proof == Proof::not_run) return refuse(Refusal::no_backend, error.step + ": " + error.reason, 100ms);
+    ForwardReply reply;
+    reply.load = load();
+    reply.outcome = Outcome::unknown;
+    reply.reason = error.step + ": " + error.reason;
+    return reply;
+  }
+
+  W& w_;
+  LocalBackendSettings const s_;
+  DataPathHeaders const& headers_;
+  ConnectionsFactory factory_;
+  Events events_;
+  KeyHolder* keys_ = nullptr;
+  std::optional<Instance> instance_;
+  std::set<std::string> former_;
+  tsl::robin_map<std::uint64_t, std::shared_ptr<Waiter>> requests_;
+  std::uint64_t last_id_ = 0;
+  std::uint64_t life_ = 0;
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/source/data_path/request_path.hpp
@@ -0,0 +1,278 @@
+// The way of one request through the node that took it from its client: its
+// route is found, an endpoint selected, the request forwarded there, and its
+// final answer given. What may be sent again follows from what is proved: a
+// request that was not run may go elsewhere; one of unknown outcome only if it
+// is repeatable and the shared retry budget allows it.
+#pragma once
+
+#include "data_path/endpoint_selector.hpp"
+#include "data_path/local_backend.hpp"
+#include "data_path/request_state.hpp"
+#include "protocol/data_path_headers.hpp"
+#include "protocol/digest.hpp"
+#include "state/key_table.hpp"
+#include "state/retry_budget.hpp"
+#include "state/service_configuration.hpp"
+#include "transport/http_server.hpp"
+
+#include <charconv>
+
+namespace banktide {
+
+struct RequestPathSettings {
+  Address own_address;
+  std::string zone;
+  /** The service of the backend on this machine: in whose name its requests go out. */
+  std::string calling_service;
+  /** How often an attempt may go to another endpoint after a proof that it was not run. */
+  std::uint32_t most_endpoints = 4;
+  /** Share of a service's requests, in percent, that this node may send a second time. */
+  std::uint64_t retry_percent = 10;
+  std::uint64_t retry_margin = 2;
+  std::size_t most_in_flight = 4096;
+};
+
+/** Counts for the log and the operator's state page. */
+struct RequestCounts {
+  std::uint64_t taken = 0, answered = 0, refused = 0, failed = 0, retried = 0;
+};
+
+template <Surroundings W, class Backend>
+class RequestPath {
+ public:
+  RequestPath(W& w, RequestPathSettings settings, DataPathHeaders const& headers, Backend& backend)
+      : w_(w), s_(std::move(settings)), headers_(headers), backend_(backend) {}
+
+  EndpointSelector& selector() { return selector_; }
+  RequestCounts const& counts() const { return counts_; }
+  std::size_t in_flight() const { return in_flight_; }
+
+  void set_router(std::shared_ptr<Router const> router) { router_ = std::move(router); }
+  std::shared_ptr<Router const> const& router() const { return router_; }
+  /** The newest table of who holds which keys. */
+  void set_keys(std::shared_ptr<KeyTable const> keys) { keys_ = std::move(keys); }
+
+  /** Handles one request of a client or of this machine's backend. */
+  Task<HttpReply> handle(HttpRequest request, std::shared_ptr<HttpExchange> exchange) {
+    ++counts_.taken;
+    std::shared_ptr<Router const> const router = router_;
+    if (!router) co_return refusal("no configuration yet", not_ready_retry);
+    Route const* const route = router->match(header_of(request, "Host"), request.target);
+    if (route == nullptr) co_return plain_reply(404, "no route");
+    if (in_flight_ >= s_.most_in_flight) co_return refusal("too many requests in flight", busy_retry);
+    Result<Attempt> attempt = prepare(*router, *route, std::move(request));
+    if (!attempt) co_return plain_reply(400, attempt.error().reason);
+    ++in_flight_;
+    HttpReply reply = co_await run(std::move(*attempt), std::move(exchange));
+    --in_flight_;
+    co_return reply;
+  }
+
+  /** The gateway's part: a request from another zone that the own backend can't take goes to another of this zone. */
+  Task<ForwardReply> pass_on(Forward forward, ForwardReply refused) {
+    forward.crossed = false;
+    std::set<Address> const tried{s_.own_address};
+    Endpoint const* const other = selector_.select(forward.service, tried, w_.now(), w_.chance());
+    if (other == nullptr || !other->local_zone) co_return refused;
+    Instant const deadline = w_.now() + std::chrono::milliseconds(forward.remaining_ms);
+    Address const address = other->address;
+    ForwardReply reply = co_await send(address, forward, deadline);
+    co_return reply;
+  }
+
+ private:
+  static constexpr Duration busy_retry = 60ms;
+  static constexpr Duration not_ready_retry = 300ms;
+  static constexpr Duration key_retry = 150ms;
+  static constexpr Duration answer_margin = 3ms;
+
+  /** A request on its way, with what must be known to send it again. */
+  struct Attempt {
+    Forward forward;
+    Instant deadline{};
+    std::uint32_t attempt_limit = 1;
+    RequestState state;
+  };
+
+  static HttpReply plain_reply(std::uint16_t const status, std::string const& text) {
+    HttpReply reply;
+    reply.status = status;
+    reply.headers.push_back({"Content-Type", "text/plain"});
+    reply.body = text + "\n";
+    return reply;
+  }
+
+  // A refusal is a promise that the request has not run and never will.
+  HttpReply refusal(std::string const& reason, Duration const retry_after) {
+    ++counts_.refused;
+    HttpReply reply = plain_reply(503, reason);
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(retry_after).count());
+    reply.headers.push_back({"Retry-After", text});
+    return reply;
+  }
+
+  HttpReply failure(Attempt const& attempt, std::string const& reason) {
+    ++counts_.failed;
+    return plain_reply(w_.now() + answer_margin >= attempt.deadline ? 504 : 502, reason);
+  }
+
+  static std::optional<std::uint64_t> number(std::string const& text) {
+    std::uint64_t value = 0;
+    auto const [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size() || text.empty()) return std::nullopt;
+    return value;
+  }
+
+  Result<Attempt> prepare(Router const& router, Route const& route, HttpRequest request) {
+    Attempt attempt;
+    Forward& f = attempt.forward;
+    ServiceDefinition const& service = router.services()[Router::choose(route, w_.chance()())];
+    f.attempt_id = header_of(request, headers_.attempt_id);
+    if (f.attempt_id.empty()) return mishap("admit", "", "no attempt id", Proof::not_run);
+    f.service = service.name;
+    f.keyed = service.keyed;
+    if (service.keyed) {
+      std::optional<std::uint32_t> const key = parse_key(header_of(request, headers_.key));
+      if (!key) return mishap("admit", "", "no key", Proof::not_run);
+      f.key = static_cast<std::uint16_t>(*key);
+    }
+    Duration patience = route.timeout;
+    std::optional<std::uint64_t> const remaining = number(header_of(request, headers_.remaining_ms));
+    if (remaining) patience = std::min<Duration>(patience, std::chrono::milliseconds(*remaining));
+    attempt.deadline = w_.now() + patience;
+    attempt.attempt_limit = std::max<std::uint32_t>(route.attempt_limit, 1);
+    f.repeatable = route.repeatable;
+    f.rank = route.rank;
+    f.work_class = static_cast<std::uint32_t>(digest_of(route.name));
+    f.aim_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(0, as_ms(route.aim)));
+    f.calling_service = s_.calling_service;
+    f.request = std::move(request);
+    return attempt;
+  }
+
+  RetryBudget& budget(std::string const& service) {
+    auto it = budgets_.find(service);
+    if (it == budgets_.end()) it = budgets_.emplace(service, RetryBudget(s_.retry_percent, s_.retry_margin)).first;
+    return it.value();
+  }
+
+  std::optional<Address> choose(Attempt& attempt, std::set<Address> const& tried) {
+    Forward& f = attempt.forward;
+    if (f.keyed) {
+      KeyHolderRecord const* const holder = keys_ ? keys_->find(f.service, f.key) : nullptr;
+      if (holder == nullptr || tried.contains(holder->address) || selector_.avoided(holder->address, w_.now()))
+        return std::nullopt;
+      f.crossed = holder->zone != s_.zone;
+      return holder->address;
+    }
+    Endpoint const* const endpoint = selector_.select(f.service, tried, w_.now(), w_.chance());
+    if (endpoint == nullptr) return std::nullopt;
+    f.crossed = !endpoint->local_zone;
+    return endpoint->address;
+  }
+
+  Task<ForwardReply> send(Address const address, Forward const& forward, Instant const deadline) {
+    selector_.sent(address);
+    ForwardReply reply;
+    if (address == s_.own_address) {
+      reply = co_await backend_.run(forward);
+    } else {
+      Result<ForwardReply> got = co_await ask(w_, address, forward, deadline);
+      if (got) {
+        reply = std::move(*got);
+      } else {
+        reply.outcome = got.error().proof == Proof::not_run ? Outcome::not_run : Outcome::unknown;
+        reply.refusal = reply.outcome == Outcome::not_run ? Refusal::unreachable : Refusal::none;
+        reply.reason = got.error().step + ": " + got.error().reason;
+      }
+    }
+    learn(address, reply);
+    co_return reply;
+  }
+
+  void learn(Address const& address, ForwardReply const& reply) {
+    Instant const now = w_.now();
+    if (reply.outcome == Outcome::answered)
+      selector_.answered(address, reply.load, now);
+    else if (reply.refusal == Refusal::busy || reply.refusal == Refusal::too_late)
+      selector_.busy(address, reply.load, std::chrono::milliseconds(std::min(reply.retry_after_ms, 200u)), now);
+    else if (reply.refusal == Refusal::key_not_held || reply.refusal == Refusal::by_backend)
+      selector_.answered(address, reply.load, now);
+    else
+      selector_.failed(address, reply.refusal == Refusal::unreachable || reply.refusal == Refusal::no_backend, now);
+  }
+
+  /** Whether the backend's own answer should rather be asked for again elsewhere. */
+  bool worth_repeating(Attempt const& attempt, ForwardReply const& reply) const {
+    return attempt.forward.repeatable && reply.reply.status >= 500 && reply.reply.status != 504;
+  }
+
+  std::uint32_t remaining_ms(Attempt const& attempt) const {
+    std::int64_t const left = as_ms(attempt.deadline - w_.now());
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(left, 0));
+  }
+
+  Task<HttpReply> run(Attempt attempt, std::shared_ptr<HttpExchange> exchange) {
+    std::set<Address> tried;
+    ForwardReply last;
+    last.outcome = Outcome::not_run;
+    last.refusal = Refusal::no_backend;
+    bool may_have_run = false;
+    std::uint32_t arrivals = 0;
+    std::uint32_t retry_after_ms = 0;
+    budget(attempt.forward.service).first(w_.now());
+    for (std::uint32_t n = 0; n < s_.most_endpoints; ++n) {
+      attempt.forward.remaining_ms = remaining_ms(attempt);
+      if (attempt.forward.remaining_ms < 2 || exchange->client_gone()) break;
+      attempt.state.step(RequestPhase::selecting);
+      std::optional<Address> const endpoint = choose(attempt, tried);
+      if (!endpoint) break;
+      if (arrivals > 0) {
+        if (arrivals >= attempt.attempt_limit || !budget(attempt.forward.service).extra(w_.now())) break;
+        ++counts_.retried;
+      }
+      attempt.state.step(RequestPhase::forwarded);
+      last = co_await send(*endpoint, attempt.forward, attempt.deadline);
+      if (last.outcome == Outcome::answered && !worth_repeating(attempt, last)) break;
+      if (last.outcome != Outcome::not_run || last.refusal == Refusal::by_backend) ++arrivals;
+      if (last.outcome != Outcome::not_run) {
+        may_have_run = true;
+        if (!attempt.forward.repeatable) break;
+      }
+      if (last.retry_after_ms > 0)
+        retry_after_ms = retry_after_ms == 0 ? last.retry_after_ms : std::min(retry_after_ms, last.retry_after_ms);
+      // The holder of a key is the only place for it.
+      if (!attempt.forward.keyed) tried.insert(*endpoint);
+      else if (last.outcome == Outcome::not_run && last.refusal != Refusal::key_not_held) break;
+      else if (last.refusal == Refusal::key_not_held) tried.insert(*endpoint);
+    }
+    co_return finish(attempt, std::move(last), may_have_run, retry_after_ms);
+  }
+
+  HttpReply finish(Attempt& attempt, ForwardReply last, bool const may_have_run, std::uint32_t const retry_after_ms) {
+    if (last.outcome == Outcome::answered) {
+      attempt.state.step(RequestPhase::answered);
+      ++counts_.answered;
+      return std::move(last.reply);
+    }
+    attempt.state.step(RequestPhase::given_up);
+    if (may_have_run) return failure(attempt, last.reason);
+    Duration wait = attempt.forward.keyed ? key_retry : busy_retry;
+    if (retry_after_ms > 0) wait = std::chrono::milliseconds(retry_after_ms);
+    return refusal(last.reason.empty() ? "no usable backend" : last.reason, wait);
+  }
+
+  W& w_;
+  RequestPathSettings const s_;
+  DataPathHeaders const& headers_;
+  Backend& backend_;
+  EndpointSelector selector_;
+  std::shared_ptr<Router const> router_;
+  std::shared_ptr<KeyTable const> keys_;
+  tsl::robin_map<std::string, RetryBudget> budgets_;
+  RequestCounts counts_;
+  std::size_t in_flight_ = 0;
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/source/programs/mesh_node.hpp
@@ -0,0 +1,329 @@
+// The node on the new data path, put together: it follows its zone, takes the
+// configuration and the table of keys in force, stands beside one backend, and
+// carries requests from clients here to backends anywhere.
+#pragma once
+
+#include "coordination/register_client.hpp"
+#include "coordination/zone_follower.hpp"
+#include "data_path/request_path.hpp"
+#include "protocol/interface_adapter.hpp"
+
+namespace banktide {
+
+struct MeshNodeSettings {
+  FollowerSettings follower;
+  /** The service of this machine's backend, in whose name its requests go out. */
+  std::string service;
+  /** The stores listen at this port, on the machines of the registries. */
+  std::uint16_t store_port = 0;
+  TimingBounds bounds;
+  KeySettings keys;
+};
+
+/** The address of another port on the same machine. */
+inline Address with_port(Address const& address, std::uint16_t const port) {
+  return address.substr(0, address.rfind(':') + 1) + std::to_string(port);
+}
+
+template <Surroundings W>
+class MeshNode {
+ public:
+  MeshNode(W& w, MeshNodeSettings settings, InterfaceAdapter const& adapter, ConnectionsFactory factory)
+      : w_(w),
+        s_(std::move(settings)),
+        adapter_(adapter),
+        registers_(w, StoreSeeds{stores_of(s_.follower.seeds)}),
+        local_(w, local_settings(), adapter.headers, std::move(factory), local_events()),
+        path_(w, path_settings(), adapter.headers, local_),
+        follower_(w, s_.follower, follower_events()),
+        grant_alarm_(w),
+        report_alarm_(w) {}
+
+  void start(Desk& desk) {
+    desk.on<Forward>([this](Forward f) { return forwarded(std::move(f)); });
+    follower_.start(desk);
+    spawn(w_, keep_confirming());
+    spawn(w_, keep_reporting());
+    spawn(w_, keep_ticking());
+  }
+
+  /** Called with the limits of each configuration that comes into force. */
+  std::function<void(ClientLimits const&)> on_limits;
+
+  /** Whether clients of this machine should send new work here. */
+  bool ready() const { return !leaving_ && follower_.fresh() && follower_.viewed() && path_.router() && in_contact(); }
+  bool idle() const { return path_.in_flight() == 0 && local_.in_flight() == 0; }
+  RequestPath<W, LocalBackend<W>>& path() { return path_; }
+
+  void leave() {
+    leaving_ = true;
+    follower_.leave();
+    report_alarm_.wake();
+  }
+
+  /** A request of a client, or of this machine's backend. */
+  Task<HttpReply> request(HttpRequest q, std::shared_ptr<HttpExchange> exchange) {
+    return path_.handle(std::move(q), std::move(exchange));
+  }
+
+  /** A call of the interface: readiness, or the backend's heartbeats. */
+  Task<HttpReply> interface_call(HttpRequest q) {
+    tl::expected<InterfaceOperation, InterfaceReply> operation = adapter_.interpret(q);
+    if (!operation) co_return http_reply(std::move(operation.error()));
+    if (std::holds_alternative<ReadinessOperation>(*operation)) co_return http_reply(adapter_.readiness_reply(ready()));
+    if (HeartbeatOperation const* const beat = std::get_if<HeartbeatOperation>(&*operation)) {
+      HeartbeatAnswer const answer = co_await heartbeat(beat->heartbeat);
+      co_return http_reply(adapter_.heartbeat_reply(answer));
+    }
+    if (LeaveOperation const* const leave = std::get_if<LeaveOperation>(&*operation)) {
+      local_.leave(leave->id);
+      co_return http_reply(adapter_.acknowledgement_reply());
+    }
+    co_return http_reply(adapter_.unavailable_reply("this process doesn't serve control"));
+  }
+
+ private:
+  static constexpr Duration tick_period = 100ms;
+  static constexpr Duration isolated_after = 1500ms;
+  static constexpr double busy_weight = 0.05;
+
+  bool in_contact() const { return follower_.since_contact() < isolated_after; }
+
+  std::vector<Address> stores_of(std::vector<Address> const& registries) const {
+    std::vector<Address> stores;
+    for (Address const& a : registries) stores.push_back(with_port(a, s_.store_port));
+    return stores;
+  }
+
+  LocalBackendSettings local_settings() const {
+    LocalBackendSettings l;
+    l.node = s_.follower.id;
+    l.drain_end = s_.bounds.drain_limit * 3 / 4;
+    l.drain_tail = s_.bounds.drain_limit * 35 / 100;
+    return l;
+  }
+
+  typename LocalBackend<W>::Events local_events() {
+    typename LocalBackend<W>::Events e;
+    e.record_changed = [this] {
+      follower_.touch();
+      rebuild_endpoints();
+      report_alarm_.wake();
+    };
+    e.ended = [this](std::string const&, std::string const& instance, std::string const& reason) {
+      if (keys_) keys_->on_instance_ended(instance, reason);
+      report_alarm_.wake();
+    };
+    e.connection_limit = [this](std::string const& service) -> std::size_t {
+      std::shared_ptr<Router const> const& router = path_.router();
+      std::optional<std::uint32_t> const i = router ? router->service_index(service) : std::nullopt;
+      std::uint32_t const limit = i ? router->configuration().services[*i].connection_limit : 0;
+      return limit == 0 ? unstated_connection_limit : limit;
+    };
+    return e;
+  }
+
+  RequestPathSettings path_settings() const {
+    RequestPathSettings p;
+    p.own_address = s_.follower.address;
+    p.zone = s_.follower.zone;
+    p.calling_service = s_.service;
+    p.retry_percent = static_cast<std::uint64_t>(s_.bounds.retry_ratio * 50);
+    return p;
+  }
+
+  FollowerEvents follower_events() {
+    FollowerEvents e;
+    e.backends = [this] { return local_.records(); };
+    e.value = [this](Register const which, Held const& held) { take_value(which, held); };
+    e.view_changed = [this] { rebuild_endpoints(); };
+    return e;
+  }
+
+  // ---- values of the registers
+
+  void take_value(Register const which, Held const& held) {
+    if (which == Register::routing) take_configuration(held);
+    if (which == Register::keys) take_keys(held);
+  }
+
+  void take_configuration(Held const& held) {
+    Result<ServiceConfiguration> read = adapter_.read_configuration(held.bytes);
+    if (!read) {
+      log_warn("configuration_unreadable", {{"version", std::to_string(held.revision)}, {"reason", read.error().reason}});
+      return;
+    }
+    if (on_limits) on_limits(read->limits);
+    path_.set_router(std::make_shared<Router const>(std::move(*read)));
+    log_info("in_force", {{"version", std::to_string(held.revision)}});
+  }
+
+  void take_keys(Held const& held) {
+    if (table_ && held.revision <= table_->revision) return;
+    Result<KeyTable> read = unpack_key_table(held.bytes, held.revision);
+    if (!read) {
+      log_warn("key_table_unreadable", {{"reason", read.error().reason}});
+      return;
+    }
+    keys_held_ = held;
+    table_ = std::make_shared<KeyTable const>(std::move(*read));
+    path_.set_keys(table_);
+    if (keys_) keys_->on_table(*table_);
+    grant_alarm_.wake();
+    confirm_soon_ = true;
+  }
+
+  // ---- endpoints
+
+  void rebuild_endpoints() {
+    std::map<std::string, EndpointSelector::Endpoints> all;
+    CellView const& view = follower_.view();
+    for (auto const& [key, b] : view.backends) {
+      if (b.node == s_.follower.id || b.standing != Standing::fit || !view.usable_node(b.node)) continue;
+      Endpoint const e{b.node, view.members.at(b.node).address, s_.follower.zone, true, std::max(b.slots, 1u),
+                       b.burden + b.waiting};
+      all[b.service].push_back(e);
+    }
+    for (auto const& [zone, entry] : view.cells) {
+      if (zone == s_.follower.zone) continue;
+      for (ServiceOffer const& o : entry.services)
+        all[o.service].push_back(Endpoint{o.node, o.address, zone, false, std::max(o.slots, 1u), o.burden + o.waiting});
+    }
+    for (BackendRecord const& b : local_.records())
+      if (b.standing == Standing::fit)
+        all[b.service].push_back(
+            Endpoint{s_.follower.id, s_.follower.address, s_.follower.zone, true, std::max(b.slots, 1u), 0});
+    path_.selector().replace(std::move(all));
+  }
+
+  // ---- requests from other nodes
+
+  Task<ForwardReply> forwarded(Forward f) {
+    bool const may_pass_on = f.crossed && !f.keyed;
+    if (!may_pass_on) co_return co_await local_.run(std::move(f));
+    Forward kept = f;
+    ForwardReply reply = co_await local_.run(std::move(f));
+    bool const refused = reply.refusal == Refusal::busy || reply.refusal == Refusal::no_backend;
+    if (reply.outcome != Outcome::not_run || !refused) co_return reply;
+    co_return co_await path_.pass_on(std::move(kept), std::move(reply));
+  }
+
+  // ---- heartbeats and keys
+
+  Task<HeartbeatAnswer> heartbeat(BackendHeartbeat const beat) {
+    HeartbeatAnswer answer;
+    if (!local_.heartbeat(beat)) co_return answer;
+    if (!keyed(beat.service)) co_return answer;
+    prepare_keys(beat.service);
+    Instant const now = w_.now();
+    keys_->take_beat(now, key_beat(beat));
+    report_alarm_.wake();
+    Instant const until = now + s_.keys.answer_wait;
+    while (w_.now() < until && keys_->answer_may_wait(w_.now())) co_await grant_alarm_.wait(until);
+    KeyBeatAnswer const grant = keys_->answer(w_.now(), beat.id, beat.sequence);
+    if (!grant.renews) co_return answer;
+    answer.grant.emplace();
+    answer.grant->hold = grant.hold;
+    for (KeyGrant const& g : grant.rows)
+      answer.grant->rows.push_back(HeartbeatGrantedRow{g.from, g.to, g.fence, g.handover});
+    co_return answer;
+  }
+
+  bool keyed(std::string const& service) const {
+    std::shared_ptr<Router const> const& router = path_.router();
+    std::optional<std::uint32_t> const i = router ? router->service_index(service) : std::nullopt;
+    return i && router->configuration().services[*i].keyed;
+  }
+
+  void prepare_keys(std::string const& service) {
+    if (keys_ && keys_service_ == service) return;
+    keys_service_ = service;
+    keys_ = std::make_unique<KeyHolder>(service, s_.follower.id, s_.follower.address, s_.follower.zone, s_.keys);
+    if (table_) keys_->on_table(*table_);
+    local_.set_keys(keys_.get());
+  }
+
+  KeyBeat key_beat(BackendHeartbeat const& beat) const {
+    KeyBeat k;
+    k.instance = beat.id;
+    k.sequence = beat.sequence;
+    k.standing = beat.leaving || leaving_ ? KeyStanding::draining : KeyStanding::serving;
+    k.slots = beat.slots;
+    for (HeartbeatHeldRow const& r : beat.held)
+      k.held.push_back(HeldRange{static_cast<std::uint16_t>(r.from), static_cast<std::uint16_t>(r.to),
+                                 static_cast<std::uint32_t>(r.fence)});
+    for (HeartbeatReleasedRow const& r : beat.released)
+      k.released.push_back(
+          ReleasedRange{static_cast<std::uint16_t>(r.from), static_cast<std::uint16_t>(r.to), r.token});
+    return k;
+  }
+
+  // The lease of the keys here rests on readings that a majority confirms.
+  Task<void> keep_confirming() {
+    while (true) {
+      co_await sleep_for(w_, tick_period);
+      if (!keys_ || (!confirm_soon_ && w_.now() - confirmed_at_ < s_.keys.confirm_every)) continue;
+      confirm_soon_ = false;
+      registers_.learn(stores_of(registry_addresses()));
+      Held const known = keys_held_;
+      Result<Confirmed> const read = co_await registers_.confirm(Register::keys, known, w_.now() + 1s);
+      if (!read || !keys_) continue;
+      confirmed_at_ = read->asked;
+      take_keys(read->held);
+      keys_->on_confirmed(read->held.revision, read->asked);
+      grant_alarm_.wake();
+    }
+  }
+
+  std::vector<Address> registry_addresses() const {
+    std::vector<Address> all;
+    for (RegistryEntry const& e : follower_.directory()) all.push_back(e.address);
+    return all;
+  }
+
+  Task<void> keep_reporting() {
+    Instant last{};
+    while (true) {
+      bool const early = keys_ && keys_->has_news();
+      if (!early) co_await report_alarm_.wait(std::max(last + s_.keys.report_every, w_.now() + 20ms));
+      if (!keys_) continue;
+      last = w_.now();
+      KeyReport report = keys_->report(last, static_cast<float>(busy_));
+      if (leaving_) report.standing = KeyStanding::draining;
+      for (Address const& registry : registry_addresses()) tell(w_, registry, report);
+      co_await sleep_for(w_, 10ms);
+    }
+  }
+
+  Task<void> keep_ticking() {
+    while (true) {
+      co_await sleep_for(w_, tick_period);
+      local_.tick();
+      EndpointLoad const load = local_.load();
+      double const share = load.slots == 0 ? 0 : static_cast<double>(load.running + load.waiting) / load.slots;
+      busy_ += (share - busy_) * busy_weight;
+    }
+  }
+
+  static constexpr std::size_t unstated_connection_limit = 100;
+
+  W& w_;
+  MeshNodeSettings const s_;
+  InterfaceAdapter const& adapter_;
+  RegisterClient<W> registers_;
+  LocalBackend<W> local_;
+  RequestPath<W, LocalBackend<W>> path_;
+  ZoneFollower<W> follower_;
+  std::unique_ptr<KeyHolder> keys_;
+  std::string keys_service_;
+  std::shared_ptr<KeyTable const> table_;
+  Held keys_held_;
+  Instant confirmed_at_{};
+  bool confirm_soon_ = true;
+  typename W::Alarm grant_alarm_;
+  typename W::Alarm report_alarm_;
+  double busy_ = 0;
+  bool leaving_ = false;
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/source/programs/mesh_proxy.cpp
@@ -0,0 +1,110 @@
+// banktide-proxy on the new data path: settings, sockets and signals around one
+// MeshNode.
+#include "programs/sockets/socket_templates.hpp"
+#include "programs/mesh_programs.hpp"
+#include "programs/mesh_settings.hpp"
+#include "transport/socket_world.hpp"
+
+namespace banktide {
+
+namespace {
+
+constexpr Duration clients_need_to_notice = 3200ms;
+constexpr Duration left_of_grace = 600ms;
+
+void define(Settings& s) {
+  define_mesh_settings(s);
+  s.text("region", "", "the region that the zone belongs to");
+  s.text("client-address", "", "ip:port for requests of this machine's clients and backend (HTTP)");
+  s.text("inbound-address", "", "ip:port kept for requests from outside; not used");
+  s.text("readiness-address", "", "ip:port at which the platform asks whether the node is ready (HTTP)");
+  s.text("local-address", "", "ip:port for the heartbeats of this machine's backend (HTTP)");
+  s.text("service", "", "the service of this machine's backend");
+  s.text("backend-address", "", "ip:port of this machine's backend");
+  s.text("heartbeat-interval", "", "seconds between two heartbeats of a backend");
+  s.text("store-port", "0", "the port at which stores listen");
+  s.text("memory-mb", "0", "the memory that the process may use, in MB");
+  s.text("cpu-share", "", "the part of a core that the process may use");
+  s.list("contracts", "parts of the operators' rules in force; for the log only");
+  s.need_address("client-address");
+  s.need_address("readiness-address");
+  s.need_address("local-address");
+}
+
+MeshNodeSettings node_settings(Settings const& s, TimingBounds const& bounds) {
+  MeshNodeSettings n;
+  n.follower.id = s.text("id");
+  n.follower.zone = s.text("zone");
+  n.follower.address = s.text("address");
+  n.follower.gateway = true;
+  n.follower.seeds = seed_peers(s);
+  n.service = s.text("service");
+  n.store_port = static_cast<std::uint16_t>(number_of(s, "store-port", 0));
+  n.bounds = bounds;
+  n.keys = key_settings(bounds);
+  return n;
+}
+
+HttpServerLimits limits_of(ClientLimits const& limits) {
+  HttpServerLimits l;
+  l.header_bytes = limits.header_bytes;
+  l.body_bytes = limits.body_bytes;
+  l.header_timeout = limits.header_timeout;
+  l.idle_timeout = limits.idle_timeout;
+  return l;
+}
+
+}  // namespace
+
+int run_mesh_proxy(std::vector<std::string> const& arguments, InterfaceAdapter const& adapter) {
+  CommandLine line(arguments);
+  Settings s("banktide-proxy");
+  define(s);
+  if (std::optional<int> const code = s.read(line.count(), line.words())) return *code;
+  start_logging(s.text("log-level"), "banktide-proxy", s.text("id"));
+  Result<TimingBounds> const bounds = adapter.read_bounds(s.list("bounds"));
+  if (!bounds) return start_failed(bounds.error());
+  Process process;
+  SocketWorld world;
+  Desk desk;
+  Result<Address> const bound = world.listen(s.text("address"));
+  if (!bound) return start_failed(bound.error());
+  ConnectionsFactory const factory = [&world](Address const& address, std::size_t const limit) {
+    return std::make_unique<BackendConnections>(world.io(), address, limit);
+  };
+  MeshNode<SocketWorld> node(world, node_settings(s, *bounds), adapter, factory);
+  HttpServer clients(
+      world.io(),
+      [&node](HttpRequest q, std::shared_ptr<HttpExchange> x) { return node.request(std::move(q), std::move(x)); }, {});
+  HttpHandler const interface = [&node](HttpRequest q, std::shared_ptr<HttpExchange>) {
+    return node.interface_call(std::move(q));
+  };
+  HttpServer readiness(world.io(), interface, {});
+  HttpServer local(world.io(), interface, {});
+  node.on_limits = [&clients](ClientLimits const& limits) { clients.set_limits(limits_of(limits)); };
+  Result<Address> const open = process.on_thread([&]() -> Result<Address> {
+    world.serve(desk);
+    node.start(desk);
+    Result<Address> listening = readiness.listen(s.text("readiness-address"));
+    if (listening) listening = local.listen(s.text("local-address"));
+    if (listening) listening = clients.listen(s.text("client-address"));
+    return listening;
+  });
+  if (!open) return start_failed(open.error());
+  log_info("started", {{"address", *bound}, {"clients", s.text("client-address")}, {"zone", s.text("zone")}});
+  Instant left{};
+  auto const leave = [&] {
+    left = world.now();
+    node.leave();
+    clients.drain();
+  };
+  auto const idle = [&] { return world.now() - left > clients_need_to_notice && node.idle(); };
+  auto const reload = [&] {
+    Process::reload(s, define, line.count(), line.words(),
+                    [](std::string const& name, Settings const&) { return name == "seed-control"; });
+  };
+  process.until_told_to_go(leave, idle, reload, bounds->shutdown_grace - left_of_grace);
+  std::_Exit(0);
+}
+
+}  // namespace banktide
--- /dev/null
+++ b/source/programs/mesh_registry.cpp
@@ -0,0 +1,72 @@
+// banktide-registry on the new data path: settings, sockets and signals around
+// one Registry and what operators ask of it.
+#include "programs/sockets/socket_templates.hpp"
+
+#include "programs/mesh_programs.hpp"
+#include "programs/mesh_settings.hpp"
+#include "transport/http_server.hpp"
+#include "transport/socket_world.hpp"
+
+namespace banktide {
+
+namespace {
+
+constexpr Duration left_of_grace = 600ms;
+
+void define(Settings& s) {
+  define_mesh_settings(s);
+  s.text("store-port", "0", "the port at which stores listen");
+  s.text("control-address", "", "ip:port for operators (HTTP)");
+  s.flag("counted", "this machine counts among those that may be lost");
+  s.list("zones", "names of all zones");
+  s.need_address("control-address");
+}
+
+RegistrySettings registry_settings(Settings const& s) {
+  RegistrySettings r;
+  r.id = s.text("id");
+  r.cell = s.text("zone");
+  r.address = s.text("address");
+  r.seeds = seed_peers(s);
+  r.store_port = static_cast<std::uint16_t>(number_of(s, "store-port", 0));
+  return r;
+}
+
+}  // namespace
+
+int run_mesh_registry(std::vector<std::string> const& arguments, InterfaceAdapter const& adapter) {
+  CommandLine line(arguments);
+  Settings s("banktide-registry");
+  define(s);
+  if (std::optional<int> const code = s.read(line.count(), line.words())) return *code;
+  start_logging(s.text("log-level"), "banktide-registry", s.text("id"));
+  Result<TimingBounds> const bounds = adapter.read_bounds(s.list("bounds"));
+  if (!bounds) return start_failed(bounds.error());
+  Process process;
+  SocketWorld world;
+  Desk desk;
+  Result<Address> const bound = world.listen(s.text("address"));
+  if (!bound) return start_failed(bound.error());
+  Registry<SocketWorld> registry(world, registry_settings(s));
+  MeshRegistry<SocketWorld> mesh(world, registry, adapter, key_settings(*bounds));
+  HttpServer operators(
+      world.io(),
+      [&mesh](HttpRequest q, std::shared_ptr<HttpExchange>) { return mesh.interface_call(std::move(q)); }, {});
+  Result<Address> const open = process.on_thread([&]() -> Result<Address> {
+    world.serve(desk);
+    registry.start(desk);
+    mesh.start(desk);
+    return operators.listen(s.text("control-address"));
+  });
+  if (!open) return start_failed(open.error());
+  log_info("started", {{"address", *bound}, {"operators", s.text("control-address")}, {"zone", s.text("zone")}});
+  auto const reload = [&] {
+    Process::reload(s, define, line.count(), line.words(),
+                    [](std::string const& name, Settings const&) { return name == "seed-control"; });
+  };
+  process.until_told_to_go([&] { registry.leave(); }, [&] { return registry.idle(); }, reload,
+                           bounds->shutdown_grace - left_of_grace);
+  std::_Exit(0);
+}
+
+}  // namespace banktide
--- /dev/null
+++ b/source/programs/mesh_settings.hpp
@@ -0,0 +1,71 @@
+// Settings that the programs on the new data path share, and what is worked out
+// from them: the peers to meet first, the bounds, the times of key leases.
+#pragma once
+
+#include "programs/process.hpp"
+#include "protocol/interface_adapter.hpp"
+#include "state/key_table.hpp"
+
+namespace banktide {
+
+/** Words of a command line as `main` gets them. */
+class CommandLine {
+ public:
+  explicit CommandLine(std::vector<std::string> const& words) : words_(words) {
+    for (std::string& w : words_) pointers_.push_back(w.data());
+  }
+  int count() const { return static_cast<int>(pointers_.size()); }
+  char** words() { return pointers_.data(); }
+
+ private:
+  std::vector<std::string> words_;
+  std::vector<char*> pointers_;
+};
+
+inline void define_mesh_settings(Settings& s) {
+  s.text("interface", "", "the interface that the process meets; named for the log only");
+  s.text("id", "", "name of this process");
+  s.text("zone", "", "the zone that it stands in");
+  s.text("address", "", "ip:port for other processes");
+  s.list("seed-control", "ip:port of a registry's operator interface; repeat for three");
+  s.text("peer-port", "0", "the port at which registries listen for other processes");
+  s.flag("initial-start", "the whole system starts for the first time");
+  s.text("losses", "1", "how many machines with a disk may be lost at once");
+  s.list("bounds", "name=value, as the operators state them");
+  s.need_name("id");
+  s.need_name("zone");
+  s.need_address("address");
+  s.need_addresses("seed-control", 1);
+}
+
+/** A number that a template gives as text; `standard` if it gives none. */
+inline std::uint64_t number_of(Settings const& s, std::string const& name, std::uint64_t const standard) {
+  std::string const text = s.text(name);
+  if (text.empty() || text.size() > 9 || text.find_first_not_of("0123456789") != std::string::npos) return standard;
+  return std::stoull(text);
+}
+
+/** The seeds' addresses for other processes: their machines, at the port that all registries share. */
+inline std::vector<Address> seed_peers(Settings const& s) {
+  std::vector<Address> peers;
+  std::string const port = ":" + s.text("peer-port");
+  for (std::string const& seed : s.list("seed-control")) peers.push_back(seed.substr(0, seed.rfind(':')) + port);
+  return peers;
+}
+
+/** The times of key leases that follow from the bounds. */
+inline KeySettings key_settings(TimingBounds const& bounds) {
+  KeySettings k;
+  k.hold_limit = bounds.hold_limit;
+  k.term = std::min<Duration>(k.term, bounds.hold_limit);
+  k.revoke_slack = std::max<Duration>(k.revoke_slack, bounds.thaw_slack);
+  return k;
+}
+
+/** Logs why a start failed; the exit code. */
+inline int start_failed(Mishap const& m) {
+  log_warn("start_failed", {{"step", m.step}, {"peer", m.peer}, {"reason", m.reason}});
+  return 1;
+}
+
+}  // namespace banktide
--- /dev/null
+++ b/source/programs/operator_interface.hpp
@@ -0,0 +1,284 @@
+// The outside calls of operators at a registry: reading and proposing revisions
+// of the product's own layout and catalogue, and looking at the fleet.
+#pragma once
+
+#include "coordination/register_client.hpp"
+#include "protocol/http_words.hpp"
+#include "state/catalogue_edit.hpp"
+#include "state/layout.hpp"
+#include "state/slice_moves.hpp"
+#include "state/view_json.hpp"
+
+namespace banktide {
+
+template <Surroundings W>
+class Registry;
+
+struct Proposal {
+  Register reg{};
+  std::string bytes;
+  std::optional<Json> change;  // to the newest catalogue, in place of bytes
+  std::string match, request;
+};
+
+struct Verdict {
+  Register reg{};
+  std::uint16_t status = 0;
+  std::string word;  // acknowledged, refused, not-taken or unknown
+  Revision revision = 0;
+  std::string request;
+  Mishap mishap;
+
+  Json json() const {
+    Json j = {{"register", register_name(reg)}, {"request", request}, {"verdict", word}};
+    if (revision > 0) j["revision"] = revision;
+    if (word == "acknowledged") return j;
+    j["step"] = mishap.step;
+    j[word == "refused" ? "pointer" : "peer"] = mishap.peer;
+    j["error"] = mishap.reason;
+    if (word == "unknown") j["advice"] = "ask with GET, or repeat with the same banktide-request";
+    return j;
+  }
+};
+
+template <Surroundings W>
+class OperatorInterface {
+ public:
+  explicit OperatorInterface(Registry<W>& registry)
+      : registry_(registry), register_(registry.registers()), w_(registry.world()) {}
+
+  // What an operator proposes, through whichever door: whole bytes of a
+  // register, or a change to the newest catalogue.
+  Task<Verdict> propose(Proposal p) {
+    ++proposing_;
+    Verdict const v = co_await settle(std::move(p));
+    --proposing_;
+    co_return v;
+  }
+  bool idle() const { return proposing_ == 0; }
+
+  Task<Verdict> settle(Proposal p) {
+    Verdict v;
+    v.reg = p.reg;
+    if (p.request.size() > 128)
+      co_return refused(v, 400, Mishap{"check_request", "", "banktide-request is over 128 bytes", Proof::not_run});
+    if (p.request.empty()) p.request = "auto-" + std::to_string(w_.chance()()) + std::to_string(w_.chance()());
+    v.request = p.request;
+    std::optional<Revision> expected;
+    if (!p.match.empty()) {
+      std::string const digits = p.match.size() > 2 && p.match.front() == '"' && p.match.back() == '"'
+                                     ? p.match.substr(1, p.match.size() - 2)
+                                     : p.match;
+      if (digits.empty() || digits.size() > 19 || digits.find_first_not_of("0123456789") != std::string::npos)
+        co_return refused(v, 400, Mishap{"check_if_match", "", "If-Match must be a revision", Proof::not_run});
+      expected = std::stoull(digits);
+    }
+    Layout layout;
+    if (broken_on_purpose("takes_bad_revisions")) {
+    } else if (p.reg == Register::routing) {
+      Result<Layout> const l = Layout::read(p.bytes);
+      if (!l) co_return bad_revision(v, l.error());
+      Result<Held> const catalogue =
+          co_await register_.read(Register::catalogue, held(Register::catalogue), w_.now() + 2s);
+      if (!catalogue) co_return not_taken(v, catalogue.error());
+      registry_.take(Register::catalogue, *catalogue);
+      Result<Catalogue> const c =
+          catalogue->revision > 0 ? Catalogue::read(catalogue->bytes, *l) : Result<Catalogue>(Catalogue{});
+      if (!c)
+        co_return bad_revision(v, Mishap{"check_catalogue", c.error().peer,
+                                         "catalogue revision " + std::to_string(catalogue->revision) +
+                                             " would not fit: " + c.error().reason,
+                                         Proof::not_run});
+    } else {
+      Result<Held> const routing = co_await register_.read(Register::routing, held(Register::routing), w_.now() + 2s);
+      if (!routing) co_return not_taken(v, routing.error());
+      if (routing->revision == 0)
+        co_return bad_revision(v, Mishap{"check_references", "", "there is no routing revision yet", Proof::not_run});
+      registry_.take(Register::routing, *routing);
+      Result<Layout> l = Layout::read(routing->bytes);
+      if (!l) co_return bad_revision(v, l.error());
+      layout = std::move(*l);
+      Result<Catalogue> const c = p.change ? Result<Catalogue>(Catalogue{}) : Catalogue::read(p.bytes, layout);
+      if (!c) co_return bad_revision(v, c.error());
+    }
+    Revision newest = 0;
+    Result<Held> done =
+        co_await register_.change(p.reg, p.request, w_.now() + 5s, [&](Held const& now) -> Result<Held> {
+          newest = now.revision;
+          if (expected && *expected != now.revision)
+            return mishap("check_if_match", "", "the newest revision is " + std::to_string(now.revision),
+                          Proof::not_run);
+          Held next = now;
+          if (p.change) {
+            Result<std::string> edited = edit_catalogue(now.bytes, *p.change, layout);
+            if (!edited) return tl::unexpected<Mishap>(edited.error());
+            next.bytes = std::move(*edited);
+          } else {
+            next.bytes = p.bytes;
+          }
+          next.revision = now.revision + 1;
+          next.digest = digest_of(next.bytes);
+          return next;
+        });
+    v.revision = newest;
+    bool const checked = !done && done.error().step.starts_with("check_") && done.error().proof == Proof::not_run;
+    if (checked && done.error().step == "check_if_match") co_return refused(v, 412, done.error());
+    if (checked) co_return bad_revision(v, done.error());
+    if (!done) {
+      note("put_" + register_name(p.reg), done.error());
+      bool const nothing = done.error().proof == Proof::not_run;
+      v.status = nothing ? 503 : 504;
+      v.word = nothing ? "not-taken" : "unknown";
+      v.mishap = done.error();
+      co_return v;
+    }
+    registry_.announce(p.reg, *done);
+    v.revision = done->revision;
+    for (auto const& [id, revision] : done->requests)
+      if (id == p.request) v.revision = revision;
+    v.status = 200;
+    v.word = "acknowledged";
+    log_info("revision_acknowledged",
+             {{"register", register_name(p.reg)}, {"revision", std::to_string(v.revision)}, {"request", p.request}});
+    co_return v;
+  }
+
+  // Every cell's state, from its own registry; a cell that doesn't answer is
+  // named as silent.
+  Task<Json> whole_fleet() {
+    std::vector<Address> others;
+    std::set<std::string> silent;
+    for (RegistryEntry const& e : registry_.directory())
+      if (e.address != registry_.address()) {
+        others.push_back(e.address);
+        silent.insert(e.cell);
+      }
+    StateAsk const question{true};
+    auto const replies =
+        co_await ask_all<StateAsk>(w_, others, question, w_.now() + 800ms, [](auto const&) { return false; });
+    StateReply const own = co_await registry_.state(question);
+    Json j = {{"cells", Json::array({Json::parse(own.json)})}};
+    for (auto const& [i, r] : replies) {
+      Json const cell = r ? Json::parse(r->json, nullptr, false) : Json();
+      if (!cell.is_object() || !cell.contains("cell")) continue;
+      silent.erase(cell["cell"].get<std::string>());
+      j["cells"].push_back(cell);
+    }
+    j["silent"] = silent;
+    co_return j;
+  }
+
+  // Where each slice is, where it should be, and what it waits for.
+  Task<Json> moves() {
+    Json const fleet = co_await whole_fleet();
+    Result<Layout> const layout = Layout::read(held(Register::routing).bytes);
+    if (!layout) co_return Json{{"slices", Json::array()}, {"error", "there is no routing revision yet"}};
+    Result<Catalogue> const catalogue = held(Register::catalogue).revision > 0
+                                            ? Catalogue::read(held(Register::catalogue).bytes, *layout, true)
+                                            : Result<Catalogue>(Catalogue{});
+    co_return slice_moves(fleet, *layout, catalogue ? *catalogue : Catalogue{});
+  }
+
+  // The operator's interface.
+  Task<HttpReply> operate(HttpRequest q) {
+    std::string const path = q.target.substr(0, q.target.find('?'));
+    if (path == "/live") co_return json_reply(200, {{"live", true}});
+    if (path == "/ready")
+      co_return json_reply(registry_.ready() ? 200 : 503, {{"ready", registry_.ready()},
+                                                           {"vouched", registry_.vouched()},
+                                                           {"warm", registry_.warm()},
+                                                           {"leaving", registry_.leaving()}});
+    if (path == "/fleet" && q.method == "GET") co_return json_reply(200, fleet());
+    if (path == "/mishaps" && q.method == "GET") co_return json_reply(200, registry_.mishaps().json());
+    if (path == "/nodes" && q.method == "GET") co_return json_reply(200, co_await whole_fleet());
+    if (path == "/moves" && q.method == "GET") co_return json_reply(200, co_await moves());
+    for (Register const r : all_registers) {
+      if (path != "/" + register_name(r)) continue;
+      if (q.method == "GET") co_return co_await get(r);
+      if (q.method == "PUT") co_return co_await put(r, std::move(q));
+      HttpReply no = json_reply(405, {{"error", "use GET or PUT"}});
+      no.headers.push_back({"Allow", "GET, PUT"});
+      co_return no;
+    }
+    co_return json_reply(404, {{"error", "no such resource"}, {"path", path}});
+  }
+
+ private:
+  static std::string quoted(Revision const r) { return "\"" + std::to_string(r) + "\""; }
+
+  Task<HttpReply> get(Register const r) {
+    Result<Held> h = co_await register_.read(r, held(r), w_.now() + 2s);
+    if (!h) co_return not_vouched(h.error());
+    registry_.take(r, *h);
+    if (h->revision == 0) co_return json_reply(404, {{"error", "nothing was ever put"}, {"revision", 0}});
+    HttpReply reply;
+    reply.status = 200;
+    reply.headers = {{"Content-Type", "application/json"},
+                     {"ETag", quoted(h->revision)},
+                     {"banktide-revision", std::to_string(h->revision)}};
+    reply.body = h->bytes;
+    co_return reply;
+  }
+
+  HttpReply not_vouched(Mishap const& m) {
+    note("register", m);
+    HttpReply reply = json_reply(
+        503,
+        {{"error", "no majority vouches for a reading"}, {"step", m.step}, {"peer", m.peer}, {"reason", m.reason}});
+    reply.headers.push_back({"Retry-After", "1"});
+    return reply;
+  }
+
+  Task<HttpReply> put(Register const r, HttpRequest q) {
+    Proposal proposal{r, std::move(q.body), std::nullopt, header_of(q, "If-Match"), header_of(q, "banktide-request")};
+    Verdict const v = co_await propose(std::move(proposal));
+    HttpReply reply = json_reply(v.status, v.json());
+    if (v.status == 200) reply.headers.push_back({"ETag", quoted(v.revision)});
+    if (v.status >= 500) reply.headers.push_back({"Retry-After", "1"});
+    co_return reply;
+  }
+
+  static Verdict refused(Verdict v, std::uint16_t const status, Mishap const& m) {
+    v.status = status;
+    v.word = "refused";
+    v.mishap = m;
+    return v;
+  }
+  Verdict bad_revision(Verdict v, Mishap const& m) {
+    note("bad_revision", m);
+    return refused(std::move(v), m.step == "check_size" ? 413 : m.step == "parse_json" ? 400 : 422, m);
+  }
+  Verdict not_taken(Verdict v, Mishap const& m) {
+    note("register", m);
+    v.status = 503;
+    v.word = "not-taken";
+    v.mishap = m;
+    return v;
+  }
+
+  Json fleet() const {
+    Json j = view_json(registry_.view());
+    j["cell"] = registry_.settings().cell;
+    j["registry"] = registry_.settings().id;
+    j["epoch"] = registry_.position().epoch;
+    j["position"] = registry_.position().seq;
+    j["routing"] = held(Register::routing).revision;
+    j["catalogue"] = held(Register::catalogue).revision;
+    j["vouched"] = registry_.vouched();
+    Json registries = Json::array();
+    for (RegistryEntry const& e : registry_.directory())
+      registries.push_back({{"cell", e.cell}, {"address", e.address}});
+    j["registries"] = registries;
+    return j;
+  }
+
+  Held const& held(Register const r) const { return registry_.held(r); }
+  void note(std::string const& what, Mishap const& m) { registry_.note(what, m); }
+
+  Registry<W>& registry_;
+  RegisterClient<W>& register_;
+  W& w_;
+  std::size_t proposing_ = 0;
+};
+
+}  // namespace banktide
--- a/source/programs/proxy_main.cpp
+++ b/source/programs/proxy_main.cpp
@@ -1,4 +1,7 @@
 // banktide-proxy: the node on every application machine; a gateway by setting.
+#include "platform/platform_adapter.hpp"
+#include "platform/settings_file.hpp"
+#include "programs/mesh_programs.hpp"
 #include "programs/process.hpp"
 #include "programs/proxy.hpp"
 #include "transport/http_edge.hpp"
@@ -30,6 +33,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  std::vector<std::string> const on_platform = platform::command_line(argc, argv);
+  if (!on_platform.empty()) return run_mesh_proxy(on_platform, platform::adapter());
   Settings s("banktide-proxy");
   define(s);
   if (std::optional<int> const code = s.read(argc, argv)) return *code;
--- a/source/programs/registry_main.cpp
+++ b/source/programs/registry_main.cpp
@@ -1,4 +1,7 @@
 // banktide-registry: the control plane of a cell, and the door for operators.
+#include "platform/platform_adapter.hpp"
+#include "platform/settings_file.hpp"
+#include "programs/mesh_programs.hpp"
 #include "programs/process.hpp"
 #include "programs/operator_streams.hpp"
 #include "transport/http_edge.hpp"
@@ -25,6 +28,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  std::vector<std::string> const on_platform = platform::command_line(argc, argv);
+  if (!on_platform.empty()) return run_mesh_registry(on_platform, platform::adapter());
   Settings s("banktide-registry");
   define(s);
   if (std::optional<int> const code = s.read(argc, argv)) return *code;
--- a/source/programs/store_main.cpp
+++ b/source/programs/store_main.cpp
@@ -1,5 +1,10 @@
 // banktide-store: one voter of the register, on its own disk. It knows nothing
-// of HTTP; registries ask it over our frames.
+// of HTTP; registries ask it over our frames. Its fellow voters are either a
+// fixed list (--voter), or found among the seeds and changed as stores come and
+// go (--seed-voter).
+#include "coordination/membership.hpp"
+#include "platform/settings_file.hpp"
+#include "programs/mesh_settings.hpp"
 #include "programs/process.hpp"
 #include "state/sqlite_disk.hpp"
 
@@ -13,13 +18,22 @@
   s.text("id", "", "name of this store");
   s.text("address", "", "ip:port for other processes");
   s.list("voter", "ip:port of a store; repeat for every voter, this one included, in the same order everywhere");
+  s.list("seed-voter", "instead of --voter: ip:port of a store to ask; repeat");
+  s.list("seed-control", "like seed-voter, by the operator interfaces on their machines; with peer-port");
+  s.text("peer-port", "0", "the port at which all stores listen");
+  s.flag("counted", "this machine counts among those that may be lost");
+  s.flag("initial-start", "the seeds found the register: their disks are empty");
+  s.number("losses", 1, 0, 9, "with --seed-voter: how many stores may lose their disks at once");
   s.text("data", "", "folder for its file");
   s.need_name("id");
   s.need_address("address");
-  s.need_addresses("voter", 1);
+  s.need_addresses("voter", 0);
+  s.need_addresses("seed-voter", 0);
   s.check([&s](std::vector<std::string>& errors) {
     std::vector<std::string> const v = s.list("voter");
-    if (std::count(v.begin(), v.end(), s.text("address")) != 1) errors.push_back("voter: must name this address once");
+    if (v.empty() == (s.list("seed-voter").empty() && s.list("seed-control").empty())) errors.push_back("voter: needed, or else seed-voter, not both");
+    if (!v.empty() && std::count(v.begin(), v.end(), s.text("address")) != 1)
+      errors.push_back("voter: must name this address once");
     if (s.text("data").empty()) errors.push_back("data: needed");
   });
 }
@@ -27,9 +41,11 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  std::vector<std::string> const on_platform = platform::command_line(argc, argv);
+  CommandLine line(on_platform.empty() ? std::vector<std::string>(argv, argv + argc) : on_platform);
   Settings s("banktide-store");
   define(s);
-  if (std::optional<int> const code = s.read(argc, argv)) return *code;
+  if (std::optional<int> const code = s.read(line.count(), line.words())) return *code;
   start_logging(s.text("log-level"), "banktide-store", s.text("id"));
   std::error_code ec;
   std::filesystem::create_directories(s.text("data"), ec);
@@ -45,8 +61,17 @@
   std::vector<std::string> const voters = s.list("voter");
   std::size_t const own =
       static_cast<std::size_t>(std::find(voters.begin(), voters.end(), s.text("address")) - voters.begin());
-  Acceptor<SocketWorld, SqliteDisk> acceptor(world, **disk, voters, own);
+  bool const fixed = !voters.empty();
+  using Voter = Acceptor<SocketWorld, SqliteDisk>;
+  std::unique_ptr<Voter> const owned = fixed ? std::make_unique<Voter>(world, **disk, voters, own)
+                                             : std::make_unique<Voter>(world, **disk, s.text("address"));
+  Voter& acceptor = *owned;
   Result<bool> loaded = acceptor.load();
+  MembershipSettings membership_settings;
+  membership_settings.seeds = s.list("seed-control").empty() ? s.list("seed-voter") : seed_peers(s);
+  membership_settings.initial_start = s.flag("initial-start");
+  membership_settings.losses = static_cast<std::uint32_t>(s.number("losses"));
+  Membership<SocketWorld, SqliteDisk> membership(world, acceptor, membership_settings);
   Result<Address> bound =
       loaded ? world.listen(s.text("address")) : Result<Address>(tl::unexpected<Mishap>(loaded.error()));
   if (!bound) {
@@ -57,12 +82,14 @@
   acceptor.attach(desk);
   process.on_thread([&]() {
     world.serve(desk);
-    spawn(world, acceptor.settle());
+    if (!fixed) membership.attach(desk);
+    spawn(world, fixed ? acceptor.settle() : membership.run());
     return true;
   });
   log_info("started", {{"address", *bound}});
   process.until_told_to_go(
       [] {}, [] { return true; },
-      [&] { Process::reload(s, define, argc, argv, [](std::string const&, Settings const&) { return false; }); }, 1s);
+      [&] { Process::reload(s, define, line.count(), line.words(),
+                              [](std::string const&, Settings const&) { return false; }); }, 1s);
   std::_Exit(0);
 }
--- a/source/protocol/http_words.hpp
+++ b/source/protocol/http_words.hpp
@@ -5,6 +5,10 @@
 #include "protocol/json.hpp"
 #include "protocol/messages.hpp"
 
+#include <algorithm>
+#include <set>
+#include <string_view>
+
 namespace banktide {
 
 inline HttpReply json_reply(std::uint16_t const status, Json const& j) {
@@ -15,12 +19,20 @@
   return r;
 }
 
+/** Names of headers are the same in any case. */
+inline bool same_name(std::string_view const a, std::string_view const b) {
+  return a.size() == b.size() && std::equal(a.begin(), a.end(), b.begin(), [](char const x, char const y) {
+           return std::tolower(static_cast<unsigned char>(x)) == std::tolower(static_cast<unsigned char>(y));
+         });
+}
+
+inline bool has_header(std::vector<Header> const& headers, std::string_view const name) {
+  return std::any_of(headers.begin(), headers.end(), [&](Header const& h) { return same_name(h.name, name); });
+}
+
 inline std::string header_of(HttpRequest const& q, std::string_view const name) {
   for (Header const& h : q.headers)
-    if (h.name.size() == name.size() && std::equal(h.name.begin(), h.name.end(), name.begin(), [](char a, char b) {
-          return std::tolower(static_cast<unsigned char>(a)) == std::tolower(static_cast<unsigned char>(b));
-        }))
-      return h.value;
+    if (same_name(h.name, name)) return h.value;
   return "";
 }
 
--- /dev/null
+++ b/source/protocol/key_messages.hpp
@@ -0,0 +1,63 @@
+// What a node beside a backend tells the coordinators about the keys that its
+// backend holds. The coordinators plan from these reports alone; the table that
+// says who holds what travels as a register.
+#pragma once
+
+#include "protocol/messages.hpp"
+
+namespace banktide {
+
+// How a backend stands towards its keys.
+enum class KeyStanding : std::uint8_t { serving = 0, draining = 1 };
+
+// A row that the backend may serve now, and the requests a second on it.
+struct KeyRowLoad {
+  std::uint16_t from = 0;
+  std::uint16_t to = 0;
+  std::uint32_t fence = 0;
+  float rate = 0;
+  float lower_rate = 0;  // of these, on the lower half of the keys
+  BANKTIDE_FIELDS(from, to, fence, rate, lower_rate)
+};
+
+// A row that the backend has let go for a planned move, and which move that was.
+struct KeyRelease {
+  std::uint16_t from = 0;
+  std::uint16_t to = 0;
+  std::uint32_t fence = 0;
+  Revision moving = 0;
+  std::string handover;  // empty: it gave none
+  BANKTIDE_FIELDS(from, to, fence, moving, handover)
+};
+
+// An instance whose process is proved to have ended.
+struct KeyEnd {
+  std::string instance;
+  std::string reason;
+  BANKTIDE_FIELDS(instance, reason)
+};
+
+struct KeyReportReply {
+  Revision table = 0;  // the newest table that the coordinator knows
+  BANKTIDE_FIELDS(table)
+};
+struct KeyReport {
+  static constexpr std::uint8_t kind = 60;
+  using Reply = KeyReportReply;
+  std::string service;
+  std::string instance;  // empty: no backend runs beside this node
+  std::string node;
+  std::string address;
+  std::string zone;
+  KeyStanding standing = KeyStanding::serving;
+  bool leased = false;  // the node has a lease and so can grant
+  std::uint32_t slots = 1;
+  float busy = 0;  // the share of its slots in use over the last seconds; over 1 if requests queue
+  Revision table = 0;
+  std::vector<KeyRowLoad> held;
+  std::vector<KeyRelease> released;
+  std::vector<KeyEnd> ended;
+  BANKTIDE_FIELDS(service, instance, node, address, zone, standing, leased, slots, busy, table, held, released, ended)
+};
+
+}  // namespace banktide
--- a/source/protocol/messages.hpp
+++ b/source/protocol/messages.hpp
@@ -4,9 +4,11 @@
 
 #include "protocol/archive.hpp"
 
+#include <array>
 #include <compare>
 #include <map>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,15 +29,56 @@
 
 // ---- the register
 
-enum class Register : std::uint8_t { routing = 0, catalogue = 1 };
+// `keys` holds the table of key assignments, `voters` the set of voters itself.
+enum class Register : std::uint8_t { routing = 0, catalogue = 1, keys = 2, voters = 3 };
+inline constexpr std::size_t register_count = 4;
+inline constexpr std::array<Register, register_count> kept_registers{Register::routing, Register::catalogue,
+                                                                     Register::keys, Register::voters};
+// The two that operators write.
 inline constexpr std::array<Register, 2> all_registers{Register::routing, Register::catalogue};
-inline std::string register_name(Register const r) { return r == Register::routing ? "routing" : "catalogue"; }
+inline std::string register_name(Register const r) {
+  switch (r) {
+    case Register::routing:
+      return "routing";
+    case Register::catalogue:
+      return "catalogue";
+    case Register::keys:
+      return "keys";
+    case Register::voters:
+      return "voters";
+  }
+  return "unknown";
+}
 
+struct VoterEntry {
+  std::string address;
+  std::uint64_t disk = 0;  // the empty disk that asked to be added; 0: a founder's
+  bool operator==(VoterEntry const&) const = default;
+  BANKTIDE_FIELDS(address, disk)
+};
+
+// The voters of one epoch. Each change of the set adds or removes one voter and
+// makes the next epoch.
+struct VoterSet {
+  std::uint64_t epoch = 0;
+  std::uint32_t losses = 0;  // how many may lose their disks at once
+  std::vector<VoterEntry> voters;
+  std::vector<std::string> before;  // the addresses of the epoch before
+  bool operator==(VoterSet const&) const = default;
+  BANKTIDE_FIELDS(epoch, losses, voters, before)
+};
+
+// A ballot counts in the set of its epoch only; later epochs are above earlier ones.
 struct Ballot {
+  std::uint64_t epoch = 0;
   std::uint64_t round = 0;
   std::uint64_t coordinator = 0;
   auto operator<=>(Ballot const&) const = default;
-  BANKTIDE_FIELDS(round, coordinator)
+  // Rounds also grow from epoch to epoch, so that they number changes for good.
+  bool may_follow(Ballot const& promised) const {
+    return *this > promised && (epoch == promised.epoch || round > promised.round);
+  }
+  BANKTIDE_FIELDS(epoch, round, coordinator)
 };
 
 // The value of a register: the newest revision's exact bytes, and which
@@ -56,12 +99,15 @@
   bool operator==(Slot const&) const = default;
   BANKTIDE_FIELDS(promised, accepted, held)
 };
+using Slots = std::array<Slot, register_count>;
 
+// `newer`, in each reply: the voter knows a newer set than the question's.
 struct PrepareReply {
   bool voting = false;
   bool promised = false;
   Slot slot;
-  BANKTIDE_FIELDS(voting, promised, slot)
+  std::optional<VoterSet> newer;
+  BANKTIDE_FIELDS(voting, promised, slot, newer)
 };
 struct Prepare {
   static constexpr std::uint8_t kind = 1;
@@ -75,7 +121,8 @@
   bool voting = false;
   bool accepted = false;
   Ballot promised;
-  BANKTIDE_FIELDS(voting, accepted, promised)
+  std::optional<VoterSet> newer;
+  BANKTIDE_FIELDS(voting, accepted, promised, newer)
 };
 struct Accept {
   static constexpr std::uint8_t kind = 2;
@@ -91,14 +138,16 @@
   Ballot accepted;
   Revision revision = 0;
   Held held;  // only if newer than the asker's
-  BANKTIDE_FIELDS(voting, accepted, revision, held)
+  std::optional<VoterSet> newer;
+  BANKTIDE_FIELDS(voting, accepted, revision, held, newer)
 };
 struct Peek {
   static constexpr std::uint8_t kind = 3;
   using Reply = PeekReply;
   Register reg{};
   Revision have = 0;
-  BANKTIDE_FIELDS(reg, have)
+  std::uint64_t epoch = 0;
+  BANKTIDE_FIELDS(reg, have, epoch)
 };
 
 // ---- founding a register and joining it again
@@ -117,6 +166,70 @@
   BANKTIDE_FIELDS(want, founding)
 };
 
+// ---- the set of voters and its changes
+
+// Which set a store knows; only that of a `member`, which has voted, may be followed.
+struct VotersReply {
+  bool member = false;
+  bool active = false;  // it votes in that set
+  VoterSet set;
+  BANKTIDE_FIELDS(member, active, set)
+};
+struct VotersAsk {
+  static constexpr std::uint8_t kind = 5;
+  using Reply = VotersReply;
+  std::string from;  // the store that asks; none: a client
+  BANKTIDE_FIELDS(from)
+};
+
+// The set has been decided: vote no more in the one before, and say what you hold.
+struct SealReply {
+  bool sealed = false;
+  std::uint64_t founding = 0;
+  Slots slots;
+  std::optional<VoterSet> newer;
+  BANKTIDE_FIELDS(sealed, founding, slots, newer)
+};
+struct Seal {
+  static constexpr std::uint8_t kind = 6;
+  using Reply = SealReply;
+  VoterSet set;
+  BANKTIDE_FIELDS(set)
+};
+
+// Vote in this set, with at least what enough of the set before held when sealed.
+struct ActivateReply {
+  bool active = false;
+  std::optional<VoterSet> newer;
+  BANKTIDE_FIELDS(active, newer)
+};
+struct Activate {
+  static constexpr std::uint8_t kind = 7;
+  using Reply = ActivateReply;
+  VoterSet set;
+  std::uint64_t founding = 0;
+  Slots slots;
+  BANKTIDE_FIELDS(set, founding, slots)
+};
+
+struct SetReply {
+  bool done = false;
+  VoterSet set;
+  BANKTIDE_FIELDS(done, set)
+};
+struct AddVoter {
+  static constexpr std::uint8_t kind = 8;
+  using Reply = SetReply;
+  VoterEntry entry;
+  BANKTIDE_FIELDS(entry)
+};
+struct RemoveVoter {
+  static constexpr std::uint8_t kind = 9;
+  using Reply = SetReply;
+  std::string address;
+  BANKTIDE_FIELDS(address)
+};
+
 // ---- members, beats and news of a cell
 
 enum class Role : std::uint8_t { node = 0, gateway = 1, registry = 2 };
@@ -138,10 +251,26 @@
   std::string instance;
   std::string node;
   std::uint16_t port = 0;
-  std::uint32_t burden = 0;
+  std::uint32_t burden = 0;  // calls that it runs now
   Standing standing = Standing::fit;
+  std::uint32_t slots = 0;    // calls that it can run at once; 0: not told
+  std::uint32_t waiting = 0;  // calls that wait for it at its node
+  bool warming = false;
   bool operator==(BackendRecord const&) const = default;
-  BANKTIDE_FIELDS(service, instance, node, port, burden, standing)
+  BANKTIDE_FIELDS(service, instance, node, port, burden, standing, slots, waiting, warming)
+};
+
+// A gateway that stands beside usable backends of a service: what they have
+// together, rounded, so that not every call makes news. All 0: not told.
+struct ServiceOffer {
+  std::string service;
+  std::string node;
+  std::string address;
+  std::uint32_t slots = 0;
+  std::uint32_t burden = 0;
+  std::uint32_t waiting = 0;
+  bool operator==(ServiceOffer const&) const = default;
+  BANKTIDE_FIELDS(service, node, address, slots, burden, waiting)
 };
 
 // A remote cell as the others see it: its gateways and what they offer.
@@ -149,10 +278,15 @@
   std::string cell;
   std::vector<Member> gateways;
   std::vector<std::string> offers;
+  std::vector<ServiceOffer> services;
   bool operator==(CellEntry const&) const = default;
-  BANKTIDE_FIELDS(cell, gateways, offers)
+  BANKTIDE_FIELDS(cell, gateways, offers, services)
 };
 
+// The registers whose values go to every node, and the revisions of these.
+inline constexpr std::array<Register, 3> told_registers{Register::routing, Register::catalogue, Register::keys};
+using Revisions = std::array<Revision, told_registers.size()>;
+
 struct Position {
   std::uint64_t epoch = 0;
   std::uint64_t seq = 0;
@@ -188,11 +322,11 @@
   Position at;  // the root's position when it was sent: a pulse as well as news
   std::uint64_t pulse = 0;
   bool vouched = false;  // the root has a recent reading of a majority
+  std::string root;      // the address of the registry that sent it
   std::vector<Change> changes;
-  Revision routing = 0;
-  Revision catalogue = 0;
+  Revisions revisions{};
   std::vector<std::pair<Register, Held>> layouts;
-  BANKTIDE_FIELDS(at, pulse, vouched, changes, routing, catalogue, layouts)
+  BANKTIDE_FIELDS(at, pulse, vouched, root, changes, revisions, layouts)
 };
 
 struct FollowReply {
@@ -206,30 +340,31 @@
   static constexpr std::uint8_t kind = 11;
   using Reply = FollowReply;
   Position have;
-  BANKTIDE_FIELDS(have)
+  std::string zone;  // empty: the asked registry's own
+  BANKTIDE_FIELDS(have, zone)
 };
 
 struct LayoutsReply {
   bool known = false;  // vouched for by a majority reading
   std::vector<std::pair<Register, Held>> newer;
-  Revision routing = 0;
-  Revision catalogue = 0;
-  BANKTIDE_FIELDS(known, newer, routing, catalogue)
+  Revisions revisions{};
+  BANKTIDE_FIELDS(known, newer, revisions)
 };
 struct LayoutsAsk {
   static constexpr std::uint8_t kind = 12;
   using Reply = LayoutsReply;
-  Revision routing = 0;
-  Revision catalogue = 0;
+  Revisions have{};
   bool fresh = false;  // a new majority reading, not the last known
-  BANKTIDE_FIELDS(routing, catalogue, fresh)
+  BANKTIDE_FIELDS(have, fresh)
 };
 
 struct JoinReply {
   bool taken = false;
   std::uint64_t epoch = 0;
   std::uint64_t incarnation = 0;  // the least that outlives what is said of the asker
-  BANKTIDE_FIELDS(taken, epoch, incarnation)
+  std::string registry;           // if not empty: another registry keeps the asker's zone
+  std::string registry_zone;      // the zone in which that one stands
+  BANKTIDE_FIELDS(taken, epoch, incarnation, registry, registry_zone)
 };
 struct Join {
   static constexpr std::uint8_t kind = 13;
@@ -242,8 +377,10 @@
 struct RegistryEntry {
   std::string cell;
   std::string address;
-  bool operator==(RegistryEntry const&) const = default;
-  BANKTIDE_FIELDS(cell, address)
+  std::uint32_t age_ms = 0;  // how long ago the teller last heard of it
+  // The same registry, whatever its age.
+  bool operator==(RegistryEntry const& o) const { return cell == o.cell && address == o.address; }
+  BANKTIDE_FIELDS(cell, address, age_ms)
 };
 struct MeetReply {
   std::vector<RegistryEntry> registries;
@@ -264,7 +401,8 @@
   std::string address;
   std::uint64_t incarnation = 0;
   Position at;
-  BANKTIDE_FIELDS(id, address, incarnation, at)
+  std::string zone;
+  BANKTIDE_FIELDS(id, address, incarnation, at, zone)
 };
 
 struct Suspect {
@@ -273,7 +411,8 @@
   std::string id;
   std::uint64_t incarnation = 0;
   std::string by;
-  BANKTIDE_FIELDS(id, incarnation, by)
+  std::string zone;
+  BANKTIDE_FIELDS(id, incarnation, by, zone)
 };
 
 struct Drain {
@@ -287,7 +426,9 @@
   static constexpr std::uint8_t kind = 18;
   using Reply = Told;
   CellEntry entry;
-  BANKTIDE_FIELDS(entry)
+  std::string sender;  // the address of the registry that keeps the cell
+  Position at;         // of the feed that it was taken from
+  BANKTIDE_FIELDS(entry, sender, at)
 };
 
 struct Chosen {
--- a/source/state/cell_view.hpp
+++ b/source/state/cell_view.hpp
@@ -15,9 +15,15 @@
   std::map<std::pair<std::string, std::string>, BackendRecord> backends;
   std::map<std::string, CellEntry> cells;
 
+  /// Counts how often members came, went or changed their role.
+  std::uint64_t membership() const { return membership_; }
+
   void fold(Change const& c) {
     if (c.member) {
-      if (c.member->standing == Standing::dead) {
+      auto const known = members.find(c.member->id);
+      bool const dead = c.member->standing == Standing::dead;
+      if (known == members.end() ? !dead : dead || known->second.role != c.member->role) ++membership_;
+      if (dead) {
         members.erase(c.member->id);
         std::erase_if(backends, [&](auto const& b) { return b.second.node == c.member->id; });
       } else {
@@ -35,6 +41,7 @@
   }
 
   void replace(Snapshot const& s) {
+    ++membership_;
     members.clear();
     backends.clear();
     cells.clear();
@@ -56,6 +63,9 @@
     auto const it = members.find(id);
     return it != members.end() && it->second.standing == Standing::fit;
   }
+
+ private:
+  std::uint64_t membership_ = 0;
 };
 
 #ifdef TESTS_OF_CELL_VIEW
--- /dev/null
+++ b/source/state/key_planner.cpp
@@ -0,0 +1,435 @@
+// The steps of a plan, in order: revoke the silent and restore the returned;
+// free what nobody can hold any more; finish moves; give free rows out; begin
+// moves away from drains, towards newcomers, and from overloaded to idle.
+#include "state/key_planner.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace banktide {
+
+namespace {
+
+constexpr Duration tick_gap = 500ms;     // a longer one means that this process was held up
+constexpr Duration growth_calm = 500ms;  // no new backend for this long: all have been heard
+constexpr Duration remember_ends = 120s;
+constexpr double neighbour_cost = 0.1;   // what it counts against a taker to hold a neighbouring row
+constexpr double width_weight = 0.25;    // how a row counts that shows no load
+constexpr double newcomer_share = 0.75;  // of the mean share, up to which a newcomer is fed
+constexpr double hot_row_share = 0.6;    // of the wanted shift, above which a row is split
+constexpr double all_keys = 65536;
+
+double width_of(KeyRow const& row) { return (row.to - row.from + 1) / all_keys; }
+
+KeyHolderRecord record_of(KeyReport const& report) {
+  return KeyHolderRecord{report.instance, report.node, report.address, report.zone};
+}
+
+void give(KeyRow& row, std::uint16_t const holder, std::uint32_t const fence, std::string handover) {
+  row.holder = holder;
+  row.next = no_holder;
+  row.fence = fence;
+  row.moving = 0;
+  row.revoked = 0;
+  row.handover = std::move(handover);
+}
+
+}  // namespace
+
+void KeyPlanner::on_report(Instant const now, KeyReport report) {
+  for (KeyEnd const& end : report.ended) ended_[end.instance] = now;
+  if (report.instance.empty() || ended(report.instance)) return;
+  ServiceState& service = services_[report.service];
+  if (service.first_report == Instant{}) service.first_report = now;
+  Backend& backend = backends_[report.instance];
+  if (backend.heard == Instant{}) {
+    ++service.known;
+    service.grew = now;
+  }
+  backend.heard = now;
+  backend.report = std::move(report);
+}
+
+void KeyPlanner::on_table(Instant const now, KeyTable table) {
+  if (table.revision <= table_.revision) return;
+  table_ = std::move(table);
+  std::map<Revision, Instant> standing;
+  for (KeyService const& service : table_.services)
+    for (KeyRow const& row : service.rows) {
+      if (row.revoked == 0) continue;
+      std::map<Revision, Instant>::const_iterator const known = revocations_.find(row.revoked);
+      standing.emplace(row.revoked, known == revocations_.end() ? now : known->second);
+    }
+  revocations_ = std::move(standing);
+}
+
+void KeyPlanner::tick(Instant const now) {
+  if (now - ticked_ > tick_gap) watching_since_ = now;
+  ticked_ = now;
+}
+
+KeyPlanner::Backend* KeyPlanner::backend_of(std::string const& instance) {
+  std::map<std::string, Backend>::iterator const found = backends_.find(instance);
+  return found == backends_.end() ? nullptr : &found->second;
+}
+
+bool KeyPlanner::eligible(Backend const& backend, Instant const now) const {
+  return backend.report.standing == KeyStanding::serving && backend.report.leased &&
+         now - backend.heard <= settings_.eligible_for && !ended(backend.report.instance);
+}
+
+Duration KeyPlanner::silence(std::string const& instance, Instant const now) const {
+  std::map<std::string, Backend>::const_iterator const found = backends_.find(instance);
+  Instant const heard = found == backends_.end() ? watching_since_ : std::max(found->second.heard, watching_since_);
+  return now - heard;
+}
+
+// Whoever confirmed the table without the revocation asked before it was
+// chosen, so its lease ended a term after this process saw it chosen.
+bool KeyPlanner::wait_is_over(Revision const revoked, Instant const now) const {
+  std::map<Revision, Instant>::const_iterator const seen = revocations_.find(revoked);
+  if (seen == revocations_.end()) return false;
+  Duration const drift =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(settings_.term) * settings_.clock_drift);
+  return now - seen->second >= settings_.term + drift + settings_.revoke_slack;
+}
+
+KeyRelease const* KeyPlanner::release_of(KeyTable const& table, KeyRow const& row) const {
+  if (row.moving == 0 || row.holder == no_holder) return nullptr;
+  std::map<std::string, Backend>::const_iterator const found = backends_.find(table.holders[row.holder].instance);
+  if (found == backends_.end()) return nullptr;
+  for (KeyRelease const& release : found->second.report.released)
+    if (release.from == row.from && release.to == row.to && release.fence == row.fence && release.moving == row.moving)
+      return &release;
+  return nullptr;
+}
+
+std::optional<KeyTable> KeyPlanner::plan(Instant const now) {
+  tick(now);
+  forget_old(now);
+  KeyTable next = table_;
+  next.revision = table_.revision + 1;
+  for (std::pair<std::string const, ServiceState> const& known : services_) create(next, known.first, now);
+  for (KeyService& service : next.services) {
+    if (service.rows.empty()) continue;
+    revoke_and_restore(next, service, now);
+    free_rows(next, service, now);
+    Takers all = takers(next, service, now);
+    finish_moves(next, service, all);
+    assign_free(service, all);
+    drain(next, service, all);
+    feed_newcomers(next, service, all);
+    rebalance(next, service, all, now);
+  }
+  KeyTable unchanged = table_;
+  unchanged.revision = next.revision;
+  if (next.services == unchanged.services) return std::nullopt;
+  next.forget_idle_holders();
+  return next;
+}
+
+// The first rows of a service: dealt out in turn, by the backends' slots.
+void KeyPlanner::create(KeyTable& table, std::string const& name, Instant const now) {
+  if (table.service(name) != nullptr) return;
+  ServiceState const& state = services_[name];
+  Duration const gathered = now - state.first_report;
+  bool const calm = gathered >= settings_.gather && now - state.grew >= growth_calm;
+  if (!calm && gathered < settings_.gather_limit) return;
+  KeyService service;
+  service.name = name;
+  Takers all = takers(table, service, now);
+  if (all.empty()) return;
+  std::size_t const rows = std::min(settings_.rows_limit, settings_.rows_per_backend * all.size());
+  double slots = 0;
+  for (Taker const& taker : all) slots += taker.backend->report.slots;
+  std::vector<double> credit(all.size(), 0);
+  for (std::size_t i = 0; i < rows; ++i) {
+    std::size_t best = all.size();
+    for (std::size_t t = 0; t < all.size(); ++t) {
+      credit[t] += all[t].backend->report.slots / slots;
+      bool const beside = i > 0 && all.size() > 1 && service.rows[i - 1].holder == all[t].number;
+      if (!beside && (best == all.size() || credit[t] > credit[best])) best = t;
+    }
+    credit[best] -= 1;
+    KeyRow row;
+    row.from = static_cast<std::uint16_t>(i * 65536 / rows);
+    row.to = static_cast<std::uint16_t>((i + 1) * 65536 / rows - 1);
+    give(row, all[best].number, 1, "");
+    service.rows.push_back(std::move(row));
+  }
+  table.services.push_back(std::move(service));
+}
+
+void KeyPlanner::revoke_and_restore(KeyTable& table, KeyService& service, Instant const now) {
+  std::set<std::uint16_t> holders, silent;
+  for (KeyRow const& row : service.rows) {
+    if (row.holder == no_holder) continue;
+    holders.insert(row.holder);
+    if (silence(table.holders[row.holder].instance, now) > settings_.revoke_after) silent.insert(row.holder);
+  }
+  // If most are silent, it's rather this process that hears nothing.
+  bool const deaf = silent.size() * 2 > holders.size();
+  Duration const patience = deaf ? 2 * settings_.revoke_after : settings_.revoke_after;
+  for (KeyRow& row : service.rows) {
+    if (row.holder == no_holder) continue;
+    std::string const& instance = table.holders[row.holder].instance;
+    if (ended(instance)) continue;
+    Backend const* const backend = backend_of(instance);
+    bool const back = backend != nullptr && backend->report.leased && now - backend->heard <= settings_.eligible_for;
+    if (row.revoked == 0 && silence(instance, now) > patience) row.revoked = table.revision;
+    if (row.revoked != 0 && back) row.revoked = 0;
+  }
+}
+
+// A row without a holder is one that nobody can hold: its holder has ended, or
+// the whole term has passed since its revocation.
+void KeyPlanner::free_rows(KeyTable& table, KeyService& service, Instant const now) const {
+  for (KeyRow& row : service.rows) {
+    if (row.next != no_holder && ended(table.holders[row.next].instance)) row.next = no_holder;
+    if (row.holder == no_holder) continue;
+    bool const gone = ended(table.holders[row.holder].instance);
+    if (!gone && !(row.revoked != 0 && wait_is_over(row.revoked, now))) continue;
+    row.holder = no_holder;
+    row.moving = 0;
+    row.revoked = 0;
+    row.handover.clear();
+  }
+}
+
+KeyPlanner::Takers KeyPlanner::takers(KeyTable& table, KeyService const& service, Instant const now) {
+  Takers all;
+  for (std::pair<std::string const, Backend>& known : backends_) {
+    Backend& backend = known.second;
+    if (backend.report.service != service.name || !eligible(backend, now)) continue;
+    Taker taker;
+    taker.backend = &backend;
+    taker.number = table.add_holder(record_of(backend.report));
+    taker.cost = backend.report.busy;
+    for (KeyRow const& row : service.rows) {
+      bool const goes = row.holder == taker.number && row.moving != 0;
+      bool const comes = row.next == taker.number;
+      taker.leaving += goes;
+      taker.arriving += comes;
+      if ((row.holder != taker.number || goes) && !comes) continue;
+      ++taker.rows;
+      taker.width += width_of(row);
+    }
+    all.push_back(taker);
+  }
+  return all;
+}
+
+KeyPlanner::Taker* KeyPlanner::pick(Takers& takers, KeyService const& service, std::size_t const row,
+                                    std::size_t const rows_limit) {
+  Taker* best = nullptr;
+  double least = std::numeric_limits<double>::max();
+  for (Taker& taker : takers) {
+    if (taker.rows >= rows_limit || taker.number == service.rows[row].holder) continue;
+    auto const holds = [&](KeyRow const& r) { return r.next == taker.number || r.holder == taker.number; };
+    bool const beside =
+        (row > 0 && holds(service.rows[row - 1])) || (row + 1 < service.rows.size() && holds(service.rows[row + 1]));
+    double const mean = takers.empty() ? 1 : 1.0 / static_cast<double>(takers.size());
+    double const cost = taker.cost + width_weight * taker.width / mean + (beside ? neighbour_cost : 0);
+    if (cost >= least) continue;
+    least = cost;
+    best = &taker;
+  }
+  return best;
+}
+
+// The busy share that a row makes at its holder, by the holder's last report.
+double KeyPlanner::row_cost(KeyTable const& table, KeyRow const& row) const {
+  if (row.holder == no_holder) return 0;
+  std::map<std::string, Backend>::const_iterator const found = backends_.find(table.holders[row.holder].instance);
+  if (found == backends_.end()) return 0;
+  double all = 0, mine = 0;
+  for (KeyRowLoad const& load : found->second.report.held) {
+    all += load.rate;
+    if (load.from <= row.from && load.to >= row.to) mine = load.rate;
+  }
+  return all <= 0 ? 0 : found->second.report.busy * mine / all;
+}
+
+void KeyPlanner::finish_moves(KeyTable& table, KeyService& service, Takers& takers) {
+  std::uint32_t const fence = service.highest_fence() + 1;
+  for (std::size_t i = 0; i < service.rows.size(); ++i) {
+    KeyRow& row = service.rows[i];
+    KeyRelease const* const release = release_of(table, row);
+    bool const wanted = std::any_of(takers.begin(), takers.end(), [&](Taker const& t) { return t.number == row.next; });
+    if (row.moving != 0 && !wanted) {
+      // Its taker is gone: another one, or the move is off.
+      Taker* const other = pick(takers, service, i, settings_.held_rows_limit);
+      row.next = other == nullptr ? no_holder : other->number;
+      if (other != nullptr) {
+        ++other->rows;
+        other->width += width_of(row);
+      } else {
+        row.moving = 0;
+      }
+    }
+    if (release != nullptr && row.next != no_holder) give(row, row.next, fence, release->handover);
+  }
+}
+
+// Joins neighbouring free rows in pairs until the takers have room for all.
+void KeyPlanner::merge_free(KeyService& service, std::size_t const room) {
+  auto const is_free = [](KeyRow const& row) { return row.holder == no_holder; };
+  std::size_t free = static_cast<std::size_t>(std::count_if(service.rows.begin(), service.rows.end(), is_free));
+  for (bool joined = true; joined && free > room;) {
+    joined = false;
+    for (std::size_t i = 0; i + 1 < service.rows.size() && free > room; ++i) {
+      KeyRow& left = service.rows[i];
+      KeyRow const& right = service.rows[i + 1];
+      if (!is_free(left) || !is_free(right)) continue;
+      left.to = right.to;
+      left.fence = std::max(left.fence, right.fence);
+      service.rows.erase(service.rows.begin() + static_cast<std::ptrdiff_t>(i) + 1);
+      --free;
+      joined = true;
+    }
+  }
+}
+
+void KeyPlanner::assign_free(KeyService& service, Takers& takers) {
+  if (takers.empty()) return;
+  std::uint32_t const fence = service.highest_fence() + 1;
+  std::size_t const wanted = settings_.held_rows_limit * 3 / 4;  // leaves room for moves
+  std::size_t room = 0;
+  for (Taker const& taker : takers) room += wanted - std::min(wanted, taker.rows);
+  merge_free(service, std::max(room, takers.size()));
+  for (std::size_t i = 0; i < service.rows.size(); ++i) {
+    KeyRow& row = service.rows[i];
+    if (row.holder != no_holder) continue;
+    Taker* taker = pick(takers, service, i, settings_.held_rows_limit);
+    if (taker == nullptr) taker = pick(takers, service, i, std::numeric_limits<std::size_t>::max());
+    give(row, taker->number, fence, "");
+    ++taker->rows;
+    taker->width += width_of(row);
+  }
+}
+
+void KeyPlanner::begin_move(KeyTable& table, KeyService& service, std::size_t const row, Taker& taker) {
+  double const cost = row_cost(table, service.rows[row]);
+  service.rows[row].next = taker.number;
+  service.rows[row].moving = table.revision;
+  ++taker.rows;
+  ++taker.arriving;
+  taker.cost += cost;
+  taker.width += width_of(service.rows[row]);
+}
+
+void KeyPlanner::drain(KeyTable& table, KeyService& service, Takers& takers) {
+  for (std::size_t i = 0; i < service.rows.size(); ++i) {
+    KeyRow const& row = service.rows[i];
+    if (row.holder == no_holder || row.moving != 0) continue;
+    Backend const* const holder = backend_of(table.holders[row.holder].instance);
+    if (holder == nullptr || holder->report.standing != KeyStanding::draining) continue;
+    Taker* const taker = pick(takers, service, i, settings_.held_rows_limit);
+    if (taker != nullptr) begin_move(table, service, i, *taker);
+  }
+}
+
+// A backend with far less than its share, by slots, gets rows of those with the
+// widest share, a few at a time. Load decides from then on.
+void KeyPlanner::feed_newcomers(KeyTable& table, KeyService& service, Takers& takers) {
+  double slots = 0;
+  for (Taker const& taker : takers) slots += taker.backend->report.slots;
+  for (Taker& newcomer : takers) {
+    double const share = newcomer_share * newcomer.backend->report.slots / std::max(slots, 1.0);
+    bool& feeding = newcomer.backend->feeding;
+    feeding = (feeding || newcomer.rows == newcomer.arriving) && newcomer.width < share;
+    if (!feeding) continue;
+    while (newcomer.width < share && newcomer.rows < settings_.held_rows_limit) {
+      Taker* widest = nullptr;
+      for (Taker& giver : takers) {
+        if (&giver == &newcomer || giver.leaving >= settings_.moving_rows_limit || giver.rows <= 1) continue;
+        if (giver.width * slots / giver.backend->report.slots <=
+            newcomer.width * slots / newcomer.backend->report.slots)
+          continue;
+        if (widest == nullptr ||
+            giver.width / giver.backend->report.slots > widest->width / widest->backend->report.slots)
+          widest = &giver;
+      }
+      if (widest == nullptr) break;
+      std::size_t chosen = service.rows.size();
+      for (std::size_t i = 0; i < service.rows.size(); ++i) {
+        KeyRow const& row = service.rows[i];
+        if (row.holder != widest->number || row.moving != 0 || row.revoked != 0) continue;
+        if (width_of(row) > 2 * share) continue;
+        bool const hotter =
+            chosen == service.rows.size() || row_cost(table, row) > row_cost(table, service.rows[chosen]);
+        if (hotter) chosen = i;
+      }
+      if (chosen == service.rows.size()) break;
+      begin_move(table, service, chosen, newcomer);
+      ++widest->leaving;
+      --widest->rows;
+      widest->width -= width_of(service.rows[chosen]);
+    }
+  }
+}
+
+// One row a second from the busiest to the idlest, such that it takes about half
+// of their difference along; a row too hot for that is split first.
+void KeyPlanner::rebalance(KeyTable& table, KeyService& service, Takers& takers, Instant const now) {
+  ServiceState& state = services_[service.name];
+  if (now < state.next_rebalance) return;
+  Taker* hot = nullptr;
+  Taker* idle = nullptr;
+  for (Taker& taker : takers) {
+    if (taker.arriving > 0 || taker.leaving > 0 || taker.backend->feeding || now < taker.backend->settled) continue;
+    if (hot == nullptr || taker.backend->report.busy > hot->backend->report.busy) hot = &taker;
+    if (taker.rows >= settings_.held_rows_limit) continue;
+    if (idle == nullptr || taker.backend->report.busy < idle->backend->report.busy) idle = &taker;
+  }
+  if (hot == nullptr || idle == nullptr || hot == idle) return;
+  double const gap = hot->backend->report.busy - idle->backend->report.busy;
+  if (hot->backend->report.busy <= settings_.overloaded || gap <= settings_.load_gap) return;
+  double const wanted = gap / 2;
+  std::size_t chosen = service.rows.size();
+  double nearest = std::numeric_limits<double>::max();
+  std::size_t hottest = service.rows.size();
+  double most = 0;
+  for (std::size_t i = 0; i < service.rows.size(); ++i) {
+    KeyRow const& row = service.rows[i];
+    if (row.holder != hot->number || row.moving != 0 || row.revoked != 0) continue;
+    double const cost = row_cost(table, row);
+    if (cost > most) {
+      most = cost;
+      hottest = i;
+    }
+    if (cost <= 0 || cost > wanted * (1 + hot_row_share) || std::abs(wanted - cost) >= nearest) continue;
+    nearest = std::abs(wanted - cost);
+    chosen = i;
+  }
+  bool const split = chosen == service.rows.size() || nearest > wanted * (1 - hot_row_share / 4);
+  if (split && hottest < service.rows.size() && most > wanted && service.rows.size() < settings_.rows_limit &&
+      hot->rows < settings_.held_rows_limit && service.rows[hottest].from < service.rows[hottest].to) {
+    KeyRow upper = service.rows[hottest];
+    std::uint16_t const middle = static_cast<std::uint16_t>(upper.from + (upper.to - upper.from) / 2);
+    upper.from = static_cast<std::uint16_t>(middle + 1);
+    service.rows[hottest].to = middle;
+    service.rows.insert(service.rows.begin() + static_cast<std::ptrdiff_t>(hottest) + 1, std::move(upper));
+    state.next_rebalance = now + settings_.rebalance_every;
+    hot->backend->settled = now + settings_.settle;
+    return;
+  }
+  if (chosen == service.rows.size()) return;
+  begin_move(table, service, chosen, *idle);
+  state.next_rebalance = now + settings_.rebalance_every;
+  hot->backend->settled = now + settings_.settle;
+  idle->backend->settled = now + settings_.settle;
+}
+
+void KeyPlanner::forget_old(Instant const now) {
+  std::erase_if(backends_, [&](std::pair<std::string const, Backend> const& known) {
+    bool const old = now - known.second.heard > remember_ends;
+    return ended(known.first) || (old && table_.number_of(known.first) == no_holder);
+  });
+  std::erase_if(ended_, [&](std::pair<std::string const, Instant> const& known) {
+    return now - known.second > remember_ends && table_.number_of(known.first) == no_holder;
+  });
+}
+
+}  // namespace banktide
--- /dev/null
+++ b/source/state/key_planner.hpp
@@ -0,0 +1,90 @@
+// Plans who is to hold which keys: from the newest table and the nodes' reports
+// it makes the next table, or none if nothing is to change. A row changes hands
+// only once its holder has let it go, is proved to have ended, or has had no
+// lease for the whole term after its revocation. Nothing here speaks or waits:
+// the coordinator brings reports, tables and the time.
+#pragma once
+
+#include "protocol/key_messages.hpp"
+#include "state/key_table.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace banktide {
+
+class KeyPlanner {
+ public:
+  explicit KeyPlanner(KeySettings settings) : settings_(settings) {}
+
+  void on_report(Instant now, KeyReport report);
+  /// A chosen table; older ones change nothing.
+  void on_table(Instant now, KeyTable table);
+  /// To be called several times a second, also while another coordinator acts:
+  /// after a gap, silence is counted anew, as this process may have been frozen.
+  void tick(Instant now);
+  /// The table to write next, one revision above the newest known.
+  std::optional<KeyTable> plan(Instant now);
+
+  KeyTable const& table() const { return table_; }
+
+ private:
+  struct Backend {
+    KeyReport report;
+    Instant heard{};
+    Instant settled{};     // its load is judged from then on
+    bool feeding = false;  // it's new and gets its first share
+  };
+  struct ServiceState {
+    Instant first_report{};
+    Instant next_rebalance{};
+    std::size_t known = 0;
+    Instant grew{};
+  };
+  // A backend that may take rows, and what it has by now.
+  struct Taker {
+    Backend* backend = nullptr;
+    std::uint16_t number = no_holder;
+    std::size_t rows = 0;     // held, and on the move to it
+    double cost = 0;          // busy share, and what was given to it since
+    double width = 0;         // its share of the keys
+    std::size_t leaving = 0;  // rows on the move away
+    std::size_t arriving = 0;
+  };
+  using Takers = std::vector<Taker>;
+
+  Backend* backend_of(std::string const& instance);
+  bool ended(std::string const& instance) const { return ended_.contains(instance); }
+  bool eligible(Backend const& backend, Instant now) const;
+  Duration silence(std::string const& instance, Instant now) const;
+  bool wait_is_over(Revision revoked, Instant now) const;
+  KeyRelease const* release_of(KeyTable const& table, KeyRow const& row) const;
+
+  Takers takers(KeyTable& table, KeyService const& service, Instant now);
+  static Taker* pick(Takers& takers, KeyService const& service, std::size_t row, std::size_t rows_limit);
+  double row_cost(KeyTable const& table, KeyRow const& row) const;
+
+  void create(KeyTable& table, std::string const& name, Instant now);
+  void revoke_and_restore(KeyTable& table, KeyService& service, Instant now);
+  void free_rows(KeyTable& table, KeyService& service, Instant now) const;
+  void finish_moves(KeyTable& table, KeyService& service, Takers& takers);
+  void assign_free(KeyService& service, Takers& takers);
+  void drain(KeyTable& table, KeyService& service, Takers& takers);
+  void feed_newcomers(KeyTable& table, KeyService& service, Takers& takers);
+  void rebalance(KeyTable& table, KeyService& service, Takers& takers, Instant now);
+  void begin_move(KeyTable& table, KeyService& service, std::size_t row, Taker& taker);
+  static void merge_free(KeyService& service, std::size_t room);
+  void forget_old(Instant now);
+
+  KeySettings const settings_;
+  KeyTable table_;
+  std::map<std::string, Backend> backends_;  // by instance
+  std::map<std::string, ServiceState> services_;
+  std::map<std::string, Instant> ended_;     // and when it was last told
+  std::map<Revision, Instant> revocations_;  // when this process first saw each as chosen
+  Instant watching_since_{};
+  Instant ticked_{};
+};
+
+}  // namespace banktide
--- a/source/state/retry_budget.hpp
+++ b/source/state/retry_budget.hpp
@@ -1,6 +1,8 @@
-// Extra tries against first tries in a sliding window: a fifth of the first
+// Extra tries against first tries in a sliding window: a share of the first
 // tries of the last ten seconds, plus a margin so small that its sum over all
 // nodes stays small. Everything after a call's first try counts, failovers too.
+// As each node keeps to the share of its own first tries, all nodes together
+// keep to the share of all, without knowing of each other.
 #pragma once
 
 #include "transport/result.hpp"
@@ -13,6 +15,11 @@
  public:
   static constexpr std::size_t slots = 100;
   static constexpr std::uint64_t margin = 1;
+  static constexpr std::uint64_t default_percent = 20;
+
+  /** `percent` of the first tries and `extra_margin` more may be extra ones. */
+  explicit RetryBudget(std::uint64_t const percent = default_percent, std::uint64_t const extra_margin = margin)
+      : percent_(percent), margin_(extra_margin) {}
 
   void first(Instant const now) {
     turn(now);
@@ -21,7 +28,7 @@
   }
   bool extra(Instant const now) {
     turn(now);
-    if (extra_sum_ + 1 > first_sum_ / 5 + margin) return false;
+    if (extra_sum_ + 1 > first_sum_ * percent_ / 100 + margin_) return false;
     ++extras_[at_];
     ++extra_sum_;
     return true;
@@ -41,6 +48,8 @@
     tick_ = std::max(tick_, tick);
   }
 
+  std::uint64_t percent_;
+  std::uint64_t margin_;
   std::array<std::uint64_t, slots> firsts_{};
   std::array<std::uint64_t, slots> extras_{};
   std::uint64_t first_sum_ = 0, extra_sum_ = 0;
--- a/source/state/sqlite_disk.hpp
+++ b/source/state/sqlite_disk.hpp
@@ -1,6 +1,7 @@
 // The voter's disk: one row in SQLite, synced in full before `keep` returns.
 // The blob is the record as cereal packs it, with its own digest, so that a
-// torn or foreign row is a start-up error and never a vote.
+// torn or foreign row is a start-up error and never a vote. `user_version` is
+// the format of the record; a row of another format is refused by name.
 #pragma once
 
 #include "coordination/acceptor.hpp"
@@ -18,6 +19,7 @@
     for (
         char const* sql :
         {"PRAGMA locking_mode=EXCLUSIVE", "PRAGMA journal_mode=WAL", "PRAGMA synchronous=FULL",
+         "PRAGMA cache_size=-256", "PRAGMA wal_autocheckpoint=64", "PRAGMA journal_size_limit=262144",
          "CREATE TABLE IF NOT EXISTS voter(one INTEGER PRIMARY KEY CHECK(one=1), record BLOB NOT NULL, digest INTEGER NOT NULL)",
          "BEGIN IMMEDIATE", "COMMIT"})
       if (sqlite3_exec(d->db_, sql, nullptr, nullptr, nullptr) != SQLITE_OK)
@@ -33,7 +35,10 @@
       return mishap("load_disk", "", sqlite3_errmsg(db_));
     int const rc = sqlite3_step(s);
     Result<VoterRecord> out = VoterRecord{};
-    if (rc == SQLITE_ROW) {
+    if (rc == SQLITE_ROW && format() != record_format) {
+      out = mishap("load_disk", "",
+                   "record of format " + std::to_string(format()) + ", known is " + std::to_string(record_format));
+    } else if (rc == SQLITE_ROW) {
       Bytes const raw(static_cast<char const*>(sqlite3_column_blob(s, 0)),
                       static_cast<std::size_t>(sqlite3_column_bytes(s, 0)));
       if (digest_of(raw) != static_cast<std::uint64_t>(sqlite3_column_int64(s, 1)))
@@ -48,6 +53,11 @@
   }
 
   Task<Result<bool>> keep(VoterRecord const& r) {
+    if (format() != record_format) {
+      std::string const sql = "PRAGMA user_version=" + std::to_string(record_format);
+      if (sqlite3_exec(db_, sql.c_str(), nullptr, nullptr, nullptr) != SQLITE_OK)
+        co_return mishap("keep_disk", "", sqlite3_errmsg(db_));
+    }
     Bytes const raw = pack(r);
     sqlite3_stmt* s = nullptr;
     if (sqlite3_prepare_v2(db_, "INSERT OR REPLACE INTO voter VALUES(1, ?, ?)", -1, &s, nullptr) != SQLITE_OK)
@@ -61,8 +71,19 @@
   }
 
  private:
+  static constexpr int record_format = 2;
+
   SqliteDisk() = default;
+  int format() const {
+    if (format_ == record_format) return format_;
+    sqlite3_stmt* s = nullptr;
+    if (sqlite3_prepare_v2(db_, "PRAGMA user_version", -1, &s, nullptr) != SQLITE_OK) return -1;
+    format_ = sqlite3_step(s) == SQLITE_ROW ? sqlite3_column_int(s, 0) : -1;
+    sqlite3_finalize(s);
+    return format_;
+  }
   sqlite3* db_ = nullptr;
+  mutable int format_ = -1;
 };
 
 }  // namespace banktide
