--- /dev/null
+++ b/source/transport/backend_connections.cpp
@@ -0,0 +1,490 @@
+// A connection waits for bytes at all times, so that what comes while it is idle ends
+// it before a request can meet it. A call borrows the connection and sleeps on the
+// connection's one alarm, which is set to the deadline and woken by the outcome.
+#include "transport/backend_connections.hpp"
+
+#include "transport/http_codec.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <netinet/tcp.h>
+#include <optional>
+#include <sys/socket.h>
+
+namespace banktide {
+
+namespace {
+
+using tcp = asio::ip::tcp;
+using Error = boost::system::error_code;
+
+constexpr Duration connect_timeout = 500ms;
+constexpr int unacknowledged_ms = 2000;           // TCP_USER_TIMEOUT
+constexpr Duration proven_recently = 2s;          // a connection that may carry what can't be repeated
+constexpr std::size_t surplus_limit = 4;          // answers to other requests before ours
+constexpr std::size_t reads_per_event = 16;       // then others get their turn
+constexpr std::size_t pending_limit = 96u << 10;  // unparsed bytes of an answer
+
+bool would_block(Error const& error) { return error == asio::error::would_block || error == asio::error::try_again; }
+
+bool has_length_anyway(std::string const& method) { return method == "POST" || method == "PUT" || method == "PATCH"; }
+
+// The request's head as it is written, or why it can't be.
+Result<std::string> head_of(HttpRequest request, std::size_t const body_bytes, Address const& peer) {
+  bool const method_safe = is_safe(Header{request.method, ""});
+  bool const target_safe = !request.target.empty() && std::all_of(request.target.begin(), request.target.end(),
+                                                                  [](char const c) { return c > ' ' && c != '\x7f'; });
+  if (!method_safe || !target_safe) return mishap("request", peer, "unsafe request line", Proof::not_run);
+  remove_hop_by_hop(request.headers);
+  std::string head;
+  head.reserve(64 + request.target.size() + request.headers.size() * 48);
+  head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+  for (Header const& header : request.headers) {
+    if (!is_safe(header)) return mishap("request", peer, "unsafe header", Proof::not_run);
+    append_header(head, header.name, header.value);
+  }
+  if (body_bytes > 0 || has_length_anyway(request.method))
+    append_header(head, "Content-Length", std::to_string(body_bytes));
+  head.append("\r\n");
+  return head;
+}
+
+// What a call sends, the same for each connection that it tries.
+struct Sending {
+  std::string head;
+  std::string body;
+  std::string attempt_header;
+  std::string attempt_id;
+  Instant deadline{};
+  bool is_head = false;
+  bool repeatable = false;
+};
+
+}  // namespace
+
+class BackendConnection;
+
+struct BackendPool : std::enable_shared_from_this<BackendPool> {
+  BackendPool(asio::io_context& context, Address a, std::size_t const most)
+      : io(context), address(std::move(a)), limit(most) {}
+
+  std::shared_ptr<BackendConnection> take_idle(bool repeatable);
+  void drop_expired(Instant now);
+  void close();
+
+  asio::io_context& io;
+  Address address;
+  std::size_t limit;
+  std::vector<std::shared_ptr<BackendConnection>> idle;  // last used last
+  std::size_t open = 0;
+  std::uint64_t opened = 0;
+  bool closed = false;
+};
+
+class BackendConnection : public std::enable_shared_from_this<BackendConnection> {
+ public:
+  explicit BackendConnection(std::shared_ptr<BackendPool> pool)
+      : pool_(std::move(pool)), socket_(pool_->io), alarm_(pool_->io) {
+    ++pool_->open;
+    ++pool_->opened;
+  }
+  ~BackendConnection() { close(); }
+
+  Task<Result<void>> connect(Instant deadline);
+  Task<Result<HttpReply>> exchange(std::shared_ptr<Sending const> sending);
+  void close();
+  bool is_silent();
+  bool may_rest_at(Instant now) const { return now < rests_until_; }
+  Instant last_used() const { return last_used_; }
+  /// The last exchange ended with the connection, before any byte of an answer.
+  bool died_silently() const { return died_ && !heard_; }
+
+ private:
+  void wait_to_read();
+  void wait_to_write();
+  void on_readable(Error const& error);
+  bool read_once();
+  void take_bytes(std::string_view bytes);
+  std::size_t parse(std::string_view bytes);
+  bool take_answer();
+  void write();
+  bool write_once();
+  void fail(std::string step, std::string reason);
+  void finish(Result<HttpReply> outcome);
+  void lost(std::string const& step, Error const& error);
+  void keep_or_close(bool reusable, Duration rest);
+
+  std::shared_ptr<BackendPool> pool_;
+  tcp::socket socket_;
+  asio::steady_timer alarm_;
+  boost::beast::flat_buffer pending_;
+  std::unique_ptr<ReplyParser> parser_;
+  std::shared_ptr<Sending const> sending_;
+  std::optional<Result<HttpReply>> outcome_;
+  std::size_t written_ = 0;
+  std::size_t surplus_ = 0;
+  Instant last_used_{};
+  Instant rests_until_{};
+  Duration rest_{};
+  bool reusable_ = false;
+  bool heard_ = false;
+  bool died_ = false;
+  bool waits_to_write_ = false;
+  bool closed_ = false;
+};
+
+// ---- opening and closing
+
+Task<Result<void>> BackendConnection::connect(Instant const deadline) {
+  std::shared_ptr<BackendConnection> const self = shared_from_this();
+  Address const peer = pool_->address;
+  Result<tcp::endpoint> const endpoint = endpoint_of(peer);
+  if (!endpoint) co_return mishap("connect", peer, endpoint.error().reason, Proof::not_run);
+  alarm_.expires_at(std::min(deadline, std::chrono::steady_clock::now() + connect_timeout));
+  std::shared_ptr<std::optional<Error>> const result = std::make_shared<std::optional<Error>>();
+  socket_.async_connect(*endpoint, [self, result](Error const& error) {
+    *result = error;
+    self->alarm_.cancel();
+  });
+  Error ignored;
+  co_await alarm_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  if (!*result) {
+    close();
+    co_return mishap("connect", peer, "timeout", Proof::not_run);
+  }
+  Error error = **result;
+  if (error == asio::error::connection_refused) co_return mishap("connect", peer, "refused", Proof::not_run);
+  if (!error) socket_.non_blocking(true, error);
+  if (!error) socket_.set_option(tcp::no_delay(true), error);
+  if (error) co_return mishap("connect", peer, error.message(), Proof::not_run);
+  ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms, sizeof unacknowledged_ms);
+  wait_to_read();
+  co_return Result<void>();
+}
+
+void BackendConnection::close() {
+  if (closed_) return;
+  closed_ = true;
+  --pool_->open;
+  Error error;
+  socket_.close(error);
+  std::erase_if(pool_->idle, [&](std::shared_ptr<BackendConnection> const& c) { return c.get() == this; });
+}
+
+// Whether an idle connection has neither bytes nor an end waiting that its wait
+// hasn't reported yet.
+bool BackendConnection::is_silent() {
+  if (closed_) return false;
+  char byte = 0;
+  ssize_t const got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+// ---- an exchange
+
+Task<Result<HttpReply>> BackendConnection::exchange(std::shared_ptr<Sending const> sending) {
+  std::shared_ptr<BackendConnection> const self = shared_from_this();
+  sending_ = std::move(sending);
+  outcome_.reset();
+  written_ = 0;
+  surplus_ = 0;
+  heard_ = died_ = false;
+  alarm_.expires_at(sending_->deadline);
+  write();
+  if (!outcome_) {
+    Error ignored;
+    co_await alarm_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  if (!outcome_) fail("deadline", "deadline");
+  Result<HttpReply> outcome = std::move(*outcome_);
+  outcome_.reset();
+  sending_.reset();
+  keep_or_close(outcome.has_value() && reusable_, rest_);
+  co_return outcome;
+}
+
+void BackendConnection::keep_or_close(bool const reusable, Duration const rest) {
+  parser_.reset();
+  if (!reusable || pool_->closed || closed_) {
+    close();
+    return;
+  }
+  if (pending_.capacity() > 0) pending_.shrink_to_fit();
+  last_used_ = std::chrono::steady_clock::now();
+  rests_until_ = last_used_ + rest;
+  pool_->idle.push_back(shared_from_this());
+}
+
+void BackendConnection::finish(Result<HttpReply> outcome) {
+  if (outcome_) return;
+  outcome_ = std::move(outcome);
+  alarm_.cancel();
+}
+
+void BackendConnection::fail(std::string step, std::string reason) {
+  Proof const proof = written_ == 0 ? Proof::not_run : Proof::unknown;
+  finish(mishap(std::move(step), pool_->address, std::move(reason), proof));
+  close();
+}
+
+void BackendConnection::lost(std::string const& step, Error const& error) {
+  if (!sending_ || outcome_) {
+    close();
+    return;
+  }
+  died_ = true;
+  fail(step, error == asio::error::eof ? "closed" : error.message());
+}
+
+// ---- writing
+
+void BackendConnection::write() {
+  while (!closed_ && written_ < sending_->head.size() + sending_->body.size())
+    if (!write_once()) return;
+}
+
+// Whether more may be written at once.
+bool BackendConnection::write_once() {
+  std::size_t const of_head = std::min(written_, sending_->head.size());
+  std::size_t const of_body = written_ - of_head;
+  std::array<asio::const_buffer, 2> const buffers{asio::buffer(sending_->head) + of_head,
+                                                  asio::buffer(sending_->body) + of_body};
+  Error error;
+  written_ += socket_.write_some(buffers, error);
+  if (would_block(error)) {
+    wait_to_write();
+    return false;
+  }
+  if (error) {
+    lost("write", error);
+    return false;
+  }
+  return true;
+}
+
+void BackendConnection::wait_to_write() {
+  if (waits_to_write_) return;
+  waits_to_write_ = true;
+  socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](Error const& error) {
+    self->waits_to_write_ = false;
+    if (!error && self->sending_ && !self->outcome_) self->write();
+  });
+}
+
+// ---- reading
+
+void BackendConnection::wait_to_read() {
+  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](Error const& error) {
+    if (!self->closed_) self->on_readable(error);
+  });
+}
+
+void BackendConnection::on_readable(Error const& error) {
+  if (error) {
+    lost("read", error);
+    return;
+  }
+  for (std::size_t i = 0; i < reads_per_event && !closed_; ++i)
+    if (!read_once()) break;
+  if (!closed_) wait_to_read();
+}
+
+// Whether there may be more to read at once.
+bool BackendConnection::read_once() {
+  std::span<char> const scratch = read_scratch();
+  Error error;
+  std::size_t const bytes = socket_.read_some(asio::buffer(scratch.data(), scratch.size()), error);
+  if (would_block(error)) return false;
+  if (error) {
+    lost("read", error);
+    return false;
+  }
+  if (!sending_) {  // bytes that answer nothing
+    close();
+    return false;
+  }
+  if (outcome_) {  // bytes behind our answer
+    reusable_ = false;
+    return false;
+  }
+  heard_ = true;
+  take_bytes(std::string_view(scratch.data(), bytes));
+  return bytes == scratch.size();
+}
+
+void BackendConnection::take_bytes(std::string_view bytes) {
+  if (pending_.size() == 0) bytes.remove_prefix(parse(bytes));
+  if (bytes.empty() || closed_) return;
+  bool const was_empty = pending_.size() == 0;
+  asio::mutable_buffer const room = pending_.prepare(bytes.size());
+  std::memcpy(room.data(), bytes.data(), bytes.size());
+  pending_.commit(bytes.size());
+  if (!was_empty && !outcome_) {
+    asio::const_buffer const all = pending_.data();
+    pending_.consume(parse(std::string_view(static_cast<char const*>(all.data()), all.size())));
+  }
+  if (outcome_ && pending_.size() > 0) reusable_ = false;
+  if (!outcome_ && pending_.size() > pending_limit) fail("garbled", "line too long");
+}
+
+// Takes answers until ours is there and returns how many bytes it used.
+std::size_t BackendConnection::parse(std::string_view const bytes) {
+  std::size_t used = 0;
+  while (used < bytes.size() && !outcome_) {
+    if (!parser_) {
+      parser_ = std::make_unique<ReplyParser>(default_header_bytes * 2, default_body_bytes);
+      parser_->skip(sending_->is_head);
+    }
+    bool const had_header = parser_->is_header_done();
+    Error error;
+    used += parser_->parse(bytes.substr(used), error, !had_header);
+    if (error) {
+      fail("garbled", error.message());
+      return bytes.size();
+    }
+    if (!parser_->is_header_done()) break;
+    if (!had_header && parser_->need_eof() && !parser_->is_done()) {
+      fail("garbled", "no length");
+      return bytes.size();
+    }
+    if (parser_->is_done()) {
+      if (!take_answer()) return bytes.size();
+    } else if (had_header) {
+      break;
+    }
+  }
+  return used;
+}
+
+// Whether the connection is still good.
+bool BackendConnection::take_answer() {
+  std::unique_ptr<ReplyParser> const answer = std::move(parser_);
+  if (answer->status == 101) {
+    fail("garbled", "protocol switched unasked");
+    return false;
+  }
+  if (answer->status / 100 == 1) return true;
+  std::string const* const id = find_header(answer->headers, sending_->attempt_header);
+  bool const is_ours = sending_->attempt_header.empty() || (id && *id == sending_->attempt_id);
+  if (!is_ours) {
+    if (++surplus_ <= surplus_limit) return true;
+    fail("garbled", "too many surplus answers");
+    return false;
+  }
+  bool const whole_request_sent = written_ == sending_->head.size() + sending_->body.size();
+  reusable_ = answer->keep_alive() && whole_request_sent;
+  rest_ = rest_time_of(answer->headers);
+  HttpReply reply;
+  reply.status = answer->status;
+  reply.headers = std::move(answer->headers);
+  reply.body = std::move(answer->body);
+  remove_hop_by_hop(reply.headers);
+  finish(std::move(reply));
+  return true;
+}
+
+// ---- the pool
+
+void BackendPool::drop_expired(Instant const now) {
+  std::vector<std::shared_ptr<BackendConnection>> expired;
+  for (std::shared_ptr<BackendConnection> const& connection : idle)
+    if (!connection->may_rest_at(now)) expired.push_back(connection);
+  for (std::shared_ptr<BackendConnection> const& connection : expired) connection->close();
+}
+
+// The one used last that may carry the call, or nullptr.
+std::shared_ptr<BackendConnection> BackendPool::take_idle(bool const repeatable) {
+  Instant const now = std::chrono::steady_clock::now();
+  drop_expired(now);
+  while (!idle.empty()) {
+    std::shared_ptr<BackendConnection> const last = idle.back();
+    if (!repeatable && now - last->last_used() > proven_recently) return nullptr;
+    if (last->is_silent()) {
+      idle.pop_back();
+      return last;
+    }
+    last->close();
+  }
+  return nullptr;
+}
+
+void BackendPool::close() {
+  closed = true;
+  while (!idle.empty()) std::shared_ptr<BackendConnection>(idle.back())->close();
+}
+
+namespace {
+
+Task<Result<std::shared_ptr<BackendConnection>>> open_new(std::shared_ptr<BackendPool> pool, Instant const deadline) {
+  if (pool->open >= pool->limit && !pool->idle.empty()) std::shared_ptr<BackendConnection>(pool->idle.front())->close();
+  if (pool->open >= pool->limit) co_return mishap("connect", pool->address, "limit", Proof::not_run);
+  std::shared_ptr<BackendConnection> const connection = std::make_shared<BackendConnection>(pool);
+  Result<void> const connected = co_await connection->connect(deadline);
+  if (connected) co_return connection;
+  connection->close();
+  co_return tl::unexpected<Mishap>(connected.error());
+}
+
+// A kept connection first; if that dies before it answers, a new one, when it is sure
+// that nothing went out or the call may be repeated.
+Task<Result<HttpReply>> run_call(std::shared_ptr<BackendPool> pool, std::shared_ptr<Sending const> sending) {
+  Proof proof = Proof::not_run;
+  std::shared_ptr<BackendConnection> connection = pool->take_idle(sending->repeatable);
+  if (connection) {
+    Result<HttpReply> first = co_await connection->exchange(sending);
+    if (first) co_return first;
+    bool const again = first.error().proof == Proof::not_run || sending->repeatable;
+    if (!connection->died_silently() || !again) co_return first;
+    proof = first.error().proof;
+  }
+  Result<std::shared_ptr<BackendConnection>> fresh = co_await open_new(pool, sending->deadline);
+  if (!fresh) {
+    Mishap error = fresh.error();
+    if (proof == Proof::unknown) error.proof = Proof::unknown;
+    co_return tl::unexpected<Mishap>(error);
+  }
+  connection = *fresh;
+  Result<HttpReply> outcome = co_await connection->exchange(sending);
+  if (!outcome && proof == Proof::unknown) outcome.error().proof = Proof::unknown;
+  co_return outcome;
+}
+
+}  // namespace
+
+BackendConnections::BackendConnections(asio::io_context& io, Address address, std::size_t const connection_limit)
+    : pool_(std::make_shared<BackendPool>(io, std::move(address), connection_limit)) {}
+
+BackendConnections::~BackendConnections() { pool_->close(); }
+
+Task<Result<HttpReply>> BackendConnections::call(BackendCall call) {
+  std::shared_ptr<BackendPool> const pool = pool_;
+  if (call.deadline <= std::chrono::steady_clock::now())
+    co_return mishap("deadline", pool->address, "deadline", Proof::not_run);
+  std::shared_ptr<Sending> const sending = std::make_shared<Sending>();
+  sending->body = std::move(call.request.body);
+  call.request.body.clear();
+  sending->is_head = call.request.method == "HEAD";
+  sending->attempt_header = std::move(call.attempt_header);
+  sending->attempt_id = std::move(call.attempt_id);
+  sending->deadline = call.deadline;
+  sending->repeatable = call.repeatable;
+  Result<std::string> head = head_of(std::move(call.request), sending->body.size(), pool->address);
+  if (!head) co_return tl::unexpected<Mishap>(head.error());
+  sending->head = std::move(*head);
+  co_return co_await run_call(pool, sending);
+}
+
+void BackendConnections::close() { pool_->close(); }
+
+std::size_t BackendConnections::idle() const { return pool_->idle.size(); }
+
+std::size_t BackendConnections::open() const { return pool_->open; }
+
+std::uint64_t BackendConnections::opened() const { return pool_->opened; }
+
+}  // namespace banktide
--- a/source/transport/socket_world.hpp
+++ b/source/transport/socket_world.hpp
@@ -3,6 +3,9 @@
 // one a peer, all on the one thread of the cpprest pool. Whether a question had
 // begun to be written when it failed is what tells "not run" from "unknown";
 // a question still waiting at its deadline is withdrawn before that is said.
+// A peer that owes answers and says nothing is pinged; one that stays silent is
+// taken for unreachable and its connection is reset, so that nothing that a cut
+// has held up reaches it later.
 #pragma once
 
 #include "transport/surroundings.hpp"
@@ -20,9 +23,18 @@
 namespace banktide {
 
 inline constexpr std::uint8_t wire_number = 1;
-inline constexpr std::size_t frame_limit = 4u << 20;
+inline constexpr std::size_t frame_limit = 72u << 20;
 inline constexpr std::size_t backlog_limit = 4096;
 
+/** Handled by the transport itself: answered with nothing at once. */
+inline constexpr std::uint8_t ping_kind = 0;
+inline constexpr Duration connect_limit = 300ms;
+inline constexpr Duration ping_after = 150ms;
+inline constexpr Duration silent_after = 200ms;
+inline constexpr Duration reset_after = 900ms;
+inline constexpr Duration watch_period = 100ms;
+inline constexpr int unacknowledged_limit_ms = 1500;
+
 enum class Sort : std::uint8_t { ask = 0, reply = 1, tell = 2 };
 
 struct FrameHead {
@@ -133,7 +145,9 @@
     if (link->backlog.size() >= backlog_limit) co_return mishap("ask", peer, "backlog full", Proof::not_run);
     std::uint64_t const id = ++last_id_;
     std::shared_ptr<Waiting> w = std::make_shared<Waiting>(*this);
+    if (link->waiting.empty()) link->owed_since = now();
     link->waiting[id] = w;
+    if (!std::exchange(watching_, true)) spawn(*this, watch_links());
     link->push(Outgoing{FrameHead{static_cast<std::uint32_t>(payload.size()), wire_number, Sort::ask, kind, id},
                         std::move(payload), w});
     std::optional<Result<Bytes>> got = co_await w->reply.wait(deadline);
@@ -144,6 +158,12 @@
     co_return mishap("wait_for_reply", peer, "deadline", Proof::unknown);
   }
 
+  /** A peer that owes answers and has not answered a ping either. */
+  bool silent(Address const& peer) const {
+    auto const it = links_.find(peer);
+    return it != links_.end() && it->second->pinged && now() - it->second->pinged_at > silent_after;
+  }
+
   void tell_raw(Address const& peer, std::uint8_t const kind, Bytes payload) {
     std::shared_ptr<Link> link = link_to(peer);
     if (link->backlog.size() >= backlog_limit || payload.size() > frame_limit) return;
@@ -174,6 +194,11 @@
     tsl::robin_map<std::uint64_t, std::shared_ptr<Waiting>> waiting;
     Alarm alarm;
     bool running = false;
+    Instant heard{};
+    Instant owed_since{};
+    Instant pinged_at{};
+    bool pinged = false;
+    std::shared_ptr<Socket> socket;
     void push(Outgoing o) {
       backlog.push_back(std::move(o));
       alarm.wake();
@@ -200,6 +225,49 @@
     return link;
   }
 
+  static void prepare(Socket& socket) {
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    int const limit = unacknowledged_limit_ms;
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof limit);
+  }
+
+  // Pings peers that owe answers and are quiet, and resets connections to those
+  // that don't answer the ping either. Runs only while answers are owed.
+  Task<void> watch_links() {
+    bool owed = true;
+    while (owed) {
+      co_await sleep_for(*this, watch_period);
+      owed = false;
+      for (auto const& [peer, link] : links_) {
+        if (link->waiting.empty()) continue;
+        owed = true;
+        if (link->socket != nullptr) watch(*link);
+      }
+    }
+    watching_ = false;
+  }
+
+  void watch(Link& link) {
+    Instant const quiet_since = std::max(link.heard, link.owed_since);
+    if (!link.pinged && now() - quiet_since > ping_after) {
+      link.pinged = true;
+      link.pinged_at = now();
+      link.push(Outgoing{FrameHead{0, wire_number, Sort::ask, ping_kind, 0}, {}, nullptr});
+    }
+    if (link.pinged && now() - link.pinged_at > reset_after) {
+      log_warn("peer_silent", {{"peer", link.peer}, {"waiting", std::to_string(link.waiting.size())}});
+      reset(*link.socket);
+      link.pinged = false;
+    }
+  }
+
+  static void reset(Socket& socket) {
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+  }
+
   static Bytes frame(Outgoing const& o) {
     Bytes b(FrameHead::size, '\0');
     o.head.write(b.data());
@@ -229,9 +297,10 @@
         continue;
       }
       std::shared_ptr<Socket> socket = std::make_shared<Socket>(io_);
+      link->socket = socket;
       boost::system::error_code ec;
       {
-        asio::steady_timer limit(io_, now() + 500ms);
+        asio::steady_timer limit(io_, now() + connect_limit);
         limit.async_wait([socket](boost::system::error_code const& e) {
           if (!e) socket->close();
         });
@@ -242,7 +311,9 @@
         fail_backlog(*link, "connect", ec.message());
         continue;
       }
-      socket->set_option(asio::ip::tcp::no_delay(true), ec);
+      prepare(*socket);
+      link->heard = now();
+      link->pinged = false;
       std::shared_ptr<bool> broken = std::make_shared<bool>(false);
       spawn(*this, read_replies(link, socket, broken));
       while (!*broken) {
@@ -269,6 +340,7 @@
         if (ec) break;
       }
       *broken = true;
+      link->socket = nullptr;
       socket->close(ec);
       std::vector<std::shared_ptr<Waiting>> lost;
       for (auto const& [id, w] : link->waiting)
@@ -298,6 +370,8 @@
       Bytes payload;
       Result<FrameHead> head = co_await read_frame(*socket, payload);
       if (!head || head->sort != Sort::reply) break;
+      link->heard = now();
+      link->pinged = false;
       auto it = link->waiting.find(head->id);
       if (it == link->waiting.end()) continue;
       std::shared_ptr<Waiting> w = it->second;
@@ -316,7 +390,7 @@
         co_await sleep_for(*this, 100ms);
         continue;
       }
-      s.set_option(asio::ip::tcp::no_delay(true), ec);
+      prepare(s);
       std::shared_ptr<Session> session = std::make_shared<Session>(*this, std::move(s));
       spawn(*this, read_questions(session));
       spawn(*this, write_replies(session));
@@ -330,6 +404,12 @@
     while (!session->closed) {
       Bytes payload;
       Result<FrameHead> head = co_await read_frame(session->socket, payload);
+      if (head && head->sort == Sort::ask && head->kind == ping_kind) {
+        FrameHead const back{0, wire_number, Sort::reply, ping_kind, head->id};
+        session->out.push_back(frame(Outgoing{back, {}, nullptr}));
+        session->alarm.wake();
+        continue;
+      }
       if (head && head->sort != Sort::reply && desk_->handlers[head->kind]) {
         while (session->handling >= backlog_limit && !session->closed) co_await sleep_for(*this, 1ms);
         ++session->handling;
@@ -390,6 +470,7 @@
   std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
   Desk* desk_ = nullptr;
   std::uint64_t last_id_ = 0;
+  bool watching_ = false;
   tsl::robin_map<Address, std::shared_ptr<Link>> links_;
 };
 
--- /dev/null
+++ b/tests/coordination/key_holder_test.cpp
@@ -0,0 +1,213 @@
+// The node's side by itself: holds within the lease, proofs of letting go, ends
+// of lives, and which requests may run.
+#include "coordination/key_holder.hpp"
+
+#include <gtest/gtest.h>
+
+namespace banktide {
+namespace {
+
+KeyRow row_of(std::uint16_t const from, std::uint16_t const to, std::uint16_t const holder, std::uint32_t const fence) {
+  KeyRow row;
+  row.from = from;
+  row.to = to;
+  row.holder = holder;
+  row.fence = fence;
+  return row;
+}
+
+struct HolderTrial {
+  HolderTrial() {
+    table.revision = 1;
+    table.add_holder(KeyHolderRecord{"i-1", "node-1", "a:1", "zone"});
+    table.add_holder(KeyHolderRecord{"i-2", "node-2", "a:2", "zone"});
+    table.services.push_back(KeyService{"payments", {row_of(0, 99, 0, 5), row_of(100, last_key, 1, 6)}});
+  }
+  KeyRow& first_row() { return table.services[0].rows[0]; }
+  void learn() {
+    ++table.revision;
+    holder.on_table(table);
+  }
+  void confirm() {
+    learn();
+    holder.on_confirmed(table.revision, now);
+  }
+  KeyBeat beat(std::vector<HeldRange> held = {}, std::vector<ReleasedRange> released = {}) {
+    KeyBeat made;
+    made.instance = "i-1";
+    made.sequence = ++beats;
+    made.held = std::move(held);
+    made.released = std::move(released);
+    return made;
+  }
+
+  Instant now = Instant{} + 1000s;
+  KeyTable table;
+  std::uint64_t beats = 0;
+  KeySettings settings;
+  KeyHolder holder{"payments", "node-1", "a:1", "zone", KeySettings{}};
+};
+
+TEST(KeyHolder, every_hold_ends_before_the_lease_even_by_a_slow_clock) {
+  for (Duration const age : {0ms, 900ms, 2500ms, 4000ms, 4800ms, 4900ms, 5000ms, 9000ms})
+    for (Duration const kept_back : {0ms, 300ms, 700ms}) {
+      HolderTrial t;
+      t.confirm();
+      KeyBeat const beat = t.beat();
+      t.holder.take_beat(t.now + age, beat);
+      KeyBeatAnswer const answer = t.holder.answer(t.now + age + kept_back, beat.instance, beat.sequence);
+      if (!answer.renews) {
+        EXPECT_GT(age + kept_back, 4800ms);
+        continue;
+      }
+      Duration const longest = std::chrono::duration_cast<Duration>(answer.hold * 1.02);
+      EXPECT_LE(t.now + age + longest, t.now + t.settings.term - t.settings.lease_margin + 1us);
+      EXPECT_EQ(answer.rows, (std::vector<KeyGrant>{{0, 99, 5, ""}}));
+    }
+}
+
+TEST(KeyHolder, grants_nothing_without_a_lease_or_by_a_table_older_than_the_confirmed) {
+  HolderTrial t;
+  EXPECT_FALSE(t.holder.on_beat(t.now, t.beat()).renews);
+  t.learn();
+  EXPECT_FALSE(t.holder.on_beat(t.now, t.beat()).renews);
+  t.holder.on_confirmed(t.table.revision + 1, t.now);
+  EXPECT_FALSE(t.holder.on_beat(t.now, t.beat()).renews);
+  t.learn();
+  EXPECT_TRUE(t.holder.on_beat(t.now, t.beat()).renews);
+}
+
+TEST(KeyHolder, leaves_out_what_is_revoked_or_moving) {
+  HolderTrial t;
+  t.confirm();
+  t.first_row().revoked = 2;
+  t.learn();
+  EXPECT_TRUE(t.holder.on_beat(t.now, t.beat()).rows.empty());
+  t.first_row().revoked = 0;
+  t.first_row().moving = 3;
+  t.first_row().next = 1;
+  t.learn();
+  EXPECT_TRUE(t.holder.on_beat(t.now, t.beat()).rows.empty());
+}
+
+TEST(KeyHolder, reports_a_release_only_when_the_backend_works_on_the_row_no_more) {
+  HolderTrial t;
+  t.confirm();
+  t.holder.on_beat(t.now, t.beat());
+  t.first_row().moving = 3;
+  t.first_row().next = 1;
+  t.learn();
+  t.holder.on_beat(t.now, t.beat({{0, 99, 5}}));
+  EXPECT_TRUE(t.holder.report(t.now, 0).released.empty());
+  t.holder.on_beat(t.now, t.beat({{50, 99, 5}}, {{0, 49, "part"}}));  // still works on a part
+  EXPECT_TRUE(t.holder.report(t.now, 0).released.empty());
+  t.holder.on_beat(t.now, t.beat({}, {{0, 99, "token"}}));
+  EXPECT_TRUE(t.holder.has_news());
+  KeyReport const report = t.holder.report(t.now, 0);
+  ASSERT_EQ(report.released.size(), 1u);
+  EXPECT_EQ(report.released[0].handover, "token");
+  EXPECT_EQ(report.released[0].moving, 3u);
+  EXPECT_EQ(report.released[0].fence, 5u);
+}
+
+TEST(KeyHolder, takes_a_row_that_is_not_shown_as_let_go_only_by_a_beat_after_the_one_that_left_it_out) {
+  HolderTrial t;
+  t.confirm();
+  t.holder.on_beat(t.now, t.beat());
+  t.first_row().moving = 3;
+  t.learn();
+  t.holder.on_beat(t.now, t.beat());
+  EXPECT_TRUE(t.holder.report(t.now, 0).released.empty());
+  t.holder.on_beat(t.now, t.beat());
+  ASSERT_EQ(t.holder.report(t.now, 0).released.size(), 1u);
+  EXPECT_EQ(t.holder.report(t.now, 0).released[0].handover, "");
+}
+
+TEST(KeyHolder, a_move_called_off_gives_the_row_back_with_its_own_token_but_never_with_an_old_one) {
+  HolderTrial t;
+  t.confirm();
+  t.first_row().moving = 3;
+  t.learn();
+  t.holder.on_beat(t.now, t.beat({}, {{0, 99, "own"}}));
+  t.first_row().moving = 0;
+  t.learn();
+  EXPECT_EQ(t.holder.on_beat(t.now, t.beat()).rows, (std::vector<KeyGrant>{{0, 99, 5, "own"}}));
+  t.first_row().fence = 9;  // another held it in between
+  t.first_row().handover = "theirs";
+  t.learn();
+  EXPECT_EQ(t.holder.on_beat(t.now, t.beat()).rows, (std::vector<KeyGrant>{{0, 99, 9, "theirs"}}));
+}
+
+TEST(KeyHolder, a_new_life_proves_the_end_of_the_former_whose_late_beats_count_for_nothing) {
+  HolderTrial t;
+  t.confirm();
+  for (int i = 0; i < 4; ++i, t.now += 500ms) t.holder.report(t.now, 0);
+  t.holder.on_beat(t.now, t.beat());
+  KeyBeat newer = t.beat();
+  newer.instance = "i-9";
+  EXPECT_TRUE(t.holder.on_beat(t.now, newer).rows.empty());
+  KeyReport const report = t.holder.report(t.now, 0);
+  ASSERT_EQ(report.ended.size(), 1u);
+  EXPECT_EQ(report.ended[0].instance, "i-1");
+  EXPECT_FALSE(t.holder.on_beat(t.now, t.beat()).renews);
+  EXPECT_EQ(t.holder.instance(), "i-9");
+}
+
+TEST(KeyHolder, right_after_a_freeze_no_beat_ends_another_life) {
+  HolderTrial t;
+  t.confirm();
+  for (int i = 0; i < 4; ++i, t.now += 500ms) t.holder.report(t.now, 0);
+  t.holder.on_beat(t.now, t.beat());
+  t.now += 10s;
+  KeyBeat stale = t.beat();
+  stale.instance = "i-0";
+  t.holder.on_beat(t.now, stale);
+  t.holder.report(t.now, 0);
+  t.holder.on_beat(t.now, stale);
+  EXPECT_EQ(t.holder.instance(), "i-1");
+}
+
+TEST(KeyHolder, a_node_that_began_anew_finds_the_end_of_a_life_in_the_table) {
+  HolderTrial t;
+  KeyBeat newer = t.beat();
+  newer.instance = "i-9";
+  t.holder.on_beat(t.now, newer);
+  t.confirm();
+  KeyReport const report = t.holder.report(t.now, 0);
+  ASSERT_EQ(report.ended.size(), 1u);
+  EXPECT_EQ(report.ended[0].instance, "i-1");
+}
+
+TEST(KeyHolder, runs_requests_on_held_keys_that_end_within_the_hold) {
+  HolderTrial t;
+  t.confirm();
+  EXPECT_FALSE(t.holder.may_run(7, t.now, 1ms));
+  Duration const hold = t.holder.on_beat(t.now, t.beat()).hold;
+  EXPECT_EQ(t.holder.may_run(7, t.now, 1ms), 5u);
+  EXPECT_EQ(t.holder.may_run(99, t.now, 1ms), 5u);
+  EXPECT_FALSE(t.holder.may_run(100, t.now, 1ms));
+  EXPECT_FALSE(t.holder.may_run(7, t.now, hold));
+  EXPECT_FALSE(t.holder.may_run(7, t.now + hold, 0ms));
+  EXPECT_FALSE(t.holder.on_beat(t.now + 20s, t.beat()).renews);
+  EXPECT_FALSE(t.holder.may_run(7, t.now + 20s, 1ms));
+}
+
+TEST(KeyHolder, joins_neighbours_under_one_fence_when_an_answer_would_be_too_long) {
+  HolderTrial t;
+  std::vector<KeyRow>& rows = t.table.services[0].rows;
+  rows.clear();
+  for (std::uint32_t i = 0; i < 128; ++i)
+    rows.push_back(row_of(static_cast<std::uint16_t>(i * 512), static_cast<std::uint16_t>(i * 512 + 511), 0, 5));
+  t.confirm();
+  std::vector<KeyGrant> const granted = t.holder.on_beat(t.now, t.beat()).rows;
+  EXPECT_LE(granted.size(), t.settings.held_rows_limit);
+  std::uint32_t from = 0;
+  for (KeyGrant const& grant : granted) {
+    EXPECT_EQ(grant.from, from);
+    from = grant.to + 1u;
+  }
+  EXPECT_EQ(from, 65536u);
+}
+
+}  // namespace
+}  // namespace banktide
--- /dev/null
+++ b/tests/coordination/key_trial_test.cpp
@@ -0,0 +1,592 @@
+// Backends, nodes and two coordinators in virtual time, over a register that is
+// linearizable but slow and lossy. Backends keep to their protocol with clocks
+// 2 % slow; whatever is killed, frozen or cut, no two of them may hold one key.
+#include "coordination/key_holder.hpp"
+#include "state/key_planner.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+
+namespace banktide {
+namespace {
+
+constexpr double slow_clock = 1.02;
+constexpr Duration beat_every = 1500ms;
+constexpr Duration beat_patience = 1s;
+
+struct Loop {
+  struct Event {
+    Instant at;
+    std::uint64_t number;
+    std::function<void()> run;
+    bool operator<(Event const& other) const { return at != other.at ? at > other.at : number > other.number; }
+  };
+  Instant now = Instant{} + 1000s;
+  std::uint64_t events = 0;
+  std::priority_queue<Event> queue;
+  std::mt19937_64 chance;
+
+  void after(Duration const d, std::function<void()> run) { queue.push(Event{now + d, ++events, std::move(run)}); }
+  void run_for(Duration const d) {
+    Instant const end = now + d;
+    while (!queue.empty() && queue.top().at <= end) {
+      Event const event = queue.top();
+      queue.pop();
+      now = event.at;
+      event.run();
+    }
+    now = end;
+  }
+  Duration between(int const low_ms, int const high_ms) {
+    return std::chrono::milliseconds(low_ms +
+                                     static_cast<int>(chance() % static_cast<std::uint64_t>(high_ms - low_ms + 1)));
+  }
+  bool one_in(std::uint64_t const n) { return chance() % n == 0; }
+};
+
+struct Backend {
+  struct Row {
+    std::uint16_t from, to;
+    std::uint32_t fence;
+    Instant end;
+    bool letting_go = false;
+  };
+  std::string instance;
+  bool alive = true, draining = false;
+  Instant frozen_until{};
+  std::uint64_t beats = 0, acknowledged = 0;
+  std::vector<Row> rows;
+  std::vector<ReleasedRange> released;
+  std::size_t without_token = 0, with_token = 0;
+  std::vector<HeldRange> seen;  // every row it ever took
+};
+
+struct Node {
+  std::string name;
+  std::unique_ptr<KeyHolder> holder;
+  std::uint64_t life = 0;
+  bool up = true, core_cut = false, registries_cut = false;
+  Instant frozen_until{};
+  std::shared_ptr<Backend> backend;
+  std::function<void()> pending;  // answers the beat that waits
+  std::uint64_t pending_number = 0;
+  Held known;
+};
+
+struct Trial {
+  Trial(std::uint64_t const seed, std::size_t const count, KeySettings const planning) : planning_settings(planning) {
+    loop.chance.seed(seed);
+    for (int i = 0; i < 2; ++i) planners.push_back(std::make_unique<KeyPlanner>(planning));
+    acting = {true, false};
+    for (std::size_t i = 0; i < count; ++i) add_node();
+    for (std::size_t i = 0; i < 2; ++i) coordinate(i);
+  }
+
+  void add_node() {
+    nodes.push_back(std::make_unique<Node>());
+    Node& node = *nodes.back();
+    node.name = "node-" + std::to_string(nodes.size());
+    start_node(node);
+    start_backend(node);
+  }
+
+  void start_node(Node& node) {
+    ++node.life;
+    node.up = true;
+    node.holder = std::make_unique<KeyHolder>("payments", node.name, node.name + ":1", "zone", KeySettings{});
+    node.pending = nullptr;
+    std::uint64_t const life = node.life;
+    confirm(node, life);
+    report(node, life);
+  }
+
+  // Runs at once, or when the node has thawed; not in a later life.
+  void on_node(Node& node, std::uint64_t const life, std::function<void()> run) {
+    if (node.life != life || !node.up) return;
+    if (loop.now >= node.frozen_until) return run();
+    loop.after(node.frozen_until - loop.now + loop.between(0, 5),
+               [this, &node, life, run] { on_node(node, life, run); });
+  }
+
+  void confirm(Node& node, std::uint64_t const life) {
+    on_node(node, life, [this, &node, life] {
+      Instant const sent = loop.now;
+      if (!node.core_cut && !core_down)
+        loop.after(loop.between(1, 60), [this, &node, life, sent] {
+          if (core_down || loop.one_in(20)) return;
+          Held const read = held;
+          loop.after(loop.between(1, 60), [this, &node, life, sent, read] {
+            on_node(node, life, [this, &node, sent, read] {
+              node.holder->on_table(*unpack_key_table(read.bytes, read.revision));
+              node.holder->on_confirmed(read.revision, sent);
+              push(node);
+            });
+          });
+        });
+      loop.after(1s, [this, &node, life] { confirm(node, life); });
+    });
+  }
+
+  void send_report(Node& node) {
+    Instant const now = loop.now;
+    float const busy = static_cast<float>(busy_of ? busy_of(node) : 0.3);
+    KeyReport const made = node.holder->report(now, busy);
+    for (std::size_t i = 0; i < planners.size(); ++i) {
+      if (node.core_cut || node.registries_cut || loop.one_in(30)) continue;
+      loop.after(loop.between(1, 20), [this, i, made] { planners[i]->on_report(loop.now, made); });
+    }
+  }
+  void report(Node& node, std::uint64_t const life) {
+    on_node(node, life, [this, &node, life] {
+      send_report(node);
+      loop.after(500ms, [this, &node, life] { report(node, life); });
+    });
+  }
+
+  // After news: a waiting answer may go, and coordinators are told.
+  void push(Node& node) {
+    if (node.holder->has_news()) send_report(node);
+    if (node.pending && !node.holder->answer_may_wait(loop.now)) {
+      std::function<void()> const answer = std::move(node.pending);
+      node.pending = nullptr;
+      answer();
+    }
+  }
+
+  void start_backend(Node& node) {
+    node.backend = std::make_shared<Backend>();
+    node.backend->instance = "i-" + std::to_string(++instances);
+    all.push_back(node.backend);
+    loop.after(loop.between(0, 500), [this, &node, b = node.backend] { beat(node, b); });
+  }
+
+  void drop_expired(Backend& b) const {
+    std::erase_if(b.rows, [&](Backend::Row const& r) { return r.end <= loop.now; });
+  }
+
+  void beat(Node& node, std::shared_ptr<Backend> const b) {
+    if (!b->alive) return;
+    if (loop.now < b->frozen_until) {
+      loop.after(b->frozen_until - loop.now, [this, &node, b] { beat(node, b); });
+      return;
+    }
+    drop_expired(*b);
+    KeyBeat message;
+    message.instance = b->instance;
+    message.sequence = ++b->beats;
+    message.slots = 4;
+    message.standing = b->draining ? KeyStanding::draining : KeyStanding::serving;
+    for (Backend::Row const& r : b->rows) message.held.push_back(HeldRange{r.from, r.to, r.fence});
+    message.released = b->released;
+    Instant const sent = loop.now;
+    std::uint64_t const life = node.life;
+    std::size_t const told = b->released.size();
+    loop.after(loop.between(0, 3), [this, &node, b, life, message, sent, told] {
+      on_node(node, life, [this, &node, b, life, message, sent, told] {
+        node.holder->take_beat(loop.now, message);
+        push(node);
+        std::uint64_t const number = ++node.pending_number;
+        node.pending = [this, &node, b, message, sent, told] {
+          KeyBeatAnswer const answer = node.holder->answer(loop.now, message.instance, message.sequence);
+          if (loop.one_in(50)) return;
+          loop.after(loop.between(0, 3), [this, &node, b, message, sent, told, answer] {
+            apply(node, b, message.sequence, sent, told, answer);
+          });
+        };
+        if (!node.holder->answer_may_wait(loop.now)) push(node);
+        loop.after(KeySettings{}.answer_wait, [this, &node, life, number] {
+          on_node(node, life, [&node, number] {
+            if (!node.pending || node.pending_number != number) return;
+            std::function<void()> const answer = std::move(node.pending);
+            node.pending = nullptr;
+            answer();
+          });
+        });
+      });
+    });
+    loop.after(beat_patience, [this, &node, b, number = message.sequence] {
+      if (b->beats == number && b->acknowledged < number) beat(node, b);
+    });
+  }
+
+  void apply(Node& node, std::shared_ptr<Backend> const b, std::uint64_t const number, Instant const sent,
+             std::size_t const told, KeyBeatAnswer const& answer) {
+    if (!b->alive || b->beats != number || b->acknowledged >= number) return;
+    if (loop.now < b->frozen_until || loop.now - sent > beat_patience) return;
+    b->acknowledged = number;
+    b->released.erase(b->released.begin(), b->released.begin() + static_cast<std::ptrdiff_t>(told));
+    drop_expired(*b);
+    bool letting_go = false;
+    if (answer.renews) letting_go = take_rows(*b, sent, answer);
+    check();
+    loop.after(letting_go ? loop.between(20, 100) : std::max<Duration>(sent + beat_every - loop.now, 1ms),
+               [this, &node, b] {
+                 if (b->beats == b->acknowledged) beat(node, b);
+               });
+  }
+
+  bool take_rows(Backend& b, Instant const sent, KeyBeatAnswer const& answer) {
+    EXPECT_LE(answer.rows.size(), KeySettings{}.held_rows_limit);
+    Instant const end =
+        sent + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(answer.hold) * slow_clock);
+    std::vector<Backend::Row> rows;
+    bool letting_go = false;
+    // What is left out is let go, part by part, once its work is done.
+    for (Backend::Row const& old : b.rows) {
+      std::uint32_t at = old.from;
+      auto const leave = [&](std::uint32_t const from, std::uint32_t const to) {
+        if (from > to) return;
+        letting_go = true;
+        Backend::Row part{static_cast<std::uint16_t>(from), static_cast<std::uint16_t>(to), old.fence, old.end, true};
+        if (loop.one_in(3)) {
+          rows.push_back(part);  // still works on it
+        } else {
+          b.released.push_back(ReleasedRange{part.from, part.to, "t-" + b.instance + "-" + std::to_string(part.from)});
+        }
+      };
+      for (KeyGrant const& g : answer.rows) {
+        if (g.to < old.from || g.from > old.to) continue;
+        if (g.from > at) leave(at, g.from - 1u);
+        at = std::max<std::uint32_t>(at, g.to + 1u);
+      }
+      leave(at, old.to);
+    }
+    for (KeyGrant const& g : answer.rows) {
+      bool const higher_seen = std::any_of(b.seen.begin(), b.seen.end(), [&](HeldRange const& h) {
+        return h.from <= g.to && g.from <= h.to && h.fence > g.fence;
+      });
+      if (higher_seen) {
+        ++refused_for_fence;
+        continue;
+      }
+      bool const held = std::any_of(b.rows.begin(), b.rows.end(),
+                                    [&](Backend::Row const& r) { return r.from <= g.from && r.to >= g.to; });
+      if (!held && g.fence > 1) ++(g.handover.empty() ? b.without_token : b.with_token);
+      if (!held) b.seen.push_back(HeldRange{g.from, g.to, g.fence});
+      rows.push_back(Backend::Row{g.from, g.to, g.fence, end, false});
+    }
+    b.rows = std::move(rows);
+    return letting_go;
+  }
+
+  // No key is held by two backends that are up.
+  void check() {
+    struct Part {
+      std::uint16_t from, to;
+      Backend const* by;
+    };
+    std::vector<Part> parts;
+    for (std::shared_ptr<Backend> const& b : all) {
+      if (!b->alive) continue;
+      drop_expired(*b);
+      for (Backend::Row const& r : b->rows) parts.push_back(Part{r.from, r.to, b.get()});
+    }
+    std::sort(parts.begin(), parts.end(), [](Part const& a, Part const& b) { return a.from < b.from; });
+    for (std::size_t i = 1; i < parts.size(); ++i)
+      if (parts[i].from <= parts[i - 1].to && parts[i].by != parts[i - 1].by) ++twice_held;
+  }
+
+  std::size_t keys_held() const {
+    std::size_t keys = 0;
+    for (std::shared_ptr<Backend> const& b : all)
+      if (b->alive)
+        for (Backend::Row const& r : b->rows) keys += r.end > loop.now && !r.letting_go ? r.to - r.from + 1u : 0u;
+    return keys;
+  }
+  std::size_t moved_without_token() const {
+    std::size_t n = 0;
+    for (std::shared_ptr<Backend> const& b : all) n += b->without_token;
+    return n;
+  }
+  std::size_t moved_with_token() const {
+    std::size_t n = 0;
+    for (std::shared_ptr<Backend> const& b : all) n += b->with_token;
+    return n;
+  }
+
+  // Requests on a few busy keys, and loads that call for moves and splits.
+  void send_requests() {
+    for (std::unique_ptr<Node> const& node : nodes)
+      for (int i = 0; i < 10; ++i)
+        node->holder->may_run(static_cast<std::uint16_t>(loop.one_in(2) ? loop.chance() % 3000 : loop.chance()),
+                              loop.now, 10ms);
+    loop.after(50ms, [this] { send_requests(); });
+  }
+  void load_at_random() {
+    busy_of = [this](Node&) { return static_cast<double>(loop.chance() % 120) / 100; };
+    send_requests();
+  }
+
+  // A coordinator: plans ten times a second, writes by compare and set.
+  void coordinate(std::size_t const i) {
+    loop.after(100ms, [this, i] { coordinate(i); });
+    if (loop.now < planner_frozen[i]) return;
+    KeyPlanner& planner = *planners[i];
+    planner.tick(loop.now);
+    if (!acting[i] || writing[i] || core_down) return;
+    if (!fresh[i]) {
+      loop.after(loop.between(2, 40), [this, i] {
+        if (core_down) return;
+        planners[i]->on_table(loop.now, *unpack_key_table(held.bytes, held.revision));
+        fresh[i] = true;
+      });
+      return;
+    }
+    std::optional<KeyTable> const plan = planner.plan(loop.now);
+    if (!plan) return;
+    writing[i] = true;
+    std::uint64_t const life = planner_life[i];
+    loop.after(loop.between(1, 40), [this, i, life, next = *plan] {
+      bool const lost = core_down || loop.one_in(15);
+      bool const written = held.revision + 1 == next.revision && (!lost || loop.one_in(2));
+      if (written) {
+        held.revision = next.revision;
+        held.bytes = pack_key_table(next);
+        ++changes;
+      }
+      loop.after(lost ? loop.between(300, 600) : loop.between(1, 40), [this, i, life, next, written, lost] {
+        if (life != planner_life[i]) return;
+        writing[i] = false;
+        fresh[i] = written && !lost;
+        if (!fresh[i]) return;
+        planners[i]->on_table(loop.now, next);
+        for (std::unique_ptr<Node> const& node : nodes) {
+          if (node->core_cut || node->registries_cut || loop.one_in(10)) continue;
+          loop.after(loop.between(1, 30), [this, &n = *node, life = node->life, next] {
+            on_node(n, life, [this, &n, next] {
+              n.holder->on_table(next);
+              push(n);
+            });
+          });
+        }
+      });
+    });
+  }
+
+  void restart_planner(std::size_t const i) {
+    ++planner_life[i];
+    planners[i] = std::make_unique<KeyPlanner>(planning_settings);
+    writing[i] = fresh[i] = false;
+  }
+
+  void kill_backend(Node& node, bool const returns = true) {
+    node.backend->alive = false;
+    loop.after(loop.between(50, 400), [this, &node, id = node.backend->instance, life = node.life] {
+      on_node(node, life, [this, &node, id] {
+        node.holder->on_instance_ended(id, "its port refuses connections");
+        push(node);
+      });
+    });
+    if (!returns) return;
+    loop.after(loop.between(600, 3000), [this, &node, id = node.backend->instance] {
+      if (node.backend->instance == id) start_backend(node);
+    });
+  }
+
+  void trouble() {
+    Node& node = *nodes[loop.chance() % nodes.size()];
+    std::size_t const i = loop.chance() % 2;
+    switch (loop.chance() % 12) {
+      case 0:
+        if (node.backend->alive) kill_backend(node);
+        break;
+      case 1:  // the whole machine
+        if (!node.backend->alive || !node.up) break;
+        node.backend->alive = false;
+        node.up = false;
+        loop.after(loop.between(500, 9000), [this, &node] {
+          start_node(node);
+          start_backend(node);
+        });
+        break;
+      case 2:  // the node only
+        if (!node.up) break;
+        node.up = false;
+        loop.after(loop.between(100, 4000), [this, &node, life = node.life] {
+          if (node.life == life && !node.up) start_node(node);
+        });
+        break;
+      case 3:
+        node.frozen_until = loop.now + loop.between(500, 9000);
+        break;
+      case 4:
+        node.backend->frozen_until = loop.now + loop.between(500, 6000);
+        break;
+      case 5:  // both, as a machine that stops
+        node.backend->frozen_until = node.frozen_until = loop.now + loop.between(500, 9000);
+        break;
+      case 6:
+        node.core_cut = true;
+        loop.after(loop.between(500, 12000), [&node] { node.core_cut = false; });
+        break;
+      case 7:
+        acting[i] = !acting[i];
+        loop.after(3s, [this] { acting = {true, loop.one_in(2)}; });
+        break;
+      case 8:
+        if (loop.one_in(2)) {
+          restart_planner(i);
+        } else {
+          planner_frozen[i] = loop.now + loop.between(500, 8000);
+        }
+        break;
+      case 10:  // a planned end
+        if (!node.backend->alive || node.backend->draining) break;
+        node.backend->draining = true;
+        loop.after(loop.between(1500, 4000), [this, &node, b = node.backend] {
+          if (b->alive && node.backend == b) kill_backend(node);
+        });
+        break;
+      case 11:  // from the registries, while the core is still in reach
+        node.registries_cut = true;
+        loop.after(loop.between(500, 12000), [&node] { node.registries_cut = false; });
+        break;
+      case 9:
+        core_down = true;
+        loop.after(loop.between(500, 7000), [this] { core_down = false; });
+        break;
+    }
+    if (!over) loop.after(loop.between(300, 3000), [this] { trouble(); });
+  }
+
+  KeySettings planning_settings;
+  Loop loop;
+  Held held;
+  std::vector<std::unique_ptr<KeyPlanner>> planners;
+  std::array<bool, 2> acting{}, writing{}, fresh{};
+  std::array<std::uint64_t, 2> planner_life{};
+  std::array<Instant, 2> planner_frozen{};
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::vector<std::shared_ptr<Backend>> all;
+  std::function<double(Node&)> busy_of;
+  std::size_t instances = 0, changes = 0, twice_held = 0, refused_for_fence = 0;
+  bool core_down = false, over = false;
+};
+
+TEST(KeyTrial, no_key_is_held_twice_and_all_are_held_again_in_calm) {
+  std::size_t changes = 0;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    Trial trial(seed, 5, KeySettings{});
+    trial.loop.run_for(8s);
+    ASSERT_EQ(trial.keys_held(), 65536u) << "seed " << seed;
+    if (seed % 2 == 0) trial.load_at_random();
+    trial.trouble();
+    trial.loop.run_for(90s);
+    trial.busy_of = nullptr;
+    trial.over = true;
+    trial.loop.run_for(32s);
+    EXPECT_EQ(trial.twice_held, 0u) << "seed " << seed;
+    EXPECT_EQ(trial.refused_for_fence, 0u) << "seed " << seed;
+    EXPECT_EQ(trial.keys_held(), 65536u) << "seed " << seed;
+    changes += trial.changes;
+  }
+  EXPECT_GT(changes, 500u);
+}
+
+// A coordinator that doesn't wait for the lease to end is found out.
+TEST(KeyTrial, the_check_finds_a_coordinator_that_does_not_wait) {
+  KeySettings hasty;
+  hasty.term = 0s;
+  hasty.revoke_slack = 0s;
+  std::size_t twice_held = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Trial trial(seed, 5, hasty);
+    trial.loop.run_for(8s);
+    trial.trouble();
+    trial.loop.run_for(90s);
+    twice_held += trial.twice_held;
+  }
+  EXPECT_GT(twice_held, 0u);
+}
+
+TEST(KeyTrial, a_drained_backend_is_without_keys_within_two_seconds_and_hands_its_tokens_over) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Trial trial(seed, 5, KeySettings{});
+    trial.loop.run_for(10s);
+    Backend& leaving = *trial.nodes[2]->backend;
+    ASSERT_FALSE(leaving.rows.empty());
+    leaving.draining = true;
+    std::size_t const rows_before = leaving.rows.size();
+    std::size_t const with_before = trial.moved_with_token();
+    std::size_t const without_before = trial.moved_without_token();
+    // The drain counts from the beat that tells of it.
+    std::uint64_t const beats = leaving.beats;
+    while (leaving.beats == beats) trial.loop.run_for(10ms);
+    trial.loop.run_for(2s);
+    EXPECT_TRUE(leaving.rows.empty()) << "seed " << seed;
+    trial.loop.run_for(4s);
+    EXPECT_EQ(trial.keys_held(), 65536u) << "seed " << seed;
+    EXPECT_EQ(trial.twice_held, 0u);
+    EXPECT_GE(trial.moved_with_token() - with_before, rows_before) << "seed " << seed;
+    EXPECT_EQ(trial.moved_without_token(), without_before) << "seed " << seed;
+  }
+}
+
+TEST(KeyTrial, a_new_backend_gets_a_share_by_planned_moves) {
+  Trial trial(7, 4, KeySettings{});
+  trial.loop.run_for(10s);
+  trial.add_node();
+  trial.loop.run_for(20s);
+  std::size_t keys = 0;
+  for (Backend::Row const& row : trial.nodes.back()->backend->rows) keys += row.to - row.from + 1u;
+  EXPECT_GT(keys, 65536u / 10);
+  EXPECT_LT(keys, 65536u / 4);
+  EXPECT_EQ(trial.keys_held(), 65536u);
+  EXPECT_GT(trial.moved_with_token(), 0u);
+}
+
+TEST(KeyTrial, rows_of_a_killed_backend_are_held_by_others_within_three_seconds) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    Trial trial(seed, 5, KeySettings{});
+    trial.loop.run_for(10s);
+    trial.kill_backend(*trial.nodes[1], false);
+    trial.loop.run_for(3s);
+    EXPECT_EQ(trial.keys_held(), 65536u) << "seed " << seed;
+  }
+}
+
+// Backends of three speeds and busy keys that lie together: the load evens out,
+// and then hardly a row moves.
+TEST(KeyTrial, load_evens_out_between_backends_of_different_speed_and_then_rests) {
+  Trial trial(11, 4, KeySettings{});
+  std::map<std::string, double> const speed{{"node-1", 1.0}, {"node-2", 2.0}, {"node-3", 3.0}, {"node-4", 2.0}};
+  auto const demand = [](std::uint32_t const from, std::uint32_t const to) {
+    double const busy_keys = std::max(0.0, std::min<double>(to, 9999) - std::max<double>(from, 5000) + 1);
+    return 3.0 * busy_keys / 5000 + 2.6 * (to - from + 1) / 65536;
+  };
+  trial.busy_of = [&](Node& node) {
+    double wanted = 0;
+    for (Backend::Row const& row : node.backend->rows) wanted += demand(row.from, row.to);
+    return std::min(1.2, wanted / speed.at(node.name));
+  };
+  std::function<void()> const request = [&] {
+    for (std::uint32_t key = 0; key < 65536; key += 64) {
+      double const weight = demand(key, key + 63) * 100;
+      std::size_t const times =
+          static_cast<std::size_t>(weight) + (trial.loop.chance() % 1000 < (weight - std::floor(weight)) * 1000);
+      for (std::size_t i = 0; i < times; ++i)
+        for (std::unique_ptr<Node> const& node : trial.nodes)
+          node->holder->may_run(static_cast<std::uint16_t>(key), trial.loop.now, 10ms);
+    }
+    trial.loop.after(100ms, request);
+  };
+  request();
+  trial.loop.run_for(60s);
+  std::size_t const changes = trial.changes;
+  for (std::unique_ptr<Node> const& node : trial.nodes) EXPECT_LT(trial.busy_of(*node), 0.95) << node->name;
+  trial.loop.run_for(60s);
+  EXPECT_LT(trial.changes - changes, 15u);
+  EXPECT_EQ(trial.keys_held(), 65536u);
+  EXPECT_EQ(trial.twice_held, 0u);
+}
+
+}  // namespace
+}  // namespace banktide
--- /dev/null
+++ b/tests/coordination/register_test.cpp
@@ -0,0 +1,134 @@
+// The register: operators' numbers, readings that leases rest on, and what
+// outlives lost disks and lost power.
+#include "tests/coordination/store_trial.hpp"
+
+namespace banktide {
+namespace {
+
+struct Core {
+  std::size_t voters;
+  std::uint32_t losses;
+};
+
+TEST(Register, the_highest_number_wins_and_an_older_one_changes_nothing_yet_is_acknowledged) {
+  StoreTrial t(1, 4, 1);
+  t.start_all(true);
+  ASSERT_TRUE(t.run_until([&] { return t.all_vote(4); }, 20s));
+  EXPECT_EQ(t.put(0, Register::routing, 12, "twelve")->revision, 12u);
+  EXPECT_EQ(t.put(1, Register::routing, 900, "nine hundred")->revision, 900u);
+  Result<Held> const older = t.put(2, Register::routing, 13, "thirteen");
+  ASSERT_TRUE(older);
+  EXPECT_EQ(older->revision, 900u);
+  ASSERT_TRUE(t.put(2, Register::routing, 900, "another nine hundred"));
+  for (std::size_t client = 0; client < 3; ++client) {
+    Result<Held> const seen = t.get(client, Register::routing);
+    ASSERT_TRUE(seen);
+    EXPECT_EQ(seen->revision, 900u);
+    EXPECT_EQ(seen->bytes, "nine hundred");
+  }
+  EXPECT_EQ(t.get(0, Register::keys)->revision, 0u);
+}
+
+TEST(Register, two_racing_operators_leave_the_higher_number_with_its_own_bytes) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    StoreTrial t(seed, 4, 1);
+    t.start_all(true);
+    ASSERT_TRUE(t.run_until([&] { return t.all_vote(4); }, 20s));
+    std::array<std::optional<Result<Held>>, 2> done;
+    for (std::size_t c = 0; c < 2; ++c) {
+      Revision const revision = 20 + 10 * c;
+      auto const newer = [revision](Held const& now) -> Result<Held> {
+        Held next = now;
+        if (revision <= now.revision) return next;
+        next.revision = revision;
+        next.bytes = std::to_string(revision);
+        return next;
+      };
+      spawn(*t.clients[c], t.put_one(c, Register::catalogue, newer, 5s, done[c]));
+    }
+    ASSERT_TRUE(t.run_until([&] { return done[0] && done[1]; }, 10s));
+    EXPECT_TRUE(*done[0]);
+    EXPECT_TRUE(*done[1]);
+    EXPECT_EQ(t.get(2, Register::catalogue)->bytes, "30");
+  }
+}
+
+TEST(Register, a_confirmed_reading_has_every_change_completed_before_it_was_asked) {
+  StoreTrial t(2, 4, 1);
+  t.start_all(true);
+  ASSERT_TRUE(t.run_until([&] { return t.all_vote(4); }, 20s));
+  Held known;
+  for (Revision n = 1; n <= 30; ++n) {
+    t.net.sim.cut("core-" + std::to_string(n % 4), "client-0");
+    ASSERT_TRUE(t.put(0, Register::keys, n, std::to_string(n)));
+    t.sim.heal();
+    Instant const before = t.clients[1]->now();
+    Result<Confirmed> const seen = t.confirm(1, Register::keys, known, 2s);
+    if (!seen) continue;  // a voter may still hold an older ballot: not agreed
+    EXPECT_EQ(seen->held.bytes, std::to_string(n));
+    EXPECT_GE(seen->asked, before);
+    known = seen->held;
+  }
+  EXPECT_GT(known.revision, 20u);
+}
+
+TEST(Register, confirm_says_no_without_a_majority_and_without_a_set_told_by_a_voter) {
+  StoreTrial t(3, 4, 1);
+  EXPECT_FALSE(t.confirm(0, Register::keys, Held{}, 1s));
+  EXPECT_FALSE(t.registers[0]->knows_voters());
+  t.start_all(true);
+  ASSERT_TRUE(t.run_until([&] { return t.all_vote(4); }, 20s));
+  ASSERT_TRUE(t.put(0, Register::keys, 1, "one"));
+  t.power_off(0);
+  t.power_off(3);
+  EXPECT_FALSE(t.confirm(0, Register::keys, Held{}, 1s));
+}
+
+// For each set of up to `losses` disks: a value that was just acknowledged is
+// read back after these are wiped while all the others lose power; written
+// while some voter was away, so that it has as few copies as it may.
+void wipe_every_subset(Core const core, std::uint64_t const seed, bool const recently_added) {
+  std::size_t const subsets = std::size_t{1} << core.voters;
+  for (std::size_t wiped = 0; wiped < subsets; ++wiped) {
+    if (static_cast<std::uint32_t>(__builtin_popcountll(wiped)) > core.losses) continue;
+    StoreTrial t(seed + wiped, core.voters, core.losses);
+    std::size_t const first = recently_added ? core.voters - 1 : core.voters;
+    for (std::size_t i = 0; i < first; ++i) t.start(i, true);
+    ASSERT_TRUE(t.run_until([&] { return t.all_vote(first); }, 30s)) << "founding";
+    if (recently_added) {
+      ASSERT_TRUE(t.put(0, Register::routing, 5, "before the last was added"));
+      t.start(first, false);
+      ASSERT_TRUE(t.run_until([&] { return t.all_vote(core.voters); }, 30s)) << "adding";
+    }
+    ASSERT_TRUE(t.get(0, Register::routing)) << "a client that has learned the voters";
+    std::size_t const copies = quorum_of(core.voters, core.losses);
+    for (std::size_t k = 0, away = core.voters - copies; k < core.voters && away > 0; ++k) {
+      if ((wiped >> k & 1) != 0) continue;  // those to be wiped have a copy
+      t.sim.cut("client-0", "core-" + std::to_string(k));
+      --away;
+    }
+    ASSERT_TRUE(t.put(0, Register::routing, 77, "acknowledged")) << "wiped " << wiped;
+    for (std::size_t i = 0; i < core.voters; ++i) t.power_off(i);
+    t.sim.heal();
+    for (std::size_t i = 0; i < core.voters; ++i) {
+      if ((wiped >> i & 1) != 0) t.wipe(i);
+      t.start(i, false);
+    }
+    Result<Held> const soon = t.get(1, Register::routing, 20s);
+    ASSERT_TRUE(soon) << "wiped " << wiped << ": " << soon.error().reason;
+    EXPECT_EQ(soon->bytes, "acknowledged") << "wiped " << wiped;
+    ASSERT_TRUE(t.run_until([&] { return t.all_vote(core.voters); }, 20s)) << "rejoining, wiped " << wiped;
+    EXPECT_EQ(t.get(2, Register::routing)->bytes, "acknowledged") << "wiped " << wiped;
+  }
+}
+
+TEST(Register, an_acknowledged_value_outlives_any_disks_that_may_be_lost_with_the_power_of_the_others) {
+  for (Core const core : {Core{3, 1}, Core{4, 1}, Core{5, 2}}) wipe_every_subset(core, 100, false);
+}
+TEST(Register, the_same_holds_with_seven_voters_and_three_losses) { wipe_every_subset(Core{7, 3}, 1000, false); }
+TEST(Register, the_same_holds_just_after_a_voter_was_added) {
+  for (Core const core : {Core{4, 1}, Core{5, 2}}) wipe_every_subset(core, 5000, true);
+}
+
+}  // namespace
+}  // namespace banktide
--- /dev/null
+++ b/tests/coordination/store_trial.hpp
@@ -0,0 +1,135 @@
+// Stores and clients on the simulated network, for the tests of the register:
+// stores found it, join it, lose power and lose their disks.
+#pragma once
+
+#include "coordination/membership.hpp"
+#include "simulation/sim_world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace banktide {
+
+struct StoreTrial {
+  /// `stores` machines, the first three of which are the seeds.
+  StoreTrial(std::uint64_t const seed, std::size_t const stores, std::uint32_t const losses)
+      : sim(seed), net(sim), losses(losses), disks(stores), memberships(stores), acceptors(stores) {
+    for (std::size_t i = 0; i < stores; ++i) addresses.push_back("store-" + std::to_string(i) + ":1");
+    seeds.assign(addresses.begin(), addresses.begin() + static_cast<std::ptrdiff_t>(std::min<std::size_t>(3, stores)));
+    for (std::size_t i = 0; i < 3; ++i) {
+      Address const a = "client-" + std::to_string(i) + ":1";
+      clients.push_back(std::make_shared<SimProcess>(sim, net, "client-" + std::to_string(i), a, 1));
+      net.at[a] = clients.back();
+      net.machine_of[a] = clients.back()->machine;
+      registers.push_back(std::make_unique<RegisterClient<SimProcess>>(*clients.back(), StoreSeeds{seeds}));
+    }
+  }
+  ~StoreTrial() {
+    for (std::shared_ptr<SimProcess> const& p : all) p->kill();
+    for (std::shared_ptr<SimProcess> const& p : clients) p->kill();
+    sim.clear();
+  }
+  StoreTrial(StoreTrial const&) = delete;
+
+  void start(std::size_t const i, bool const initial) {
+    std::shared_ptr<SimProcess> p =
+        std::make_shared<SimProcess>(sim, net, "core-" + std::to_string(i), addresses[i], ++runs);
+    power_off(i);
+    net.at[addresses[i]] = p;
+    net.machine_of[addresses[i]] = p->machine;
+    all.push_back(p);
+    disks[i].process = p.get();
+    acceptors[i] = std::make_shared<Acceptor<SimProcess, SimDisk>>(*p, disks[i], addresses[i]);
+    EXPECT_TRUE(acceptors[i]->load());
+    MembershipSettings settings;
+    settings.seeds = seeds;
+    settings.initial_start = initial;
+    settings.losses = losses;
+    memberships[i] = std::make_shared<Membership<SimProcess, SimDisk>>(*p, *acceptors[i], settings);
+    buried.emplace_back(acceptors[i], memberships[i]);
+    desks.push_back(std::make_unique<Desk>());
+    acceptors[i]->attach(*desks.back());
+    memberships[i]->attach(*desks.back());
+    p->serve(*desks.back());
+    spawn(*p, memberships[i]->run());
+  }
+  void start_all(bool const initial) {
+    for (std::size_t i = 0; i < addresses.size(); ++i) start(i, initial);
+  }
+  void power_off(std::size_t const i) {
+    if (net.at.contains(addresses[i])) net.at[addresses[i]]->kill();
+  }
+  void wipe(std::size_t const i) { disks[i].durable = VoterRecord{}; }
+
+  void run_for(Duration const d) { sim.run_until(sim.now + d); }
+  /// Runs until the condition holds; false if it didn't within `most`.
+  bool run_until(std::function<bool()> const& holds, Duration const most) {
+    Instant const end = sim.now + most;
+    while (!holds() && sim.now < end) run_for(20ms);
+    return holds();
+  }
+  bool all_vote(std::size_t const voters) {
+    for (std::size_t i = 0; i < addresses.size(); ++i) {
+      if (!net.at.contains(addresses[i]) || !net.at[addresses[i]]->alive) continue;
+      if (!acceptors[i]->voting() || acceptors[i]->set().voters.size() != voters) return false;
+    }
+    return true;
+  }
+
+  // Whole calls, run to their end.
+  Result<Held> put(std::size_t const client, Register const reg, Revision const revision, std::string const bytes,
+                   Duration const patience = 5s) {
+    auto const newer = [&](Held const& now) -> Result<Held> {
+      Held next = now;
+      if (revision <= now.revision) return next;
+      next.revision = revision;
+      next.bytes = bytes;
+      return next;
+    };
+    std::optional<Result<Held>> done;
+    spawn(*clients[client], put_one(client, reg, newer, patience, done));
+    run_until([&] { return done.has_value(); }, patience + 2s);
+    return done ? *done : Result<Held>(mishap("put", "", "no end"));
+  }
+  Result<Held> get(std::size_t const client, Register const reg, Duration const patience = 5s) {
+    std::optional<Result<Held>> done;
+    spawn(*clients[client], get_one(client, reg, patience, done));
+    run_until([&] { return done.has_value(); }, patience + 2s);
+    return done ? *done : Result<Held>(mishap("get", "", "no end"));
+  }
+  Result<Confirmed> confirm(std::size_t const client, Register const reg, Held const known, Duration const patience) {
+    std::optional<Result<Confirmed>> done;
+    spawn(*clients[client], confirm_one(client, reg, known, patience, done));
+    run_until([&] { return done.has_value(); }, patience + 2s);
+    return done ? *done : Result<Confirmed>(mishap("confirm", "", "no end"));
+  }
+
+  template <class F>
+  Task<void> put_one(std::size_t const c, Register const reg, F newer, Duration const patience,
+                     std::optional<Result<Held>>& done) {
+    done = co_await registers[c]->change(reg, "", clients[c]->now() + patience, newer);
+  }
+  Task<void> get_one(std::size_t const c, Register const reg, Duration const patience,
+                     std::optional<Result<Held>>& done) {
+    Held const none{};
+    done = co_await registers[c]->read(reg, none, clients[c]->now() + patience);
+  }
+  Task<void> confirm_one(std::size_t const c, Register const reg, Held const known, Duration const patience,
+                         std::optional<Result<Confirmed>>& done) {
+    done = co_await registers[c]->confirm(reg, known, clients[c]->now() + patience);
+  }
+
+  Sim sim;
+  SimNet net;
+  std::uint32_t const losses;
+  std::vector<Address> addresses, seeds;
+  std::vector<SimDisk> disks;
+  std::vector<std::shared_ptr<Membership<SimProcess, SimDisk>>> memberships;
+  std::vector<std::shared_ptr<Acceptor<SimProcess, SimDisk>>> acceptors;
+  std::vector<std::pair<std::shared_ptr<void>, std::shared_ptr<void>>> buried;
+  std::vector<std::shared_ptr<SimProcess>> all, clients;
+  std::vector<std::unique_ptr<Desk>> desks;
+  std::vector<std::unique_ptr<RegisterClient<SimProcess>>> registers;
+  std::uint64_t runs = 0;
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/tests/coordination/voter_set_test.cpp
@@ -0,0 +1,324 @@
+// The set of voters: how many must agree, founding from seeds, joining,
+// removal, and changes that race, stop half done, or meet lost disks.
+#include "tests/coordination/store_trial.hpp"
+
+namespace banktide {
+namespace {
+
+// A plain model: every quorum, every set of lost disks, every group that a
+// voter without a disk may hear.
+TEST(VoterSet, whoever_recovers_hears_one_that_holds_what_any_quorum_holds_and_never_needs_more_than_are_left) {
+  struct Core {
+    std::size_t voters, losses;
+  };
+  for (Core const core : {Core{3, 1}, Core{4, 1}, Core{5, 2}, Core{6, 2}, Core{7, 3}, Core{3, 2}}) {
+    std::size_t const quorum = quorum_of(core.voters, core.losses);
+    std::size_t const enough = recovery_quorum_of(core.voters, core.losses);
+    EXPECT_LE(enough, core.voters - core.losses);
+    unsigned const subsets = 1u << core.voters;
+    bool fewer_would_miss = false;
+    for (unsigned held = 0; held < subsets; ++held) {
+      if (static_cast<std::size_t>(__builtin_popcount(held)) != quorum) continue;
+      for (unsigned lost = 0; lost < subsets; ++lost) {
+        if (static_cast<std::size_t>(__builtin_popcount(lost)) > core.losses) continue;
+        EXPECT_NE(held & ~lost, 0u);
+        for (unsigned heard = 0; heard < subsets; ++heard) {
+          if ((heard & lost) != 0) continue;
+          std::size_t const n = static_cast<std::size_t>(__builtin_popcount(heard));
+          if (n == enough) {
+            EXPECT_NE(heard & held, 0u);
+          }
+          if (n + 1 == enough) fewer_would_miss = fewer_would_miss || (heard & held) == 0;
+        }
+      }
+    }
+    EXPECT_TRUE(fewer_would_miss) << core.voters << " voters: the rule asks for more than is needed";
+  }
+}
+
+// One voter by itself, asked directly.
+struct LoneVoter {
+  LoneVoter() : trial(1, 3, 1), asker(*trial.clients[0]) {
+    before = first_set({"store-0:1", "a:1", "b:1"}, 1);
+    after = set_with(before, VoterEntry{"store-1:1", 77});
+    trial.disks[0].durable.phase = Phase::voting;
+    trial.disks[0].durable.founding = 9;
+    trial.disks[0].durable.set = before;
+    trial.disks[0].durable.disk = 5;
+    trial.disks[1].durable.disk = 76;
+    for (std::size_t i = 0; i < 2; ++i) serve(i);
+  }
+  void serve(std::size_t const i) {
+    std::shared_ptr<SimProcess> p =
+        std::make_shared<SimProcess>(trial.sim, trial.net, "core", trial.addresses[i], i + 1);
+    trial.net.at[trial.addresses[i]] = p;
+    trial.net.machine_of[trial.addresses[i]] = p->machine;
+    trial.all.push_back(p);
+    trial.disks[i].process = p.get();
+    trial.acceptors[i] = std::make_shared<Acceptor<SimProcess, SimDisk>>(*p, trial.disks[i], trial.addresses[i]);
+    EXPECT_TRUE(trial.acceptors[i]->load());
+    trial.desks.push_back(std::make_unique<Desk>());
+    trial.acceptors[i]->attach(*trial.desks.back());
+    p->serve(*trial.desks.back());
+  }
+  template <class Q>
+  static Task<void> ask_one(SimProcess& w, Address const peer, Q const q, std::optional<typename Q::Reply>& out) {
+    Result<typename Q::Reply> const r = co_await ask<Q>(w, peer, q, w.now() + 1s);
+    if (r) out = *r;
+  }
+  template <class Q>
+  typename Q::Reply said(std::size_t const store, Q const q) {
+    std::optional<typename Q::Reply> out;
+    spawn(asker, ask_one<Q>(asker, trial.addresses[store], q, out));
+    trial.run_for(2s);
+    EXPECT_TRUE(out);
+    return out.value_or(typename Q::Reply{});
+  }
+  static Accept value(std::uint64_t const epoch, std::uint64_t const round, std::string const& bytes) {
+    Accept q;
+    q.reg = Register::keys;
+    q.ballot.epoch = epoch;
+    q.ballot.round = round;
+    q.held.revision = round;
+    q.held.bytes = bytes;
+    return q;
+  }
+  Seal seal() const {
+    Seal q;
+    q.set = after;
+    return q;
+  }
+  Activate activate() const {
+    Activate q;
+    q.set = after;
+    q.founding = 9;
+    q.slots[2].accepted.round = 3;
+    q.slots[2].held.bytes = "copied";
+    return q;
+  }
+
+  StoreTrial trial;
+  SimProcess& asker;
+  VoterSet before, after;
+};
+
+TEST(VoterSet, a_sealed_voter_says_what_it_holds_and_votes_in_neither_set_until_it_is_activated) {
+  LoneVoter v;
+  EXPECT_TRUE(v.said(0, LoneVoter::value(0, 4, "own")).accepted);
+  SealReply const sealed = v.said(0, v.seal());
+  EXPECT_TRUE(sealed.sealed);
+  EXPECT_EQ(sealed.slots[2].held.bytes, "own");
+  AcceptReply const old = v.said(0, LoneVoter::value(0, 5, "late"));
+  EXPECT_FALSE(old.voting);
+  ASSERT_TRUE(old.newer);
+  EXPECT_EQ(*old.newer, v.after);
+  Peek look;
+  look.reg = Register::keys;
+  EXPECT_FALSE(v.said(0, look).voting);
+  EXPECT_FALSE(v.said(0, LoneVoter::value(1, 5, "early")).voting);
+  EXPECT_EQ(v.trial.disks[0].durable.set, v.after);  // kept, for a restart
+  EXPECT_TRUE(v.said(0, v.activate()).active);
+  look.epoch = 1;
+  PeekReply const now = v.said(0, look);
+  EXPECT_TRUE(now.voting);
+  EXPECT_EQ(now.revision, 4u);  // its own was newer than what it was told
+  EXPECT_TRUE(v.said(0, LoneVoter::value(1, 5, "next")).accepted);
+}
+
+TEST(VoterSet, only_the_empty_disk_that_was_added_is_activated_and_it_takes_up_what_it_is_told) {
+  LoneVoter v;
+  EXPECT_FALSE(v.said(1, v.activate()).active);
+  EXPECT_FALSE(v.said(1, v.seal()).sealed);
+  v.trial.disks[1].durable.disk = 77;
+  v.trial.power_off(1);
+  v.serve(1);
+  EXPECT_TRUE(v.said(1, v.activate()).active);
+  EXPECT_EQ(v.trial.disks[1].durable.slots[2].held.bytes, "copied");
+}
+
+TEST(VoterSet, rounds_go_on_rising_from_one_set_to_the_next) {
+  Ballot promised;
+  promised.round = 8;
+  Ballot next;
+  next.epoch = 1;
+  next.round = 8;
+  EXPECT_FALSE(next.may_follow(promised));
+  next.round = 9;
+  EXPECT_TRUE(next.may_follow(promised));
+}
+
+// What a set holds by copying alone is no agreement: a voter that was away may
+// hold something newer of the epoch before.
+TEST(VoterSet, a_reading_does_not_rest_on_ballots_of_an_older_set) {
+  StoreTrial t(8, 3, 1);
+  VoterSet const before = first_set({"store-0:1", "store-1:1"}, 0);
+  for (std::size_t i = 0; i < 3; ++i) {
+    t.disks[i].durable.phase = Phase::voting;
+    t.disks[i].durable.founding = 9;
+    t.disks[i].durable.disk = i + 1;
+    t.disks[i].durable.set = set_with(before, VoterEntry{"store-2:1", 3});
+    t.disks[i].durable.active_epoch = 1;
+    t.disks[i].durable.slots[2].accepted.round = 4;
+    t.disks[i].durable.slots[2].held.revision = 4;
+    t.start(i, false);
+  }
+  EXPECT_FALSE(t.confirm(0, Register::keys, Held{}, 1s));
+  EXPECT_EQ(t.get(0, Register::keys)->revision, 4u);  // writes it in the new set
+  EXPECT_TRUE(t.confirm(0, Register::keys, Held{}, 1s));
+}
+
+TEST(VoterSet, three_seeds_found_the_register_and_every_other_store_is_added) {
+  for (std::size_t const stores : {3u, 4u, 5u, 7u}) {
+    StoreTrial t(stores, stores, stores >= 5 ? 2 : 1);
+    t.start_all(true);
+    ASSERT_TRUE(t.run_until([&] { return t.all_vote(stores); }, 30s)) << stores;
+    EXPECT_EQ(t.acceptors[0]->set().epoch, stores - 3);
+    for (std::size_t i = 1; i < stores; ++i) EXPECT_EQ(t.acceptors[i]->set(), t.acceptors[0]->set());
+    ASSERT_TRUE(t.put(0, Register::keys, 1, "one"));
+    EXPECT_EQ(t.registers[0]->set().voters.size(), stores);
+  }
+}
+
+TEST(VoterSet, nothing_is_founded_by_stores_that_are_not_told_to) {
+  StoreTrial t(1, 4, 1);
+  t.start_all(false);
+  t.run_for(10s);
+  for (std::size_t i = 0; i < 4; ++i) EXPECT_FALSE(t.acceptors[i]->voting());
+}
+
+TEST(VoterSet, a_founding_goes_on_where_a_loss_of_power_stopped_it) {
+  for (int ms = 20; ms <= 400; ms += 20) {
+    StoreTrial t(static_cast<std::uint64_t>(ms), 5, 2);
+    t.start_all(true);
+    t.run_for(std::chrono::milliseconds(ms));
+    for (std::size_t i = 0; i < 5; ++i) t.power_off(i);
+    for (std::size_t i = 0; i < 5; ++i) t.start(i, false);
+    EXPECT_TRUE(t.run_until([&] { return t.all_vote(5); }, 40s)) << ms;
+  }
+}
+
+TEST(VoterSet, a_store_that_is_gone_is_removed_and_added_again_when_it_is_back) {
+  StoreTrial t(5, 4, 1);
+  t.start_all(true);
+  ASSERT_TRUE(t.run_until([&] { return t.all_vote(4); }, 20s));
+  t.power_off(1);
+  ASSERT_TRUE(t.put(0, Register::routing, 4, "four"));
+  ASSERT_TRUE(t.run_until([&] { return t.all_vote(3); }, 60s));
+  ASSERT_TRUE(t.put(0, Register::routing, 5, "five"));
+  t.power_off(2);
+  t.run_for(60s);
+  EXPECT_EQ(t.acceptors[0]->set().voters.size(), 3u);
+  t.start(2, false);
+  t.start(1, false);
+  ASSERT_TRUE(t.run_until([&] { return t.all_vote(4); }, 20s));
+  EXPECT_EQ(t.get(1, Register::routing)->bytes, "five");
+}
+
+// Values are put all the while by a client, stores join, and machines lose
+// power or, one at a time, their disk, at any moment of a change.
+struct Storm {
+  explicit Storm(std::uint64_t const seed, std::size_t const stores) : t(seed, stores, 1) {
+    for (std::size_t i = 0; i < 3; ++i) t.start(i, true);
+  }
+  Task<void> keep_putting(std::size_t const c) {
+    while (!over) {
+      Revision const mine = ++made * 3 + c;
+      auto const newer = [mine](Held const& now) -> Result<Held> {
+        Held next = now;
+        if (mine <= now.revision) return next;
+        next.revision = mine;
+        next.bytes = std::to_string(mine);
+        return next;
+      };
+      Result<Held> const r = co_await t.registers[c]->change(Register::keys, "", t.clients[c]->now() + 3s, newer);
+      if (r) {
+        acknowledged = std::max(acknowledged, r->revision);
+        ++puts;
+      }
+      Revision const floor = acknowledged;
+      Held const none{};
+      Result<Confirmed> const seen =
+          co_await t.registers[c]->confirm(Register::keys, none, t.clients[c]->now() + 100ms);
+      if (seen) {
+        EXPECT_GE(seen->held.revision, floor);
+        EXPECT_EQ(seen->held.bytes, seen->held.revision == 0 ? "" : std::to_string(seen->held.revision));
+        ++confirmed;
+      }
+      co_await sleep_for(*t.clients[c], std::chrono::milliseconds(t.sim.chance() % 40));
+    }
+  }
+  void trouble() {
+    if (over) return;
+    std::size_t const i = t.sim.chance() % t.addresses.size();
+    Duration const a_while = std::chrono::milliseconds(50 + t.sim.chance() % 900);
+    bool const up = t.net.at.contains(t.addresses[i]) && t.net.at[t.addresses[i]]->alive;
+    std::uint64_t const kind = t.sim.chance() % 4;
+    if (up && kind <= 1 && !lost) {
+      t.power_off(i);
+      if (kind == 0 && t.all_vote_or_down()) {
+        lost = true;
+        t.wipe(i);
+        watch(i);
+      }
+      t.sim.after(a_while, [this, i] { t.start(i, false); });
+    } else if (kind == 2) {
+      for (std::size_t k = 0; k < t.addresses.size(); ++k)
+        if (t.sim.chance() % 2) t.sim.cut("core-" + std::to_string(i), "core-" + std::to_string(k));
+      t.sim.cut("core-" + std::to_string(i), "client-" + std::to_string(t.sim.chance() % 3));
+      t.sim.after(a_while, [this] { t.sim.heal(); });
+    } else {
+      t.disks[i].stalled_until = t.sim.now + a_while;
+    }
+    t.sim.after(std::chrono::milliseconds(200 + t.sim.chance() % 900), [this] { trouble(); });
+  }
+  // The next disk may be lost once the last has been made good.
+  void watch(std::size_t const i) {
+    t.sim.after(200ms, [this, i] {
+      if (t.net.at[t.addresses[i]]->alive && t.acceptors[i]->voting())
+        lost = false;
+      else
+        watch(i);
+    });
+  }
+
+  struct Trial : StoreTrial {
+    using StoreTrial::StoreTrial;
+    bool all_vote_or_down() {
+      for (std::size_t i = 0; i < addresses.size(); ++i)
+        if (net.at.contains(addresses[i]) && net.at[addresses[i]]->alive && !acceptors[i]->voting()) return false;
+      return true;
+    }
+  };
+  Trial t;
+  Revision acknowledged = 0;
+  std::uint64_t made = 0, puts = 0, confirmed = 0;
+  bool over = false, lost = false;
+};
+
+TEST(VoterSet, no_acknowledged_value_is_lost_and_no_confirmed_reading_is_stale_while_sets_change_and_machines_fail) {
+  std::uint64_t puts = 0, confirmed = 0;
+  for (std::uint64_t seed = 1; seed <= 16; ++seed) {
+    Storm s(seed, 6);
+    ASSERT_TRUE(s.t.run_until([&] { return s.t.all_vote(3); }, 20s));
+    for (std::size_t c = 0; c < 3; ++c) spawn(*s.t.clients[c], s.keep_putting(c));
+    s.t.sim.after(300ms, [&] { s.trouble(); });
+    for (std::size_t i = 3; i < 6; ++i) s.t.sim.after(1s * (i - 2), [&s, i] { s.t.start(i, false); });
+    s.t.run_for(15s);
+    s.over = true;
+    s.t.sim.heal();
+    s.t.run_for(3s);
+    for (std::size_t i = 0; i < 6; ++i)
+      if (!s.t.net.at.contains(s.t.addresses[i]) || !s.t.net.at[s.t.addresses[i]]->alive) s.t.start(i, false);
+    EXPECT_TRUE(s.t.run_until([&] { return s.t.all_vote(6); }, 40s)) << "seed " << seed;
+    Result<Held> const seen = s.t.get(0, Register::keys);
+    ASSERT_TRUE(seen) << "seed " << seed;
+    EXPECT_GE(seen->revision, s.acknowledged) << "seed " << seed;
+    puts += s.puts;
+    confirmed += s.confirmed;
+  }
+  EXPECT_GT(puts, 1000u);
+  EXPECT_GT(confirmed, 1000u);
+}
+
+}  // namespace
+}  // namespace banktide
--- /dev/null
+++ b/tests/coordination/zone_feed_test.cpp
@@ -0,0 +1,394 @@
+// One zone's feed by itself, and whole zones: nodes that follow, registries that
+// stand in for each other, zones without a registry, values that reach every node.
+#include "coordination/zone_feed.hpp"
+
+#include "coordination/zone_entries.hpp"
+#include "zone_trial.hpp"
+
+namespace banktide {
+namespace {
+
+// ---- one feed
+
+struct FeedTrial {
+  FeedTrial() : sim(1), net(sim) {
+    process = std::make_shared<SimProcess>(sim, net, "m", "r:1", 1);
+    feed = std::make_shared<ZoneFeed<SimProcess>>(*process, FeedSettings{"a", "r", "r:1", FeedTiming{}},
+                                                  FeedSources{[] { return true; }, [] { return Revisions{}; }});
+  }
+  ~FeedTrial() {
+    process->kill();
+    sim.clear();
+  }
+
+  JoinReply join(std::string const& id, std::vector<BackendRecord> backends, Standing const standing = Standing::fit,
+                 std::uint64_t const incarnation = 1) {
+    Join q;
+    q.self = Member{id, "a", id + ":1", Role::gateway, incarnation, standing};
+    q.backends = std::move(backends);
+    return feed->join(q);
+  }
+  void run_for(Duration const d) { sim.run_until(sim.now + d); }
+  /// Time passes with the feed's watch, and beats of all members but one.
+  void watch_for(Duration const d, std::string const& silent) {
+    for (Instant const end = sim.now + d; sim.now < end;) {
+      run_for(200ms);
+      for (auto const& [id, m] : feed->view().members)
+        if (id != silent) feed->beat(Beat{id, m.address, 1, Position{}, "a"});
+      feed->watch();
+    }
+  }
+
+  Sim sim;
+  SimNet net;
+  std::shared_ptr<SimProcess> process;
+  std::shared_ptr<ZoneFeed<SimProcess>> feed;
+};
+
+BackendRecord backend(std::string const& service, std::string const& instance, std::uint32_t const slots,
+                      std::uint32_t const burden, std::uint32_t const waiting = 0) {
+  BackendRecord b;
+  b.service = service;
+  b.instance = instance;
+  b.slots = slots;
+  b.burden = burden;
+  b.waiting = waiting;
+  return b;
+}
+
+TEST(ZoneFeed, tells_nothing_before_nodes_had_time_to_join) {
+  FeedTrial t;
+  EXPECT_FALSE(t.feed->follow(Follow{}).known);
+  t.run_for(1s);
+  EXPECT_TRUE(t.join("n1", {}).taken);
+  t.run_for(1400ms);
+  EXPECT_FALSE(t.feed->follow(Follow{}).known);
+  t.run_for(200ms);
+  FollowReply const reply = t.feed->follow(Follow{});
+  ASSERT_TRUE(reply.known && reply.snapshot);
+  EXPECT_EQ(reply.snapshot->members.size(), 2u);
+}
+
+TEST(ZoneFeed, takes_longer_when_nodes_come_to_a_feed_that_has_been_empty) {
+  FeedTrial t;
+  t.run_for(20s);
+  EXPECT_TRUE(t.feed->warm());
+  t.join("n1", {});
+  EXPECT_FALSE(t.feed->follow(Follow{}).known);
+  t.run_for(2400ms);
+  EXPECT_FALSE(t.feed->warm());
+  t.run_for(200ms);
+  EXPECT_TRUE(t.feed->warm());
+  t.join("n2", {});
+  EXPECT_TRUE(t.feed->warm()) << "the second comes to others";
+}
+
+TEST(ZoneFeed, a_follower_gets_the_changes_that_it_lacks_or_a_snapshot) {
+  FeedTrial t;
+  t.join("n1", {});
+  t.run_for(2s);
+  Position const seen = t.feed->position();
+  t.join("n2", {backend("s", "i", 4, 0)});
+  FollowReply const changes = t.feed->follow(Follow{seen, "a"});
+  EXPECT_FALSE(changes.snapshot);
+  EXPECT_EQ(changes.changes.size(), 2u);
+  EXPECT_EQ(changes.at, t.feed->position());
+  EXPECT_TRUE(t.feed->follow(Follow{Position{seen.epoch + 1, seen.seq}, "a"}).snapshot);
+}
+
+TEST(ZoneFeed, joins_of_other_zones_and_of_odd_members_are_not_taken) {
+  FeedTrial t;
+  Join q;
+  q.self = Member{"n", "b", "n:1", Role::node, 1, Standing::fit};
+  EXPECT_FALSE(t.feed->join(q).taken);
+  q.self = Member{"n", "a", "n:1", Role::registry, 1, Standing::fit};
+  EXPECT_FALSE(t.feed->join(q).taken);
+  q.self = Member{"n", "a", "n:1", Role::node, 1, Standing::suspected};
+  EXPECT_FALSE(t.feed->join(q).taken);
+  q.self = Member{"r", "a", "n:1", Role::node, 1, Standing::fit};
+  EXPECT_FALSE(t.feed->join(q).taken);
+  EXPECT_FALSE(t.feed->has_nodes());
+}
+
+TEST(ZoneFeed, the_entry_has_for_each_service_the_gateways_beside_it_with_their_load_rounded) {
+  FeedTrial t;
+  t.join("n1", {backend("s", "i1", 32, 5, 1), backend("s", "i2", 32, 4)});
+  t.join("n2", {backend("s", "i3", 8, 3), backend("other", "i4", 0, 77, 7)});
+  CellEntry const e = t.feed->entry();
+  EXPECT_EQ(e.offers, (std::vector<std::string>{"other", "s"}));
+  EXPECT_EQ(e.gateways.size(), 2u);
+  std::vector<ServiceOffer> const offers{
+      {"other", "n2", "n2:1", 0, 0, 0}, {"s", "n1", "n1:1", 64, 16, 8}, {"s", "n2", "n2:1", 8, 3, 0}};
+  EXPECT_EQ(e.services, offers);
+  t.join("n1", {backend("s", "i1", 32, 6, 2), backend("s", "i2", 32, 5)});
+  EXPECT_EQ(t.feed->entry(), e) << "a small change makes no other entry";
+  BackendRecord leaving = backend("s", "i3", 8, 3);
+  leaving.standing = Standing::leaving;
+  t.join("n2", {leaving});
+  EXPECT_EQ(t.feed->entry().services.size(), 1u);
+  t.join("n1", {}, Standing::leaving);
+  EXPECT_TRUE(t.feed->entry().services.empty());
+}
+
+TEST(ZoneFeed, a_silent_member_is_suspected_may_refute_it_and_otherwise_is_dead) {
+  FeedTrial t;
+  t.join("n1", {});
+  t.join("n2", {backend("s", "i", 4, 0)});
+  t.watch_for(1600ms, "n2");
+  EXPECT_EQ(t.feed->view().members.at("n2").standing, Standing::suspected);
+  JoinReply const refused = t.join("n2", {backend("s", "i", 4, 0)});
+  EXPECT_FALSE(refused.taken);
+  EXPECT_TRUE(t.join("n2", {backend("s", "i", 4, 0)}, Standing::fit, refused.incarnation).taken);
+  EXPECT_EQ(t.feed->view().members.at("n2").standing, Standing::fit);
+  t.watch_for(4400ms, "n2");
+  EXPECT_FALSE(t.feed->view().members.contains("n2"));
+  EXPECT_TRUE(t.feed->view().backends.empty());
+  EXPECT_TRUE(t.feed->view().members.contains("n1"));
+}
+
+TEST(ZoneFeed, a_leaving_member_that_joins_no_more_is_gone_whoever_watches_it) {
+  FeedTrial t;
+  for (int i = 0; i < 12; ++i) t.join("n" + std::to_string(i), {}, Standing::leaving);
+  t.watch_for(5400ms, "");
+  EXPECT_FALSE(t.feed->has_nodes());
+}
+
+TEST(ZoneFeed, the_roles_of_neighbours_follow_the_ring_as_members_come_and_go) {
+  CellView view;
+  RingPlaces places("n3");
+  std::uint64_t x = 5;
+  for (int step = 0; step < 300; ++step) {
+    x = x * 6364136223846793005ull + 1442695040888963407ull;
+    std::string const id = "n" + std::to_string((x >> 33) % 12);
+    Role const role = (x >> 40) % 5 == 0 ? Role::registry : Role::node;
+    Standing const standing = (x >> 45) % 3 == 0 ? Standing::dead : Standing::fit;
+    view.fold(Change{0, Member{id, "a", "", role, 1, standing}, std::nullopt, std::nullopt});
+    places.follow(view);
+    std::vector<std::string> all, nodes;
+    for (auto const& [member, m] : view.members) {
+      all.push_back(member);
+      if (m.role != Role::registry) nodes.push_back(member);
+    }
+    std::vector<std::string> const order = ring_order(all);
+    std::set<std::string> watched;
+    for (std::string const& other : order) {
+      std::vector<std::string> const w = watchers_of(other, order);
+      if (std::find(w.begin(), w.end(), "n3") != w.end()) watched.insert(other);
+    }
+    ASSERT_EQ(places.watchers(), watchers_of("n3", order));
+    ASSERT_EQ(places.watched(), watched);
+    ASSERT_EQ(places.relays(), relays_below("n3", ring_order(nodes)));
+    ASSERT_EQ(places.first_relays(), relays_below("", ring_order(nodes)));
+  }
+}
+
+// ---- what zones tell each other
+
+CellEntry entry_with(std::size_t const gateways) {
+  CellEntry e;
+  e.cell = "a";
+  for (std::size_t i = 0; i < gateways; ++i) {
+    std::string const id = "g" + std::to_string(i);
+    e.gateways.push_back(Member{id, "a", id, Role::gateway, 1, Standing::fit});
+  }
+  return e;
+}
+
+TEST(ZoneEntries, an_entry_is_told_when_it_has_changed_a_few_times_and_then_now_and_then) {
+  FeedTiming const timing;
+  ZoneEntries entries(timing);
+  Instant const start{std::chrono::hours(1)};
+  std::size_t told = 0, made = 0;
+  for (Duration at = 0ms; at < 10s; at += 50ms)
+    told += entries.due("a", Position{1, 1}, start + at, [&] { return ++made, entry_with(2); }).has_value();
+  EXPECT_EQ(made, 1u);
+  EXPECT_EQ(told, 3u + 9u);
+  told = 0;
+  for (Duration at = 10s; at < 11s; at += 50ms) {
+    Position const moved{1, 2 + static_cast<std::uint64_t>(at / 50ms)};
+    std::size_t const gateways = static_cast<std::size_t>(at / 50ms) % 5;
+    told += entries.due("a", moved, start + at, [&] { return entry_with(gateways); }).has_value();
+  }
+  EXPECT_LE(told, 4u) << "changes come at most every 250 ms";
+  EXPECT_GE(told, 3u);
+}
+
+TEST(ZoneEntries, of_two_that_tell_of_a_zone_the_one_with_more_gateways_counts_until_it_is_silent) {
+  FeedTiming const timing;
+  ZoneEntries entries(timing);
+  Instant const start{std::chrono::hours(1)};
+  EXPECT_NE(entries.take(CellTold{entry_with(2), "x", {1, 5}}, start), nullptr);
+  EXPECT_EQ(entries.take(CellTold{entry_with(2), "x", {1, 4}}, start), nullptr) << "overtaken on its way";
+  EXPECT_NE(entries.take(CellTold{entry_with(1), "x", {2, 1}}, start), nullptr) << "the registry has started again";
+  EXPECT_EQ(entries.take(CellTold{entry_with(1), "y", {9, 1}}, start + 1s), nullptr);
+  EXPECT_NE(entries.take(CellTold{entry_with(2), "y", {9, 2}}, start + 1s), nullptr);
+  EXPECT_EQ(entries.take(CellTold{entry_with(0), "x", {2, 3}}, start + 2s), nullptr);
+  EXPECT_NE(entries.take(CellTold{entry_with(1), "x", {2, 4}}, start + 5s), nullptr);
+  EXPECT_TRUE(entries.forget(start + 30s).empty());
+  std::vector<CellEntry> const gone = entries.forget(start + 66s);
+  ASSERT_EQ(gone.size(), 1u);
+  EXPECT_EQ(gone[0], CellEntry({"a", {}, {}, {}}));
+}
+
+// ---- whole zones
+
+TEST(Zones, nodes_of_a_zone_see_each_other_and_what_other_zones_offer) {
+  ZoneTrial t(1);
+  t.seeds = {"ra", "rb"};
+  t.add_registry("ra", "a");
+  t.add_registry("rb", "b");
+  for (int i = 0; i < 5; ++i) t.add_node("a" + std::to_string(i), "a", "s");
+  for (int i = 0; i < 3; ++i) t.add_node("b" + std::to_string(i), "b", "s");
+  EXPECT_TRUE(t.run_until(
+      [&] {
+        return t.nodes_seen("a4") == 5 && t.nodes_seen("b2") == 3 && t.services_seen("a4", "b") == 3 &&
+               t.services_seen("b2", "a") == 5;
+      },
+      10s));
+  EXPECT_TRUE(t.nodes.at("a4").follower->viewed());
+  t.nodes.at("b1").backends.clear();
+  t.nodes.at("b1").follower->touch();
+  EXPECT_TRUE(t.run_until([&] { return t.services_seen("a4", "b") == 2; }, 2s));
+  EXPECT_FALSE(t.nodes.at("a2").follower->left());
+  t.nodes.at("a2").follower->leave();
+  EXPECT_TRUE(t.run_until([&] { return t.nodes.at("a2").follower->left(); }, 2s));
+  EXPECT_TRUE(t.run_until([&] { return t.nodes_seen("a4") == 4 && t.services_seen("b0", "a") == 4; }, 2s));
+}
+
+TEST(Zones, a_zone_without_a_registry_is_adopted_and_dropped_when_its_nodes_are_gone) {
+  ZoneTrial t(2);
+  t.seeds = {"ra", "rb"};
+  t.add_registry("ra", "a");
+  t.add_registry("rb", "b");
+  t.add_node("a0", "a", "s");
+  for (int i = 0; i < 4; ++i) t.add_node("c" + std::to_string(i), "c", "s");
+  EXPECT_TRUE(t.run_until(
+      [&] { return t.nodes_seen("c3") == 4 && t.services_seen("a0", "c") == 4 && t.services_seen("c3", "a") == 1; },
+      15s));
+  EXPECT_EQ(t.registry("ra").zones().size() + t.registry("rb").zones().size(), 3u) << "one of them has it";
+  for (int i = 0; i < 4; ++i) t.kill("c" + std::to_string(i) + ":1");
+  EXPECT_TRUE(t.run_until([&] { return t.services_seen("a0", "c") == 0; }, 15s));
+  EXPECT_TRUE(t.run_until([&] { return t.registry("ra").zones().size() + t.registry("rb").zones().size() == 2; }, 60s));
+}
+
+TEST(Zones, the_second_registry_of_a_zone_takes_over_and_gives_back_and_no_view_shrinks) {
+  ZoneTrial t(3);
+  t.seeds = {"ra1", "ra2", "rb"};
+  t.add_registry("ra1", "a");
+  t.add_registry("ra2", "a");
+  t.add_registry("rb", "b");
+  for (int i = 0; i < 6; ++i) t.add_node("a" + std::to_string(i), "a", "s");
+  t.add_node("b0", "b", "s");
+  ASSERT_TRUE(t.run_until([&] { return t.nodes_seen("a5") == 6 && t.services_seen("b0", "a") == 6; }, 10s));
+  Address const first = t.nodes.at("a0").follower->own_registry();
+  std::string const first_id = first.substr(0, first.find(':'));
+  std::string const second_id = first_id == "ra1" ? "ra2" : "ra1";
+  std::size_t const second_has = t.registry(second_id).view().members.size();
+  EXPECT_EQ(second_has, 1u) << "only the first has the members";
+  t.run_for(3s);
+  t.watch_views();
+  t.kill(first);
+  ASSERT_TRUE(t.run_until([&] { return t.registry(second_id).view().members.size() == 7; }, 15s));
+  t.run_for(6s);
+  EXPECT_EQ(t.services_seen("b0", "a"), 6u);
+  t.start_registry(first_id);
+  ASSERT_TRUE(t.run_until([&] { return t.registry(first_id).view().members.size() == 7; }, 15s));
+  t.run_for(10s);
+  EXPECT_EQ(t.services_seen("b0", "a"), 6u);
+  EXPECT_EQ(t.registry(second_id).view().members.size(), 1u);
+  for (auto const& [id, n] : t.nodes)
+    if (n.zone == "a") {
+      EXPECT_GE(n.least_members, 7u) << id;
+    }
+}
+
+TEST(Zones, a_zone_whose_registry_is_gone_is_adopted_until_it_returns) {
+  ZoneTrial t(4);
+  t.seeds = {"ra", "rb", "rc"};
+  for (std::string const zone : {"a", "b", "c"}) t.add_registry("r" + zone, zone);
+  for (int i = 0; i < 5; ++i) t.add_node("a" + std::to_string(i), "a", "s");
+  t.add_node("b0", "b", "s");
+  ASSERT_TRUE(t.run_until([&] { return t.nodes_seen("a4") == 5 && t.services_seen("b0", "a") == 5; }, 10s));
+  t.run_for(2s);
+  t.watch_views();
+  t.kill("ra:1");
+  ASSERT_TRUE(t.run_until([&] { return t.registry("rb").zones().size() + t.registry("rc").zones().size() == 3; }, 15s));
+  t.run_for(5s);
+  t.kill("a4:1");
+  EXPECT_TRUE(t.run_until([&] { return t.nodes_seen("a0") == 4 && t.services_seen("b0", "a") == 4; }, 8s))
+      << "the registry that adopted the zone watches over it";
+  t.start_registry("ra");
+  ASSERT_TRUE(t.run_until([&] { return t.registry("ra").view().members.size() == 5; }, 15s));
+  t.run_for(8s);
+  EXPECT_EQ(t.services_seen("b0", "a"), 4u);
+  for (std::string const id : {"a0", "a1", "a2", "a3"}) EXPECT_GE(t.nodes.at(id).least_members, 5u) << id;
+}
+
+TEST(Zones, a_value_that_is_announced_reaches_every_node_of_every_zone) {
+  ZoneTrial t(5);
+  t.seeds = {"ra", "rb"};
+  t.add_registry("ra", "a");
+  t.add_registry("rb", "b");
+  for (int i = 0; i < 4; ++i) t.add_node("a" + std::to_string(i), "a", "s");
+  for (int i = 0; i < 4; ++i) t.add_node("c" + std::to_string(i), "c", "s");
+  ASSERT_TRUE(t.run_until([&] { return t.nodes_seen("a3") == 4 && t.nodes_seen("c3") == 4; }, 15s));
+  for (Register const reg : told_registers) {
+    auto const write = [](ZoneTrial& trial, Register const which) -> Task<void> {
+      Registry<SimProcess>& registry = trial.registry("rb");
+      std::string const bytes = "value of " + register_name(which);
+      auto const step = [bytes](Held const&) -> Result<Held> { return Held{1000, bytes, digest_of(bytes), {}}; };
+      Result<Held> const done =
+          co_await registry.registers().change(which, "", trial.controls.at("rb").process->now() + 3s, step);
+      if (done) registry.announce(which, *done);
+    };
+    spawn(*t.controls.at("rb").process, write(t, reg));
+  }
+  EXPECT_TRUE(t.run_until(
+      [&] {
+        for (auto const& [id, n] : t.nodes)
+          for (Register const reg : told_registers)
+            if (!n.values.contains(reg) || n.values.at(reg) != "value of " + register_name(reg)) return false;
+        return true;
+      },
+      2s));
+  EXPECT_EQ(t.registry("ra").held(Register::keys).revision, 1000u);
+}
+
+TEST(Zones, one_of_the_live_registries_is_the_first_and_another_when_it_is_gone) {
+  ZoneTrial t(6);
+  t.seeds = {"ra", "rb", "rc"};
+  for (std::string const zone : {"a", "b", "c"}) t.add_registry("r" + zone, zone);
+  t.run_for(4s);
+  for (int i = 0; i < 100; ++i) {
+    t.run_for(50ms);
+    ASSERT_TRUE(t.registry("ra").first_of_live_registries());
+    ASSERT_FALSE(t.registry("rb").first_of_live_registries());
+    ASSERT_FALSE(t.registry("rc").first_of_live_registries());
+  }
+  t.kill("ra:1");
+  EXPECT_TRUE(t.run_until([&] { return t.registry("rb").first_of_live_registries(); }, 3s));
+  EXPECT_FALSE(t.registry("rc").first_of_live_registries());
+}
+
+TEST(Zones, a_node_that_hears_nobody_knows_it) {
+  ZoneTrial t(7);
+  t.seeds = {"ra"};
+  t.add_registry("ra", "a");
+  t.add_node("a0", "a", "s");
+  t.add_node("a1", "a", "s");
+  ASSERT_TRUE(t.run_until([&] { return t.nodes_seen("a0") == 2; }, 10s));
+  EXPECT_LT(t.nodes.at("a0").follower->since_contact(), 500ms);
+  std::string const lost = t.nodes.at("a0").process->machine;
+  for (std::string const& other : {t.nodes.at("a1").process->machine, t.controls.at("ra").process->machine}) {
+    t.sim.cut(lost, other);
+    t.sim.cut(other, lost);
+  }
+  t.run_for(4s);
+  EXPECT_GT(t.nodes.at("a0").follower->since_contact(), 3s);
+  EXPECT_EQ(t.view("a0").members.size(), 3u) << "it keeps the view that it had";
+  t.sim.heal();
+  EXPECT_TRUE(t.run_until([&] { return t.nodes.at("a0").follower->since_contact() < 500ms; }, 5s));
+}
+
+}  // namespace
+}  // namespace banktide
--- /dev/null
+++ b/tests/coordination/zone_trial.hpp
@@ -0,0 +1,150 @@
+// Zones on the simulated network: registries with a register of three voters,
+// and nodes that follow their zones, each with one backend.
+#pragma once
+
+#include "coordination/acceptor.hpp"
+#include "coordination/zone_follower.hpp"
+#include "programs/registry.hpp"
+#include "simulation/sim_world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace banktide {
+
+struct ZoneTrial {
+  struct Control {
+    std::string id, zone;
+    Address address;
+    std::shared_ptr<SimProcess> process;
+    std::shared_ptr<Registry<SimProcess>> registry;
+  };
+  struct Node {
+    std::string id, zone;
+    Address address;
+    std::shared_ptr<SimProcess> process;
+    std::shared_ptr<ZoneFollower<SimProcess>> follower;
+    std::vector<BackendRecord> backends;
+    std::size_t least_members = 0;  // in any view since `watch_views`
+    std::map<Register, std::string> values;
+  };
+
+  explicit ZoneTrial(std::uint64_t const seed) : sim(seed), net(sim), disks(3), acceptors(3) {
+    for (std::size_t i = 0; i < 3; ++i) voters.push_back("store-" + std::to_string(i) + ":1");
+    for (std::size_t i = 0; i < 3; ++i) start_voter(i);
+  }
+  ~ZoneTrial() {
+    for (auto const& [address, p] : net.at) p->kill();
+    for (std::shared_ptr<SimProcess> const& p : dead) p->kill();
+    sim.clear();
+  }
+  ZoneTrial(ZoneTrial const&) = delete;
+
+  void start_voter(std::size_t const i) {
+    std::shared_ptr<SimProcess> const p = process("core-" + std::to_string(i), voters[i]);
+    disks[i].process = p.get();
+    acceptors[i] = std::make_shared<Acceptor<SimProcess, SimDisk>>(*p, disks[i], voters, i);
+    EXPECT_TRUE(acceptors[i]->load());
+    acceptors[i]->attach(desk(*p));
+    spawn(*p, acceptors[i]->settle());
+  }
+
+  void add_registry(std::string const& id, std::string const& zone) {
+    Control c;
+    c.id = id;
+    c.zone = zone;
+    c.address = id + ":1";
+    controls[id] = c;
+    start_registry(id);
+  }
+  void start_registry(std::string const& id) {
+    Control& c = controls.at(id);
+    c.process = process("machine-of-" + id, c.address);
+    RegistrySettings settings;
+    settings.id = c.id;
+    settings.cell = c.zone;
+    settings.address = c.address;
+    for (std::string const& seed : seeds) settings.seeds.push_back(seed + ":1");
+    settings.voters = voters;
+    c.registry = std::make_shared<Registry<SimProcess>>(*c.process, settings);
+    kept.push_back(c.registry);
+    c.registry->start(desk(*c.process));
+  }
+
+  void add_node(std::string const& id, std::string const& zone, std::string const& service) {
+    Node& n = nodes[id];
+    n.id = id;
+    n.zone = zone;
+    n.address = id + ":1";
+    BackendRecord b;
+    b.service = service;
+    b.instance = "instance-of-" + id;
+    b.slots = 8;
+    n.backends.push_back(b);
+    n.process = process("machine-of-" + id, n.address);
+    FollowerSettings settings;
+    settings.id = id;
+    settings.zone = zone;
+    settings.address = n.address;
+    settings.gateway = true;
+    for (std::string const& seed : seeds) settings.seeds.push_back(seed + ":1");
+    FollowerEvents events;
+    events.backends = [&n] { return n.backends; };
+    events.value = [&n](Register const r, Held const& h) { n.values[r] = h.bytes; };
+    events.view_changed = [&n] { n.least_members = std::min(n.least_members, n.follower->view().members.size()); };
+    n.follower = std::make_shared<ZoneFollower<SimProcess>>(*n.process, settings, events);
+    n.follower->start(desk(*n.process));
+  }
+
+  void kill(Address const& address) { net.at.at(address)->kill(); }
+  void run_for(Duration const d) { sim.run_until(sim.now + d); }
+  /// Runs until the condition holds; false if it didn't within `most`.
+  bool run_until(std::function<bool()> const& holds, Duration const most) {
+    Instant const end = sim.now + most;
+    while (!holds() && sim.now < end) run_for(50ms);
+    return holds();
+  }
+
+  Registry<SimProcess>& registry(std::string const& id) { return *controls.at(id).registry; }
+  CellView const& view(std::string const& node) { return nodes.at(node).follower->view(); }
+  /// How many nodes the view of this node holds, itself among them.
+  std::size_t nodes_seen(std::string const& node) {
+    std::size_t n = 0;
+    for (auto const& [id, m] : view(node).members) n += m.role != Role::registry && m.standing == Standing::fit;
+    return n;
+  }
+  std::size_t services_seen(std::string const& node, std::string const& zone) {
+    auto const it = view(node).cells.find(zone);
+    return it == view(node).cells.end() ? 0 : it->second.services.size();
+  }
+  void watch_views() {
+    for (auto& [id, n] : nodes) n.least_members = n.follower->view().members.size();
+  }
+
+  std::shared_ptr<SimProcess> process(std::string const& machine, Address const& address) {
+    if (net.at.contains(address)) dead.push_back(net.at[address]);
+    std::shared_ptr<SimProcess> const p = std::make_shared<SimProcess>(sim, net, machine, address, ++runs);
+    net.at[address] = p;
+    net.machine_of[address] = machine;
+    return p;
+  }
+  Desk& desk(SimProcess& p) {
+    desks.push_back(std::make_unique<Desk>());
+    p.serve(*desks.back());
+    return *desks.back();
+  }
+
+  Sim sim;
+  SimNet net;
+  std::uint64_t runs = 0;
+  std::vector<std::string> seeds;  // ids of registries
+  std::vector<Address> voters;
+  std::vector<SimDisk> disks;
+  std::vector<std::shared_ptr<Acceptor<SimProcess, SimDisk>>> acceptors;
+  std::map<std::string, Control> controls;
+  std::map<std::string, Node> nodes;
+  std::vector<std::shared_ptr<SimProcess>> dead;
+  std::vector<std::shared_ptr<Registry<SimProcess>>> kept;
+  std::vector<std::unique_ptr<Desk>> desks;
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/tests/state/key_planner_test.cpp
@@ -0,0 +1,152 @@
+// Single plans against what they must satisfy, checked by walking all rows.
+#include "state/key_planner.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+
+namespace banktide {
+namespace {
+
+struct Fleet {
+  explicit Fleet(std::size_t const count) : planner(KeySettings{}) {
+    for (std::size_t i = 0; i < count; ++i) add(4);
+  }
+  KeyReport& add(std::uint32_t const slots) {
+    KeyReport report;
+    report.service = "payments";
+    report.instance = "i-" + std::to_string(reports.size());
+    report.node = "n-" + std::to_string(reports.size());
+    report.leased = true;
+    report.slots = slots;
+    reports.push_back(report);
+    return reports.back();
+  }
+  // Reports and plans ten times a second; every plan is written.
+  void run(Duration const d) {
+    for (Instant const end = now + d; now < end; now += 100ms) {
+      for (KeyReport const& report : reports)
+        if (!silent.contains(report.instance)) planner.on_report(now, report);
+      std::optional<KeyTable> const plan = planner.plan(now);
+      if (!plan) continue;
+      ++plans;
+      check(*plan);
+      planner.on_table(now, *plan);
+    }
+  }
+  static void check(KeyTable const& table) {
+    for (KeyService const& service : table.services) {
+      std::uint32_t from = 0;
+      for (KeyRow const& row : service.rows) {
+        EXPECT_EQ(row.from, from);
+        EXPECT_GE(row.to, row.from);
+        from = row.to + 1u;
+      }
+      EXPECT_EQ(from, 65536u);
+      EXPECT_LE(service.rows.size(), KeySettings{}.rows_limit);
+    }
+  }
+  std::map<std::string, std::size_t> rows_by_holder() const {
+    std::map<std::string, std::size_t> rows;
+    for (KeyRow const& row : planner.table().services[0].rows)
+      ++rows[row.holder == no_holder ? "" : planner.table().holders[row.holder].instance];
+    return rows;
+  }
+
+  KeyPlanner planner;
+  std::vector<KeyReport> reports;
+  std::set<std::string> silent;
+  Instant now = Instant{} + 1000s;
+  std::size_t plans = 0;
+};
+
+TEST(KeyPlanner, deals_the_first_rows_out_by_slots_so_that_neighbours_differ) {
+  Fleet fleet(4);
+  fleet.add(8);
+  fleet.run(3s);
+  ASSERT_EQ(fleet.planner.table().services.size(), 1u);
+  std::vector<KeyRow> const& rows = fleet.planner.table().services[0].rows;
+  EXPECT_EQ(rows.size(), 60u);
+  for (std::size_t i = 1; i < rows.size(); ++i) EXPECT_NE(rows[i].holder, rows[i - 1].holder);
+  for (auto const& [instance, count] : fleet.rows_by_holder()) EXPECT_EQ(count, instance == "i-4" ? 20u : 10u);
+}
+
+TEST(KeyPlanner, changes_nothing_in_calm) {
+  Fleet fleet(6);
+  fleet.run(3s);
+  std::size_t const plans = fleet.plans;
+  fleet.run(60s);
+  EXPECT_EQ(fleet.plans, plans);
+}
+
+TEST(KeyPlanner, gives_the_rows_of_an_ended_backend_to_the_others_at_once_under_higher_fences) {
+  Fleet fleet(5);
+  fleet.run(3s);
+  std::uint32_t const fence = fleet.planner.table().services[0].highest_fence();
+  fleet.silent.insert("i-2");
+  fleet.reports[1].ended.push_back(KeyEnd{"i-2", "its port refuses connections"});
+  fleet.run(200ms);
+  std::map<std::string, std::size_t> const rows = fleet.rows_by_holder();
+  EXPECT_FALSE(rows.contains("i-2"));
+  EXPECT_FALSE(rows.contains(""));
+  for (auto const& [instance, count] : rows) EXPECT_LE(count, 18u) << instance;
+  EXPECT_GT(fleet.planner.table().services[0].highest_fence(), fence);
+}
+
+TEST(KeyPlanner, waits_the_whole_term_for_a_silent_holder_and_restores_one_that_returns) {
+  Fleet fleet(5);
+  fleet.run(3s);
+  KeySettings const settings;
+  fleet.silent.insert("i-2");
+  fleet.run(settings.revoke_after + 500ms);
+  EXPECT_TRUE(fleet.rows_by_holder().contains("i-2"));
+  fleet.silent.clear();
+  fleet.run(500ms);
+  for (KeyRow const& row : fleet.planner.table().services[0].rows) EXPECT_EQ(row.revoked, 0u);
+  fleet.silent.insert("i-2");
+  fleet.run(settings.revoke_after + settings.term);
+  EXPECT_TRUE(fleet.rows_by_holder().contains("i-2"));
+  fleet.run(1s);
+  EXPECT_FALSE(fleet.rows_by_holder().contains("i-2"));
+}
+
+// A release proves something only of the move that it belongs to.
+TEST(KeyPlanner, heeds_a_release_of_its_own_move_only) {
+  Fleet fleet(3);
+  fleet.run(3s);
+  fleet.reports[0].standing = KeyStanding::draining;
+  fleet.run(500ms);
+  std::vector<KeyRow> const rows = fleet.planner.table().services[0].rows;
+  for (KeyRow const& row : rows)
+    if (row.moving != 0)
+      fleet.reports[0].released.push_back(KeyRelease{row.from, row.to, row.fence, row.moving + 7, "token"});
+  ASSERT_FALSE(fleet.reports[0].released.empty());
+  fleet.run(1s);
+  EXPECT_TRUE(fleet.rows_by_holder().contains("i-0"));
+  for (KeyRelease& release : fleet.reports[0].released) release.moving -= 7;
+  fleet.run(500ms);
+  EXPECT_FALSE(fleet.rows_by_holder().contains("i-0"));
+  for (KeyRow const& row : fleet.planner.table().services[0].rows) {
+    if (row.fence == 1) continue;
+    EXPECT_EQ(row.handover, "token");
+  }
+}
+
+TEST(KeyPlanner, keeps_the_rows_of_each_backend_within_bounds_when_few_are_left) {
+  Fleet fleet(40);
+  fleet.run(4s);
+  for (std::size_t i = 0; i < 37; ++i) {
+    std::string const instance = "i-" + std::to_string(i);
+    fleet.silent.insert(instance);
+    fleet.reports[39].ended.push_back(KeyEnd{instance, "gone"});
+  }
+  fleet.run(1s);
+  std::map<std::string, std::size_t> const rows = fleet.rows_by_holder();
+  EXPECT_EQ(rows.size(), 3u);
+  EXPECT_FALSE(rows.contains(""));
+  for (auto const& [instance, count] : rows) EXPECT_LE(count, KeySettings{}.held_rows_limit) << instance;
+}
+
+}  // namespace
+}  // namespace banktide
