--- a/source/state/sqlite_disk.hpp
+++ b/source/state/sqlite_disk.hpp
@@ -70,6 +70,12 @@
     co_return true;
   }
 
+  /// The most pages that the file may have: a full disk, for tests.
+  void limit_pages(int const pages) {
+    std::string const sql = "PRAGMA max_page_count=" + std::to_string(pages);
+    sqlite3_exec(db_, sql.c_str(), nullptr, nullptr, nullptr);
+  }
+
  private:
   static constexpr int record_format = 2;
 
--- a/source/transport/socket_world.hpp
+++ b/source/transport/socket_world.hpp
@@ -427,7 +427,11 @@
     Result<Bytes> reply = co_await desk_->handlers[head.kind](std::move(payload));
     --session->handling;
     if (!reply) {
-      log_warn("bad_frame", {{"step", reply.error().step}, {"peer", peer}, {"reason", reply.error().reason}});
+      log_warn("bad_frame", {{"step", reply.error().step},
+                             {"peer", peer},
+                             {"kind", std::to_string(head.kind)},
+                             {"length", std::to_string(head.length)},
+                             {"reason", reply.error().reason}});
       close(*session);
       co_return;
     }
--- /dev/null
+++ b/tests/state/sqlite_disk_test.cpp
@@ -0,0 +1,90 @@
+// The voter's disk: formats of records, and a disk that refuses writes.
+#include "state/sqlite_disk.hpp"
+
+#include <filesystem>
+#include <gtest/gtest.h>
+
+namespace banktide {
+namespace {
+
+class SqliteDiskFile : public testing::Test {
+ protected:
+  SqliteDiskFile() : folder(std::filesystem::temp_directory_path() / ("banktide-h2-" + std::to_string(::getpid()))) {
+    std::filesystem::create_directories(folder);
+    file = (folder / "voter.db").string();
+  }
+  ~SqliteDiskFile() override { std::filesystem::remove_all(folder); }
+
+  Result<bool> keep(SqliteDisk& disk, VoterRecord const& record) {
+    Result<bool> out = mishap("keep", "", "no end");
+    asio::io_context io;
+    asio::co_spawn(io, disk.keep(record), [&](std::exception_ptr, Result<bool> kept) { out = kept; });
+    io.run();
+    return out;
+  }
+  void run(std::string const& sql) {
+    sqlite3* db = nullptr;
+    ASSERT_EQ(sqlite3_open(file.c_str(), &db), SQLITE_OK);
+    EXPECT_EQ(sqlite3_exec(db, sql.c_str(), nullptr, nullptr, nullptr), SQLITE_OK);
+    sqlite3_close(db);
+  }
+
+  std::filesystem::path const folder;
+  std::string file;
+};
+
+TEST_F(SqliteDiskFile, the_set_of_voters_and_all_registers_are_there_after_reopening) {
+  VoterRecord record;
+  record.phase = Phase::voting;
+  record.set = first_set({"a:1", "b:1"}, 1);
+  record.set.epoch = record.active_epoch = 7;
+  record.disk = 99;
+  record.slots[static_cast<std::size_t>(Register::keys)].held.bytes = "keys";
+  {
+    std::unique_ptr<SqliteDisk> disk = std::move(*SqliteDisk::open(file));
+    ASSERT_TRUE(keep(*disk, record));
+  }
+  Result<VoterRecord> const back = (*SqliteDisk::open(file))->load();
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->set, record.set);
+  EXPECT_EQ(back->active_epoch, 7u);
+  EXPECT_EQ(back->disk, 99u);
+  EXPECT_EQ(back->slots, record.slots);
+}
+
+TEST_F(SqliteDiskFile, a_record_of_another_format_is_refused_by_name) {
+  {
+    std::unique_ptr<SqliteDisk> disk = std::move(*SqliteDisk::open(file));
+    VoterRecord const record;
+    ASSERT_TRUE(keep(*disk, record));
+  }
+  run("PRAGMA user_version=0");
+  Result<VoterRecord> const old = (*SqliteDisk::open(file))->load();
+  ASSERT_FALSE(old);
+  EXPECT_EQ(old.error().reason, "record of format 0, known is 2");
+}
+
+TEST_F(SqliteDiskFile, a_write_that_is_refused_is_said_and_the_next_may_succeed) {
+  std::unique_ptr<SqliteDisk> disk = std::move(*SqliteDisk::open(file));
+  VoterRecord small, large;
+  large.slots[0].held.bytes = std::string(300000, 'x');
+  ASSERT_TRUE(keep(*disk, small));
+  disk->limit_pages(20);
+  EXPECT_FALSE(keep(*disk, large));
+  small.disk = 3;
+  EXPECT_TRUE(keep(*disk, small));
+  EXPECT_EQ(disk->load()->disk, 3u);
+}
+
+TEST_F(SqliteDiskFile, its_files_stay_small_however_often_it_is_written) {
+  std::unique_ptr<SqliteDisk> disk = std::move(*SqliteDisk::open(file));
+  VoterRecord record;
+  record.slots[0].held.bytes = std::string(20000, 'x');
+  for (int i = 0; i < 200; ++i) ASSERT_TRUE(keep(*disk, record));
+  std::uintmax_t bytes = 0;
+  for (auto const& entry : std::filesystem::directory_iterator(folder)) bytes += entry.file_size();
+  EXPECT_LT(bytes, 1000000u);
+}
+
+}  // namespace
+}  // namespace banktide
