--- a/source/data_path/request_path.hpp
+++ b/source/data_path/request_path.hpp
@@ -80,6 +80,16 @@
     co_return reply;
   }
 
+  /** A refusal is a promise that the request has not run and never will. */
+  HttpReply refusal(std::string const& reason, Duration const retry_after) {
+    ++counts_.refused;
+    HttpReply reply = plain_reply(503, reason);
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(retry_after).count());
+    reply.headers.push_back({"Retry-After", text});
+    return reply;
+  }
+
  private:
   static constexpr Duration busy_retry = 60ms;
   static constexpr Duration not_ready_retry = 300ms;
@@ -102,16 +112,6 @@
     return reply;
   }
 
-  // A refusal is a promise that the request has not run and never will.
-  HttpReply refusal(std::string const& reason, Duration const retry_after) {
-    ++counts_.refused;
-    HttpReply reply = plain_reply(503, reason);
-    char text[32];
-    std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(retry_after).count());
-    reply.headers.push_back({"Retry-After", text});
-    return reply;
-  }
-
   HttpReply failure(Attempt const& attempt, std::string const& reason) {
     ++counts_.failed;
     return plain_reply(w_.now() + answer_margin >= attempt.deadline ? 504 : 502, reason);
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -53,16 +53,20 @@
   /** Whether clients of this machine should send new work here. */
   bool ready() const { return !leaving_ && follower_.fresh() && follower_.viewed() && path_.router() && in_contact(); }
   bool idle() const { return path_.in_flight() == 0 && local_.in_flight() == 0; }
+  /** Clients and other nodes had time to notice that it leaves: new requests are refused, so that it empties. */
+  bool refusing() const { return leaving_ && w_.now() - left_at_ > clients_need_to_notice; }
   RequestPath<W, LocalBackend<W>>& path() { return path_; }
 
   void leave() {
     leaving_ = true;
+    left_at_ = w_.now();
     follower_.leave();
     report_alarm_.wake();
   }
 
   /** A request of a client, or of this machine's backend. */
   Task<HttpReply> request(HttpRequest q, std::shared_ptr<HttpExchange> exchange) {
+    if (refusing()) return refused_leaving();
     return path_.handle(std::move(q), std::move(exchange));
   }
 
@@ -84,6 +88,9 @@
 
  private:
   static constexpr Duration tick_period = 100ms;
+  static constexpr Duration clients_need_to_notice = 3200ms;
+
+  Task<HttpReply> refused_leaving() { co_return path_.refusal("node is leaving", tick_period); }
   static constexpr Duration isolated_after = 1500ms;
   static constexpr double busy_weight = 0.05;
 
@@ -199,6 +206,13 @@
   // ---- requests from other nodes
 
   Task<ForwardReply> forwarded(Forward f) {
+    if (refusing()) {
+      ForwardReply reply;
+      reply.outcome = Outcome::not_run;
+      reply.refusal = Refusal::no_backend;
+      reply.reason = "node is leaving";
+      co_return reply;
+    }
     bool const may_pass_on = f.crossed && !f.keyed;
     if (!may_pass_on) co_return co_await local_.run(std::move(f));
     Forward kept = f;
@@ -323,6 +337,7 @@
   typename W::Alarm grant_alarm_;
   typename W::Alarm report_alarm_;
   double busy_ = 0;
+  Instant left_at_{};
   bool leaving_ = false;
 };
 
--- a/source/programs/mesh_proxy.cpp
+++ b/source/programs/mesh_proxy.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr Duration clients_need_to_notice = 3200ms;
 constexpr Duration left_of_grace = 600ms;
 
 void define(Settings& s) {
@@ -92,13 +91,15 @@
   });
   if (!open) return start_failed(open.error());
   log_info("started", {{"address", *bound}, {"clients", s.text("client-address")}, {"zone", s.text("zone")}});
-  Instant left{};
   auto const leave = [&] {
-    left = world.now();
     node.leave();
     clients.drain();
   };
-  auto const idle = [&] { return world.now() - left > clients_need_to_notice && node.idle(); };
+  auto const idle = [&] {
+    if (!node.refusing()) return false;
+    clients.close_listener();
+    return node.idle();
+  };
   auto const reload = [&] {
     Process::reload(s, define, line.count(), line.words(),
                     [](std::string const& name, Settings const&) { return name == "seed-control"; });
