--- a/source/data_path/backend_queue.cpp
+++ b/source/data_path/backend_queue.cpp
@@ -6,13 +6,19 @@
 
 void BackendQueue::set_slots(std::uint32_t const slots) { slots_ = std::max<std::uint32_t>(slots, 1); }
 
-Duration BackendQueue::time_per_start() const { return estimate_.overall() / static_cast<int>(slots_); }
+Duration BackendQueue::time_to_next_slot() const { return estimate_.overall() / static_cast<int>(slots_); }
 
-Duration BackendQueue::expected_wait(std::uint32_t const rank) const {
-  if (running_ < slots_) return Duration::zero();
-  std::size_t ahead = 1;
-  for (QueuedRequest const& q : waiting_) ahead += q.rank <= rank;
-  return time_per_start() * static_cast<int>(ahead);
+Duration BackendQueue::weight_of(std::uint32_t const rank, std::uint32_t const work_class) const {
+  return estimate_.expected(work_class) * static_cast<int>(1 + std::min(rank, highest_rank));
+}
+
+Duration BackendQueue::expected_wait(std::uint32_t const rank, std::uint32_t const work_class) const {
+  if (running_ < slots_ && waiting_.empty()) return Duration::zero();
+  Duration const weight = weight_of(rank, work_class);
+  Duration ahead = Duration::zero();
+  for (Waiting const& w : waiting_)
+    if (w.weight <= weight) ahead += w.work;
+  return time_to_next_slot() + ahead / static_cast<int>(slots_);
 }
 
 Admission BackendQueue::admit(Instant const now, QueuedRequest const& request) {
@@ -20,11 +26,13 @@
     ++running_;
     return Admission::run;
   }
-  Instant const done = now + expected_wait(request.rank) + estimate_.expected(request.work_class);
+  Duration const work = estimate_.expected(request.work_class);
+  Instant const done = now + expected_wait(request.rank, request.work_class) + work;
   if (done > request.useful_until || waiting_.size() >= longest) return Admission::refuse;
-  auto const after = std::find_if(waiting_.begin(), waiting_.end(),
-                                  [&](QueuedRequest const& q) { return q.rank > request.rank; });
-  waiting_.insert(after, request);
+  Waiting const entry{request, work, weight_of(request.rank, request.work_class)};
+  auto const after =
+      std::find_if(waiting_.begin(), waiting_.end(), [&](Waiting const& w) { return w.weight > entry.weight; });
+  waiting_.insert(after, entry);
   refuse_hopeless(now);
   return Admission::wait;
 }
@@ -33,44 +41,44 @@
                             bool const measured) {
   if (measured) estimate_.ran(work_class, took);
   if (running_ > 0) --running_;
-  refuse_hopeless(now);
   start_next(now);
+  refuse_hopeless(now);
 }
 
 void BackendQueue::start_next(Instant const now) {
   while (running_ < slots_ && !waiting_.empty()) {
-    QueuedRequest const next = waiting_.front();
+    Waiting const next = waiting_.front();
     waiting_.pop_front();
-    bool const in_time = now + estimate_.expected(next.work_class) / 2 <= next.useful_until;
-    (in_time ? decisions_.run : decisions_.refuse).push_back(next.id);
+    bool const in_time = now + next.work / 2 <= next.request.useful_until;
+    (in_time ? decisions_.run : decisions_.refuse).push_back(next.request.id);
     if (in_time) ++running_;
   }
 }
 
 void BackendQueue::refuse_hopeless(Instant const now) {
-  Duration const step = time_per_start();
   Duration wait = Duration::zero();
   for (auto it = waiting_.begin(); it != waiting_.end();) {
-    bool const hopeless = now + wait + estimate_.expected(it->work_class) / 2 > it->useful_until;
+    bool const hopeless = now + wait + it->work / 2 > it->request.useful_until;
     if (hopeless) {
-      decisions_.refuse.push_back(it->id);
+      decisions_.refuse.push_back(it->request.id);
       it = waiting_.erase(it);
     } else {
-      wait += step;
+      wait += it->work / static_cast<int>(slots_);
       ++it;
     }
   }
 }
 
 bool BackendQueue::withdraw(std::uint64_t const id) {
-  auto const it = std::find_if(waiting_.begin(), waiting_.end(), [id](QueuedRequest const& q) { return q.id == id; });
+  auto const it =
+      std::find_if(waiting_.begin(), waiting_.end(), [id](Waiting const& w) { return w.request.id == id; });
   if (it == waiting_.end()) return false;
   waiting_.erase(it);
   return true;
 }
 
 void BackendQueue::refuse_all() {
-  for (QueuedRequest const& q : waiting_) decisions_.refuse.push_back(q.id);
+  for (Waiting const& w : waiting_) decisions_.refuse.push_back(w.request.id);
   waiting_.clear();
 }
 
--- a/source/data_path/backend_queue.hpp
+++ b/source/data_path/backend_queue.hpp
@@ -1,6 +1,8 @@
 // The queue before one backend. The node beside the backend is its only caller,
-// so it never sends more at once than the backend has slots; what must wait is
-// ordered by rank, then by age, and whatever can't be served in time is refused
+// so it never sends more at once than the backend has slots. What must wait is
+// ordered by its expected work, weighted by its rank, so that a slot-second goes
+// to as many and as important requests as possible: short calls that other
+// requests wait for pass long ones. Whatever can't be served in time is refused
 // as soon as that is foreseen. Pure state: the caller gives the time.
 #pragma once
 
@@ -47,18 +49,27 @@
   void refuse_all();
   /** Decisions since the last call, for the owner to carry out. */
   Decisions take_decisions();
-  /** The wait that a new request of the rank would have now. */
-  Duration expected_wait(std::uint32_t rank) const;
+  /** The wait that a new request would have now. */
+  Duration expected_wait(std::uint32_t rank, std::uint32_t work_class) const;
 
  private:
-  Duration time_per_start() const;
+  struct Waiting {
+    QueuedRequest request;
+    Duration work{};
+    /** The lower, the sooner it runs. */
+    Duration weight{};
+  };
+
+  Duration time_to_next_slot() const;
+  Duration weight_of(std::uint32_t rank, std::uint32_t work_class) const;
   void start_next(Instant now);
   void refuse_hopeless(Instant now);
 
   static constexpr std::size_t longest = 512;
+  static constexpr std::uint32_t highest_rank = 7;
   std::uint32_t slots_ = 1;
   std::uint32_t running_ = 0;
-  std::list<QueuedRequest> waiting_;  // by rank, then by arrival
+  std::list<Waiting> waiting_;  // by weight, then by arrival
   WorkEstimate estimate_;
   Decisions decisions_;
 };
--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -121,14 +121,14 @@
     Duration const useful = std::max<Duration>(std::chrono::milliseconds(forward.aim_ms), (deadline - arrived) * 6 / 10);
     QueuedRequest const queued{id, forward.rank, forward.work_class, std::min(deadline, arrived + useful)};
     Admission const admission = instance_->queue.admit(arrived, queued);
-    if (admission == Admission::refuse) co_return refuse(Refusal::busy, "queue too long", expected_wait(forward.rank));
+    if (admission == Admission::refuse) co_return refuse(Refusal::busy, "queue too long", expected_wait(forward));
     std::shared_ptr<Waiter> const waiter = std::make_shared<Waiter>(w_);
     requests_[id] = waiter;
     std::uint64_t const life = life_;
     if (admission == Admission::wait) {
       carry_out();
       std::optional<bool> const turn = co_await waiter->turn.wait(deadline);
-      if (!turn || !*turn) co_return give_up_waiting(id, life, forward.rank);
+      if (!turn || !*turn) co_return give_up_waiting(id, life, forward);
     }
     ForwardReply reply = co_await send(forward, deadline, life);
     requests_.erase(id);
@@ -196,8 +196,8 @@
     return r;
   }
 
-  Duration expected_wait(std::uint32_t const rank) const {
-    return std::clamp<Duration>(instance_ ? instance_->queue.expected_wait(rank) : 100ms, 20ms, 250ms);
+  Duration expected_wait(Forward const& forward) const {
+    return std::clamp<Duration>(instance_ ? instance_->queue.expected_wait(forward.rank, forward.work_class) : 100ms, 20ms, 250ms);
   }
 
   ForwardReply check(Forward const& forward, Instant const now) const {
@@ -220,10 +220,10 @@
     return keys_->may_run(forward.key, now, expected).has_value();
   }
 
-  ForwardReply give_up_waiting(std::uint64_t const id, std::uint64_t const life, std::uint32_t const rank) {
+  ForwardReply give_up_waiting(std::uint64_t const id, std::uint64_t const life, Forward const& forward) {
     requests_.erase(id);
     if (life == life_ && instance_) instance_->queue.withdraw(id);
-    return refuse(Refusal::busy, "no slot in time", expected_wait(rank));
+    return refuse(Refusal::busy, "no slot in time", expected_wait(forward));
   }
 
   // Wakes the requests that the queue has decided about.
--- a/source/data_path/work_estimate.hpp
+++ b/source/data_path/work_estimate.hpp
@@ -4,6 +4,7 @@
 
 #include "transport/result.hpp"
 
+#include <algorithm>
 #include <tsl/robin_map.h>
 
 namespace banktide {
@@ -13,32 +14,39 @@
   /** One run of the class took `took`. */
   void ran(std::uint32_t const work_class, Duration const took) {
     double const ms = std::chrono::duration<double, std::milli>(took).count();
-    update(overall_ms_, ms);
-    auto it = by_class_ms_.find(work_class);
-    if (it == by_class_ms_.end()) it = by_class_ms_.emplace(work_class, ms).first;
-    update(it.value(), ms);
+    update(overall_, ms);
+    update(by_class_[work_class], ms);
   }
 
   /** The expected run time of a request of the class. */
   Duration expected(std::uint32_t const work_class) const {
-    auto const it = by_class_ms_.find(work_class);
-    return milliseconds(it == by_class_ms_.end() ? overall_ms_ : it->second);
+    auto const it = by_class_.find(work_class);
+    return milliseconds(it == by_class_.end() ? overall_.ms : it->second.ms);
   }
 
   /** The expected run time over all classes. */
-  Duration overall() const { return milliseconds(overall_ms_); }
+  Duration overall() const { return milliseconds(overall_.ms); }
 
  private:
   static constexpr double weight_of_newest = 0.05;
   static constexpr double first_guess_ms = 50;
 
-  static void update(double& mean, double const ms) { mean += (ms - mean) * weight_of_newest; }
+  /** A mean that follows the newest runs, and at first all of them alike. */
+  struct Mean {
+    double ms = first_guess_ms;
+    double runs = 0;
+  };
+
+  static void update(Mean& mean, double const ms) {
+    mean.runs += 1;
+    mean.ms += (ms - mean.ms) * std::max(weight_of_newest, 1 / mean.runs);
+  }
   static Duration milliseconds(double const ms) {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
   }
 
-  double overall_ms_ = first_guess_ms;
-  tsl::robin_map<std::uint32_t, double> by_class_ms_;
+  Mean overall_;
+  tsl::robin_map<std::uint32_t, Mean> by_class_;
 };
 
 }  // namespace banktide
--- a/tests/coordination/zone_feed_test.cpp
+++ b/tests/coordination/zone_feed_test.cpp
@@ -16,9 +16,12 @@
     feed = std::make_shared<ZoneFeed<SimProcess>>(*process, FeedSettings{"a", "r", "r:1", FeedTiming{}},
                                                   FeedSources{[] { return true; }, [] { return Revisions{}; }});
   }
+  // What was spawned last starts first, so that it ends with its process.
   ~FeedTrial() {
+    sim.settle();
     process->kill();
     sim.clear();
+    sim.settle();
   }
 
   JoinReply join(std::string const& id, std::vector<BackendRecord> backends, Standing const standing = Standing::fit,
--- a/tests/coordination/zone_trial.hpp
+++ b/tests/coordination/zone_trial.hpp
@@ -32,10 +32,13 @@
     for (std::size_t i = 0; i < 3; ++i) voters.push_back("store-" + std::to_string(i) + ":1");
     for (std::size_t i = 0; i < 3; ++i) start_voter(i);
   }
+  // What was spawned last starts first, so that it ends with its process.
   ~ZoneTrial() {
+    sim.settle();
     for (auto const& [address, p] : net.at) p->kill();
     for (std::shared_ptr<SimProcess> const& p : dead) p->kill();
     sim.clear();
+    sim.settle();
   }
   ZoneTrial(ZoneTrial const&) = delete;
 
--- a/tests/data_path/backend_queue_test.cpp
+++ b/tests/data_path/backend_queue_test.cpp
@@ -41,6 +41,23 @@
   EXPECT_EQ(queue.admit(at(0), request(3, 0, 120)), Admission::wait);
 }
 
+TEST(BackendQueue, short_calls_pass_long_ones_of_the_same_rank) {
+  BackendQueue queue;
+  queue.set_slots(1);
+  constexpr std::uint32_t long_class = 1, short_class = 2;
+  for (std::uint32_t const c : {long_class, short_class}) {
+    queue.admit(at(0), QueuedRequest{c, 0, c, at(1000)});
+    queue.finished(at(0), c, c == long_class ? 120ms : 20ms, true);
+  }
+  queue.take_decisions();
+  queue.admit(at(0), QueuedRequest{10, 0, long_class, at(1000)});
+  EXPECT_EQ(queue.admit(at(0), QueuedRequest{11, 0, long_class, at(1000)}), Admission::wait);
+  EXPECT_EQ(queue.admit(at(1), QueuedRequest{12, 0, short_class, at(1000)}), Admission::wait);
+  EXPECT_LT(queue.expected_wait(0, short_class), queue.expected_wait(0, long_class));
+  queue.finished(at(2), long_class, 120ms, true);
+  EXPECT_EQ(queue.take_decisions().run, (std::vector<std::uint64_t>{12}));
+}
+
 TEST(BackendQueue, a_higher_rank_pushes_out_what_then_comes_too_late) {
   BackendQueue queue;
   queue.set_slots(1);
