--- a/source/coordination/zone_follower.hpp
+++ b/source/coordination/zone_follower.hpp
@@ -146,7 +146,8 @@
       std::vector<Address> const peers = peers_to_meet();
       for (Address const& peer : peers) spawn(w_, meet_one(peer));
       directory_.forget_silent(w_.now());
-      bool const settled = !own_registry().empty() && directory_.entries().size() >= 2;
+      bool const young = w_.now() - started_ < meet_often_for;
+      bool const settled = !young && !own_registry().empty() && directory_.entries().size() >= 2;
       co_await sleep_for(w_, settled ? t_.node_meet_every : Duration(200ms));
     }
   }
@@ -176,7 +177,9 @@
       Join const q = join_question();
       Result<JoinReply> const r = co_await ask(w_, registry, q, w_.now() + 800ms);
       if (r) take_join_reply(q, *r, registry);
-      co_await sleep_for(w_, r ? Duration(10ms) : Duration(200ms));
+      bool const not_yet = r && !r->taken;
+      if (not_yet) dirty_ = true;
+      co_await sleep_for(w_, r && !not_yet ? Duration(10ms) : Duration(150ms));
     }
   }
 
@@ -279,6 +282,7 @@
     if (r->snapshot) {
       view_.replace(*r->snapshot);
       at_ = r->snapshot->at;
+      heard_.clear();  // members that had lost sight of this node owe it no beats from before
       check_own();
       view_changed();
     } else {
@@ -410,6 +414,7 @@
   }
 
   static constexpr Duration meet_patience = 500ms;
+  static constexpr Duration meet_often_for = 3s;  // from the start, until all registries had time to be heard of
   // Frames between processes are given up long before they are this old.
   static constexpr Duration news_may_be_late = 3s;
 
--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -25,6 +25,8 @@
   Duration drain_tail = 700ms;
   /** After this no request is sent to a draining backend, whatever waits. */
   Duration drain_end = 1500ms;
+  /** The part of a route's aim, in percent, within which its answer is to be foreseen: runs differ in length. */
+  int aim_percent = 85;
 };
 
 /** Opens connections to a backend; made anew for each life of a backend. */
@@ -118,8 +120,11 @@
     Instant const deadline = arrived + std::chrono::milliseconds(forward.remaining_ms);
     if (ForwardReply const refused = check(forward, arrived); refused.refusal != Refusal::none) co_return refused;
     std::uint64_t const id = ++last_id_;
-    Duration const useful = std::max<Duration>(std::chrono::milliseconds(forward.aim_ms), (deadline - arrived) * 6 / 10);
-    QueuedRequest const queued{id, forward.rank, forward.work_class, std::min(deadline, arrived + useful)};
+    // What would miss its aim is better refused early: another endpoint, or the
+    // client's next try, may still make it.
+    Duration const aim = std::chrono::milliseconds(forward.aim_ms) * s_.aim_percent / 100;
+    Duration const useful = std::min<Duration>(aim, deadline - arrived);
+    QueuedRequest const queued{id, forward.rank, forward.work_class, arrived + useful};
     Admission const admission = instance_->queue.admit(arrived, queued);
     if (admission == Admission::refuse) co_return refuse(Refusal::busy, "queue too long", expected_wait(forward));
     std::shared_ptr<Waiter> const waiter = std::make_shared<Waiter>(w_);
@@ -294,7 +299,7 @@
   ForwardReply judge(HttpReply http, std::string const& instance) {
     bool const marked = has_header(http.headers, headers_.not_executed) || http.status == 421;
     if (marked) {
-      log_info("backend_refused", {{"instance", instance}, {"status", std::to_string(http.status)}});
+      note_refusal(instance, http.status);
       return refuse(Refusal::by_backend, "backend did not run it", 50ms);
     }
     ForwardReply reply;
@@ -307,6 +312,15 @@
     return reply;
   }
 
+  // A full backend may refuse hundreds a second: they are counted, and told once a second.
+  void note_refusal(std::string const& instance, std::uint16_t const status) {
+    ++refusals_;
+    if (w_.now() - refusals_told_ < 1s) return;
+    log_info("backend_refused",
+             {{"instance", instance}, {"status", std::to_string(status)}, {"so_far", std::to_string(refusals_)}});
+    refusals_told_ = w_.now();
+  }
+
   ForwardReply judge_failure(Mishap const& error, std::string const& instance) {
     bool const nobody_listens = error.step == "connect" && error.reason == "refused";
     if (nobody_listens && instance_ && instance_->beat.id == instance) {
@@ -336,6 +350,8 @@
   tsl::robin_map<std::uint64_t, std::shared_ptr<Waiter>> requests_;
   std::uint64_t last_id_ = 0;
   std::uint64_t life_ = 0;
+  std::uint64_t refusals_ = 0;
+  Instant refusals_told_{};
 };
 
 }  // namespace banktide
--- /dev/null
+++ b/source/programs/hollow_fleet_control.cpp
@@ -0,0 +1,128 @@
+// See hollow_fleet_control.hpp.
+#include "programs/hollow_fleet_control.hpp"
+
+#include "coordination/membership.hpp"
+#include "programs/mesh_registry.hpp"
+
+namespace banktide {
+
+namespace {
+
+constexpr Duration sync_time = 1ms;
+
+}  // namespace
+
+// A disk in memory, which outlives the store's process.
+struct HollowControl::Disk {
+  HollowProcess* process = nullptr;
+  VoterRecord record;
+
+  Result<VoterRecord> load() { return record; }
+  Task<Result<bool>> keep(VoterRecord const& next) {
+    VoterRecord const kept = next;
+    HollowMeter& meter = *process->meter();
+    ++meter.disk_writes;
+    meter.disk_bytes += pack(kept).size();
+    co_await sleep_for(*process, sync_time);
+    record = kept;
+    co_return true;
+  }
+};
+
+struct HollowControl::Life {
+  using Store = Acceptor<HollowProcess, Disk>;
+
+  Life(HollowControl& owner, bool const initial_start)
+      : registry_process(std::make_shared<HollowProcess>(owner.network_, owner.settings_.registry,
+                                                         owner.settings_.place, owner.registry_meter_)),
+        store_process(std::make_shared<HollowProcess>(owner.network_, owner.settings_.store, owner.settings_.place,
+                                                      owner.store_meter_)),
+        registry(*registry_process, registry_settings(owner.settings_)),
+        mesh(*registry_process, registry, owner.interface_.adapter(), KeySettings{}),
+        acceptor(*store_process, *owner.disk_, owner.settings_.store),
+        membership(*store_process, acceptor, membership_settings(owner.settings_, initial_start)) {
+    owner.disk_->process = store_process.get();
+  }
+
+  static RegistrySettings registry_settings(HollowControlSettings const& s) {
+    RegistrySettings r;
+    r.id = s.id;
+    r.cell = s.place.zone;
+    r.address = s.registry;
+    r.seeds = s.seeds;
+    r.store_port = s.store_port;
+    return r;
+  }
+
+  static MembershipSettings membership_settings(HollowControlSettings const& s, bool const initial_start) {
+    MembershipSettings m;
+    m.initial_start = initial_start;
+    for (Address const& seed : s.seeds)
+      m.seeds.push_back(seed.substr(0, seed.rfind(':') + 1) + std::to_string(s.store_port));
+    return m;
+  }
+
+  void start() {
+    (void)acceptor.load();
+    store_process->serve(store_desk);
+    acceptor.attach(store_desk);
+    membership.attach(store_desk);
+    spawn(*store_process, membership.run());
+    registry_process->serve(registry_desk);
+    registry.start(registry_desk);
+    mesh.start(registry_desk);
+  }
+
+  Task<void> write(HttpRequest question, Written done) {
+    HttpReply const reply = co_await mesh.interface_call(std::move(question));
+    done(reply.status == 200);
+  }
+
+  std::shared_ptr<HollowProcess> registry_process, store_process;
+  Desk registry_desk, store_desk;
+  Registry<HollowProcess> registry;
+  MeshRegistry<HollowProcess> mesh;
+  Store acceptor;
+  Membership<HollowProcess, Disk> membership;
+};
+
+HollowControl::HollowControl(HollowNetwork& network, HollowInterface& interface, HollowControlSettings settings)
+    : network_(network),
+      interface_(interface),
+      settings_(std::move(settings)),
+      registry_meter_(std::make_shared<HollowMeter>()),
+      store_meter_(std::make_shared<HollowMeter>()),
+      disk_(std::make_unique<Disk>()) {}
+
+HollowControl::~HollowControl() { kill(); }
+
+void HollowControl::start() {
+  kill();
+  life_ = std::make_unique<Life>(*this, !started_before_);
+  started_before_ = true;
+  network_.add(life_->registry_process);
+  network_.add(life_->store_process);
+  life_->start();
+}
+
+void HollowControl::kill() {
+  if (!life_) return;
+  life_->registry_process->kill();
+  life_->store_process->kill();
+  network_.settle();
+  life_.reset();
+}
+
+bool HollowControl::vouched() const { return life_ && life_->registry.vouched(); }
+std::size_t HollowControl::voters() const { return life_ ? life_->acceptor.set().voters.size() : 0; }
+
+void HollowControl::write_configuration(HollowConfiguration const& configuration, Written done) {
+  if (!life_) return done(false);
+  WriteConfigurationOperation operation;
+  operation.version = configuration.version;
+  operation.bytes = hollow_configuration_bytes(configuration);
+  HttpRequest question = interface_.request(std::move(operation));
+  spawn(*life_->registry_process, life_->write(std::move(question), std::move(done)));
+}
+
+}  // namespace banktide
--- /dev/null
+++ b/source/programs/hollow_fleet_control.hpp
@@ -0,0 +1,53 @@
+// A hollow machine for control: the product's registry with its coordinator of
+// keys, and the product's store with a disk in memory. Each has its own meter,
+// as they are two programs.
+#pragma once
+
+#include "programs/hollow_fleet_interface.hpp"
+#include "programs/hollow_fleet_world.hpp"
+
+namespace banktide {
+
+struct HollowControlSettings {
+  std::string id;
+  HollowPlace place;
+  Address registry;
+  Address store;
+  std::uint16_t store_port = 0;
+  std::vector<Address> seeds;  ///< registries; the stores beside them found the register
+};
+
+class HollowControl {
+ public:
+  HollowControl(HollowNetwork& network, HollowInterface& interface, HollowControlSettings settings);
+  ~HollowControl();
+  HollowControl(HollowControl const&) = delete;
+
+  void start();
+  void kill();
+  /// Whether its registry has a recent reading of a majority.
+  bool vouched() const;
+  /// How many voters the register has, as this store knows.
+  std::size_t voters() const;
+
+  using Written = std::function<void(bool acknowledged)>;
+  void write_configuration(HollowConfiguration const& configuration, Written done);
+
+  HollowMeter& registry_meter() { return *registry_meter_; }
+  HollowMeter& store_meter() { return *store_meter_; }
+  HollowControlSettings const& settings() const { return settings_; }
+
+ private:
+  struct Disk;
+  struct Life;
+
+  HollowNetwork& network_;
+  HollowInterface& interface_;
+  HollowControlSettings const settings_;
+  std::shared_ptr<HollowMeter> const registry_meter_, store_meter_;
+  std::unique_ptr<Disk> disk_;
+  std::unique_ptr<Life> life_;
+  bool started_before_ = false;
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/source/programs/hollow_fleet_interface.cpp
@@ -0,0 +1,109 @@
+// See hollow_fleet_interface.hpp.
+#include "programs/hollow_fleet_interface.hpp"
+
+#include <sstream>
+
+namespace banktide {
+
+namespace {
+
+constexpr std::string_view format_name = "hollow";
+
+InterfaceReply reply_with(std::string body) {
+  InterfaceReply reply;
+  reply.body = std::move(body);
+  return reply;
+}
+
+std::string grant_text(HeartbeatGrant const& grant) {
+  std::ostringstream out;
+  out << grant.hold.count() << "\n";
+  for (HeartbeatGrantedRow const& row : grant.rows) out << row.from << " " << row.to << " " << row.fence << "\n";
+  return out.str();
+}
+
+}  // namespace
+
+std::string hollow_service_name(std::uint64_t const index) { return "service-" + std::to_string(index); }
+
+std::string hollow_configuration_bytes(HollowConfiguration const& c) {
+  std::ostringstream out;
+  out << format_name << " " << c.version << " " << c.routes << " " << c.services << " " << c.keyed_services << "\n";
+  std::string bytes = out.str();
+  bytes.resize(c.routes * hollow_bytes_per_route + c.services * hollow_bytes_per_service + bytes.size(), '.');
+  return bytes;
+}
+
+Result<ServiceConfiguration> read_hollow_configuration(std::string_view const bytes) {
+  std::istringstream in(std::string(bytes.substr(0, bytes.find('\n'))));
+  std::string format;
+  HollowConfiguration size;
+  in >> format >> size.version >> size.routes >> size.services >> size.keyed_services;
+  if (!in || format != format_name || size.services == 0) return mishap("read_hollow_configuration", "", "other bytes");
+  ServiceConfiguration c;
+  c.version = size.version;
+  c.limits.header_bytes = size.version;
+  for (std::uint64_t i = 0; i < size.services; ++i) {
+    ServiceDefinition service;
+    service.name = hollow_service_name(i);
+    service.health_path = "/health";
+    service.keyed = i < size.keyed_services;
+    c.services.push_back(std::move(service));
+  }
+  for (std::uint64_t i = 0; i < size.routes; ++i) {
+    Route route;
+    route.name = "route-" + std::to_string(i);
+    route.host = "host-" + std::to_string(i % 10) + ".test";
+    route.prefix = "/path-" + std::to_string(i) + "/";
+    route.targets.push_back(WeightedService{static_cast<std::uint32_t>(i % size.services), 1});
+    c.routes.push_back(std::move(route));
+  }
+  return c;
+}
+
+HollowInterface::HollowInterface() {
+  adapter_.read_configuration = read_hollow_configuration;
+  adapter_.interpret = [this](HttpRequest const& q) -> tl::expected<InterfaceOperation, InterfaceReply> {
+    auto const it = waiting_.find(q.target);
+    if (it == waiting_.end()) return tl::unexpected<InterfaceReply>(reply_with("no such request"));
+    InterfaceOperation operation = std::move(it->second);
+    waiting_.erase(it);
+    return operation;
+  };
+  adapter_.readiness_reply = [](bool const ready) {
+    InterfaceReply reply;
+    reply.status = ready ? 200 : 503;
+    return reply;
+  };
+  adapter_.acknowledgement_reply = [] { return InterfaceReply{}; };
+  adapter_.heartbeat_reply = [](HeartbeatAnswer const& answer) {
+    return reply_with(answer.grant ? grant_text(*answer.grant) : "");
+  };
+  adapter_.configuration_reply = [](std::string bytes) { return reply_with(std::move(bytes)); };
+  adapter_.unavailable_reply = [](std::string_view const reason) {
+    InterfaceReply reply = reply_with(std::string(reason));
+    reply.status = 503;
+    return reply;
+  };
+  adapter_.read_bounds = [](std::vector<std::string> const&) -> Result<TimingBounds> { return TimingBounds{}; };
+}
+
+HttpRequest HollowInterface::request(InterfaceOperation operation) {
+  HttpRequest q;
+  q.target = std::to_string(++last_request_);
+  waiting_[q.target] = std::move(operation);
+  return q;
+}
+
+std::optional<HeartbeatGrant> HollowInterface::grant_of(HttpReply const& reply) {
+  std::istringstream in(reply.body);
+  Duration::rep hold = 0;
+  if (!(in >> hold)) return std::nullopt;
+  HeartbeatGrant grant;
+  grant.hold = Duration(hold);
+  HeartbeatGrantedRow row;
+  while (in >> row.from >> row.to >> row.fence) grant.rows.push_back(row);
+  return grant;
+}
+
+}  // namespace banktide
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -215,8 +215,11 @@
     }
     bool const may_pass_on = f.crossed && !f.keyed;
     if (!may_pass_on) co_return co_await local_.run(std::move(f));
+    Instant const arrived = w_.now();
     Forward kept = f;
     ForwardReply reply = co_await local_.run(std::move(f));
+    std::uint32_t const waited = static_cast<std::uint32_t>(as_ms(w_.now() - arrived));
+    kept.remaining_ms -= std::min(kept.remaining_ms, waited);
     bool const refused = reply.refusal == Refusal::busy || reply.refusal == Refusal::no_backend;
     if (reply.outcome != Outcome::not_run || !refused) co_return reply;
     co_return co_await path_.pass_on(std::move(kept), std::move(reply));
@@ -313,12 +316,24 @@
     while (true) {
       co_await sleep_for(w_, tick_period);
       local_.tick();
+      if (w_.now() - counted_at_ > count_period) log_counts();
       EndpointLoad const load = local_.load();
       double const share = load.slots == 0 ? 0 : static_cast<double>(load.running + load.waiting) / load.slots;
       busy_ += (share - busy_) * busy_weight;
     }
   }
 
+  void log_counts() {
+    counted_at_ = w_.now();
+    RequestCounts const& c = path_.counts();
+    log_info("requests", {{"taken", std::to_string(c.taken)},
+                          {"answered", std::to_string(c.answered)},
+                          {"refused", std::to_string(c.refused)},
+                          {"failed", std::to_string(c.failed)},
+                          {"retried", std::to_string(c.retried)}});
+  }
+
+  static constexpr Duration count_period = 10s;
   static constexpr std::size_t unstated_connection_limit = 100;
 
   W& w_;
@@ -337,6 +352,7 @@
   typename W::Alarm grant_alarm_;
   typename W::Alarm report_alarm_;
   double busy_ = 0;
+  Instant counted_at_{};
   Instant left_at_{};
   bool leaving_ = false;
 };
--- a/source/programs/mesh_proxy.cpp
+++ b/source/programs/mesh_proxy.cpp
@@ -1,6 +1,6 @@
 // banktide-proxy on the new data path: settings, sockets and signals around one
 // MeshNode.
-#include "programs/sockets/socket_templates.hpp"
+#include "programs/mesh_node.hpp"
 #include "programs/mesh_programs.hpp"
 #include "programs/mesh_settings.hpp"
 #include "transport/socket_world.hpp"
@@ -37,6 +37,7 @@
   n.follower.address = s.text("address");
   n.follower.gateway = true;
   n.follower.seeds = seed_peers(s);
+  n.follower.timing = mesh_timing();
   n.service = s.text("service");
   n.store_port = static_cast<std::uint16_t>(number_of(s, "store-port", 0));
   n.bounds = bounds;
@@ -102,7 +103,7 @@
   };
   auto const reload = [&] {
     Process::reload(s, define, line.count(), line.words(),
-                    [](std::string const& name, Settings const&) { return name == "seed-control"; });
+                    [](std::string const& name, Settings const&) { return name == "initial-start"; });
   };
   process.until_told_to_go(leave, idle, reload, bounds->shutdown_grace - left_of_grace);
   std::_Exit(0);
--- a/source/programs/mesh_registry.cpp
+++ b/source/programs/mesh_registry.cpp
@@ -1,6 +1,6 @@
 // banktide-registry on the new data path: settings, sockets and signals around
 // one Registry and what operators ask of it.
-#include "programs/sockets/socket_templates.hpp"
+#include "programs/mesh_registry.hpp"
 
 #include "programs/mesh_programs.hpp"
 #include "programs/mesh_settings.hpp"
@@ -28,6 +28,7 @@
   r.cell = s.text("zone");
   r.address = s.text("address");
   r.seeds = seed_peers(s);
+  r.timing = mesh_timing();
   r.store_port = static_cast<std::uint16_t>(number_of(s, "store-port", 0));
   return r;
 }
@@ -62,9 +63,14 @@
   log_info("started", {{"address", *bound}, {"operators", s.text("control-address")}, {"zone", s.text("zone")}});
   auto const reload = [&] {
     Process::reload(s, define, line.count(), line.words(),
-                    [](std::string const& name, Settings const&) { return name == "seed-control"; });
+                    [](std::string const& name, Settings const&) { return name == "initial-start"; });
   };
-  process.until_told_to_go([&] { registry.leave(); }, [&] { return registry.idle(); }, reload,
+  auto const leave = [&] {
+    registry.leave();
+    operators.drain();
+  };
+  auto const idle = [&] { return registry.idle() && operators.in_flight() == 0; };
+  process.until_told_to_go(leave, idle, reload,
                            bounds->shutdown_grace - left_of_grace);
   std::_Exit(0);
 }
--- a/source/programs/mesh_settings.hpp
+++ b/source/programs/mesh_settings.hpp
@@ -2,6 +2,7 @@
 // from them: the peers to meet first, the bounds, the times of key leases.
 #pragma once
 
+#include "coordination/feed_timing.hpp"
 #include "programs/process.hpp"
 #include "protocol/interface_adapter.hpp"
 #include "state/key_table.hpp"
@@ -53,6 +54,15 @@
   return peers;
 }
 
+/** How often zones' registries and nodes speak: quicker to come back than the product's own fleet needs. */
+inline FeedTiming mesh_timing() {
+  FeedTiming t;
+  t.join_every = 600ms;
+  t.warm_up = 900ms;
+  t.moved_warm_up = 1500ms;
+  return t;
+}
+
 /** The times of key leases that follow from the bounds. */
 inline KeySettings key_settings(TimingBounds const& bounds) {
   KeySettings k;
--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -179,6 +179,7 @@
  private:
   static constexpr Duration vouched_for = 600ms;
   static constexpr Duration heard_lately = 1500ms;
+  static constexpr Duration adopt_after = 1s;  // of this registry's start
   static constexpr Duration meet_patience = 500ms;
   // One-way messages may be this late.
   static constexpr Duration told_may_be_late = 3s;
@@ -358,6 +359,8 @@
       co_return reply;
     }
     std::shared_ptr<ZoneFeed<W>> feed = feed_of(zone);
+    // The zone's own registry may have started a moment later than this one.
+    if (!feed && w_.now() - started_ < adopt_after) co_return reply;
     if (!feed) {
       feed = make_feed(zone);
       feeds_[zone] = feed;
@@ -399,7 +402,8 @@
   Task<void> keep_watching() {
     while (true) {
       co_await sleep_for(w_, t_.beat_every);
-      for (auto const& [zone, feed] : feeds_) feed->watch();
+      for (auto const& [zone, feed] : feeds_)
+        if (feed == own_feed_ || keeps(zone)) feed->watch();
       drop_empty_feeds();
       for (CellEntry const& gone : entries_.forget(w_.now())) show(gone);
     }
--- a/source/transport/http_server.cpp
+++ b/source/transport/http_server.cpp
@@ -265,7 +265,6 @@
 // ---- connection: parsing
 
 bool HttpConnection::may_begin_request() const {
-  if (core_->draining && !slots_.empty()) return false;  // the answer due will close the connection
   return slots_.size() + unsent_.size() < pipeline_depth;
 }
 
@@ -424,7 +423,8 @@
   if (close_after_write_ || slots_.empty() || !slots_.front()->reply) return false;
   std::shared_ptr<AnswerSlot> const slot = slots_.front();
   slots_.erase(slots_.begin());
-  bool const closes = !slot->keep_alive || (slots_.empty() && (core_->draining || peer_finished_));
+  bool const nothing_begun = slots_.empty() && pending_.size() == 0 && !parser_;
+  bool const closes = !slot->keep_alive || (nothing_begun && core_->draining) || (slots_.empty() && peer_finished_);
   Outgoing outgoing;
   outgoing.head = head_of(*slot, closes);
   std::uint16_t const status = slot->reply->status;
