--- a/source/coordination/key_holder.cpp
+++ b/source/coordination/key_holder.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t remembered_ends = 8;
 constexpr Duration wake_gap = 1s;    // no report for longer than this: the process was frozen
 constexpr float rate_memory = 0.6F;  // the weight of former rates in a new one
+constexpr double least_seconds_measured = 0.4;
 
 template <class A, class B>
 bool overlap(A const& a, B const& b) {
@@ -175,7 +176,7 @@
   answer.renews = true;
   answer.hold = hold;
   answer.rows = rows_to_grant();
-  serve(answer.rows);
+  serve(answer.rows, now);
   hold_end_ = arrived_ + hold - settings_.hold_margin;
   return answer;
 }
@@ -197,7 +198,7 @@
 }
 
 // The counts of rows that stay are kept.
-void KeyHolder::serve(std::vector<KeyGrant> const& rows) {
+void KeyHolder::serve(std::vector<KeyGrant> const& rows, Instant const now) {
   std::vector<Serving> serving;
   serving.reserve(rows.size());
   std::size_t old = 0;
@@ -207,6 +208,7 @@
                       serving_[old].grant.to == grant.to && serving_[old].grant.fence == grant.fence;
     Serving one = same ? std::move(serving_[old]) : Serving{};
     one.grant = grant;
+    if (!same) one.since = now;
     serving.push_back(std::move(one));
   }
   serving_ = std::move(serving);
@@ -271,21 +273,26 @@
   return row.grant.fence;
 }
 
+// A row's first rates count from when it came, so that they are right at once.
 void KeyHolder::measure(Instant const now) {
   double const seconds = std::chrono::duration<double>(now - measured_).count();
-  if (seconds < 0.4) return;
+  if (seconds < least_seconds_measured) return;
   measured_ = now;
-  auto const blend = [&](float& rate, std::uint32_t& count) {
-    rate = rate_memory * rate + (1 - rate_memory) * static_cast<float>(count / seconds);
-    count = 0;
-  };
   for (Serving& row : serving_) {
+    double const served = row.measured ? seconds : std::chrono::duration<double>(now - row.since).count();
+    if (served < least_seconds_measured) continue;
+    auto const blend = [&](float& rate, std::uint32_t& count) {
+      float const newest = static_cast<float>(count / served);
+      rate = row.measured ? rate_memory * rate + (1 - rate_memory) * newest : newest;
+      count = 0;
+    };
     blend(row.rate, row.count);
     blend(row.lower_rate, row.lower_count);
+    row.measured = true;
   }
 }
 
-KeyReport KeyHolder::report(Instant const now, float const busy) {
+KeyReport KeyHolder::report(Instant const now, float const busy, float const capacity) {
   measure(now);
   if (now - last_report_ > wake_gap) awake_since_ = now;
   last_report_ = now;
@@ -300,6 +307,7 @@
   report.leased = leased(now);
   report.slots = slots_;
   report.busy = busy;
+  report.capacity = capacity;
   report.table = table_revision_;
   for (Serving const& row : serving_)
     report.held.push_back(KeyRowLoad{row.grant.from, row.grant.to, row.grant.fence, row.rate, row.lower_rate});
--- a/source/coordination/key_holder.hpp
+++ b/source/coordination/key_holder.hpp
@@ -75,15 +75,19 @@
   std::optional<std::uint32_t> may_run(std::uint16_t key, Instant now, Duration expected);
 
   /// What the coordinators are to know; takes the count of requests since the last.
-  KeyReport report(Instant now, float busy);
+  KeyReport report(Instant now, float busy, float capacity = 0);
   /// Whether there is news that a report should carry at once.
   bool has_news() const { return news_; }
 
   std::string const& instance() const { return instance_; }
+  /// Whether the last answer gave the backend no row.
+  bool grants_nothing() const { return serving_.empty(); }
   Revision table_revision() const { return table_revision_; }
   bool leased(Instant now) const;
 
  private:
+  static constexpr float not_measured = -1;
+
   // A row that the table gives to this node's instance, or to one that ended here.
   struct Mine {
     KeyRow row;
@@ -91,10 +95,12 @@
   };
   struct Serving {
     KeyGrant grant;
+    Instant since{};        // it has been served
+    bool measured = false;  // its rates are known
     std::uint32_t count = 0;
     std::uint32_t lower_count = 0;
-    float rate = 0;
-    float lower_rate = 0;
+    float rate = not_measured;
+    float lower_rate = not_measured;
   };
   struct KnownRelease {
     std::uint16_t from = 0;
@@ -120,7 +126,7 @@
   void match_releases();
   std::string own_token(KeyRow const& row) const;
   std::vector<KeyGrant> rows_to_grant() const;
-  void serve(std::vector<KeyGrant> const& rows);
+  void serve(std::vector<KeyGrant> const& rows, Instant now);
   void measure(Instant now);
 
   std::string const service_, node_, address_, zone_;
--- a/source/coordination/register_client.hpp
+++ b/source/coordination/register_client.hpp
@@ -58,13 +58,20 @@
 
   /// Asks the contacts and the voters known which set is the newest. True if one
   /// is known then.
-  Task<bool> discover(Instant const deadline) {
+  /// With `first_will_do` it returns at the first voter's answer: a newer set is
+  /// told by whoever is asked next in an older one.
+  Task<bool> discover(Instant const deadline, bool const first_will_do = false) {
     std::vector<Address> peers = contacts_;
     for (VoterEntry const& e : set_.voters)
       if (std::find(peers.begin(), peers.end(), e.address) == peers.end()) peers.push_back(e.address);
     VotersAsk const question{};
     auto const replies = co_await ask_all<VotersAsk>(w_, peers, question, std::min(deadline, w_.now() + round_patience),
-                                                     [](auto const&) { return false; });
+                                                     [first_will_do](auto const& heard) {
+                                                       bool told = false;
+                                                       for (auto const& [at, r] : heard)
+                                                         told = told || (r && r->member);
+                                                       return first_will_do && told;
+                                                     });
     for (auto const& [i, r] : replies)
       if (r && r->member) follow(r->set);
     co_return set_known_;
@@ -218,7 +225,7 @@
   Task<bool> find_voters(std::uint64_t const attempt, Instant const deadline) {
     bool const again = attempt > 0 && attempt % attempts_before_asking_again == 0 && !contacts_.empty();
     if (set_known_ && !again) co_return true;
-    co_return co_await discover(deadline);
+    co_return co_await discover(deadline, true);
   }
 
   // What a majority agrees on. A ballot of an older epoch is no agreement: it
--- a/source/data_path/backend_queue.cpp
+++ b/source/data_path/backend_queue.cpp
@@ -70,8 +70,7 @@
 }
 
 bool BackendQueue::withdraw(std::uint64_t const id) {
-  auto const it =
-      std::find_if(waiting_.begin(), waiting_.end(), [id](Waiting const& w) { return w.request.id == id; });
+  auto const it = std::find_if(waiting_.begin(), waiting_.end(), [id](Waiting const& w) { return w.request.id == id; });
   if (it == waiting_.end()) return false;
   waiting_.erase(it);
   return true;
--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -25,6 +25,8 @@
   Duration drain_tail = 700ms;
   /** After this no request is sent to a draining backend, whatever waits. */
   Duration drain_end = 1500ms;
+  /** How often the load that the zone's feed tells is brought up to date. */
+  Duration announce_load_every = 2s;
   /** The part of a route's aim, in percent, within which its answer is to be foreseen: runs differ in length. */
   int aim_percent = 85;
 };
@@ -87,8 +89,8 @@
     r.service = i.beat.service;
     r.instance = i.beat.id;
     r.node = s_.node;
-    r.burden = i.queue.running();
-    r.waiting = i.queue.waiting();
+    r.burden = announced_running_;
+    r.waiting = announced_waiting_;
     r.slots = i.beat.slots;
     r.warming = i.beat.warm_left > Duration::zero();
     r.standing = i.draining_since ? Standing::leaving : Standing::fit;
@@ -144,6 +146,7 @@
   void tick() {
     if (!instance_) return;
     Instant const now = w_.now();
+    announce_load(now);
     if (instance_->draining_since && now - *instance_->draining_since > s_.drain_end) {
       instance_->queue.refuse_all();
       carry_out();
@@ -156,6 +159,15 @@
   }
 
  private:
+  // The feed goes to every node of the zone: load that changes with each request
+  // is told now and then; answers tell it fresher to those who send.
+  void announce_load(Instant const now) {
+    if (now - load_announced_ < s_.announce_load_every) return;
+    load_announced_ = now;
+    announced_running_ = instance_->queue.running();
+    announced_waiting_ = instance_->queue.waiting();
+  }
+
   /** One life of the backend. */
   struct Instance {
     BackendHeartbeat beat;
@@ -202,7 +214,8 @@
   }
 
   Duration expected_wait(Forward const& forward) const {
-    return std::clamp<Duration>(instance_ ? instance_->queue.expected_wait(forward.rank, forward.work_class) : 100ms, 20ms, 250ms);
+    return std::clamp<Duration>(instance_ ? instance_->queue.expected_wait(forward.rank, forward.work_class) : 100ms,
+                                20ms, 250ms);
   }
 
   ForwardReply check(Forward const& forward, Instant const now) const {
@@ -352,6 +365,9 @@
   std::uint64_t life_ = 0;
   std::uint64_t refusals_ = 0;
   Instant refusals_told_{};
+  std::uint32_t announced_running_ = 0;
+  std::uint32_t announced_waiting_ = 0;
+  Instant load_announced_{};
 };
 
 }  // namespace banktide
--- a/source/data_path/request_path.hpp
+++ b/source/data_path/request_path.hpp
@@ -243,9 +243,12 @@
       if (last.retry_after_ms > 0)
         retry_after_ms = retry_after_ms == 0 ? last.retry_after_ms : std::min(retry_after_ms, last.retry_after_ms);
       // The holder of a key is the only place for it.
-      if (!attempt.forward.keyed) tried.insert(*endpoint);
-      else if (last.outcome == Outcome::not_run && last.refusal != Refusal::key_not_held) break;
-      else if (last.refusal == Refusal::key_not_held) tried.insert(*endpoint);
+      if (!attempt.forward.keyed)
+        tried.insert(*endpoint);
+      else if (last.outcome == Outcome::not_run && last.refusal != Refusal::key_not_held)
+        break;
+      else if (last.refusal == Refusal::key_not_held)
+        tried.insert(*endpoint);
     }
     co_return finish(attempt, std::move(last), may_have_run, retry_after_ms);
   }
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -36,6 +36,7 @@
         local_(w, local_settings(), adapter.headers, std::move(factory), local_events()),
         path_(w, path_settings(), adapter.headers, local_),
         follower_(w, s_.follower, follower_events()),
+        started_(w.now()),
         grant_alarm_(w),
         report_alarm_(w) {}
 
@@ -92,7 +93,10 @@
 
   Task<HttpReply> refused_leaving() { co_return path_.refusal("node is leaving", tick_period); }
   static constexpr Duration isolated_after = 1500ms;
-  static constexpr double busy_weight = 0.05;
+  static constexpr double busy_weight = 0.15;
+  static constexpr Duration confirm_patience = 1s;
+  static constexpr Duration first_confirm_patience = 150ms;
+  static constexpr Duration news_come_after = 4s;
 
   bool in_contact() const { return follower_.since_contact() < isolated_after; }
 
@@ -157,11 +161,13 @@
   void take_configuration(Held const& held) {
     Result<ServiceConfiguration> read = adapter_.read_configuration(held.bytes);
     if (!read) {
-      log_warn("configuration_unreadable", {{"version", std::to_string(held.revision)}, {"reason", read.error().reason}});
+      log_warn("configuration_unreadable",
+               {{"version", std::to_string(held.revision)}, {"reason", read.error().reason}});
       return;
     }
     if (on_limits) on_limits(read->limits);
     path_.set_router(std::make_shared<Router const>(std::move(*read)));
+    grant_alarm_.wake();
     log_info("in_force", {{"version", std::to_string(held.revision)}});
   }
 
@@ -187,8 +193,8 @@
     CellView const& view = follower_.view();
     for (auto const& [key, b] : view.backends) {
       if (b.node == s_.follower.id || b.standing != Standing::fit || !view.usable_node(b.node)) continue;
-      Endpoint const e{b.node, view.members.at(b.node).address, s_.follower.zone, true, std::max(b.slots, 1u),
-                       b.burden + b.waiting};
+      Endpoint const e{b.node, view.members.at(b.node).address, s_.follower.zone,
+                       true,   std::max(b.slots, 1u),           b.burden + b.waiting};
       all[b.service].push_back(e);
     }
     for (auto const& [zone, entry] : view.cells) {
@@ -230,13 +236,18 @@
   Task<HeartbeatAnswer> heartbeat(BackendHeartbeat const beat) {
     HeartbeatAnswer answer;
     if (!local_.heartbeat(beat)) co_return answer;
-    if (!keyed(beat.service)) co_return answer;
+    Instant const arrived = w_.now();
+    Instant const until = arrived + s_.keys.answer_wait;
+    std::uint64_t const number = ++beats_taken_;
+    // A node that has just started doesn't know yet whether keys are to be granted.
+    while (number == beats_taken_ && !path_.router() && !beat.leaving && w_.now() < until)
+      co_await grant_alarm_.wait(until);
+    if (number != beats_taken_ || !keyed(beat.service)) co_return answer;
     prepare_keys(beat.service);
-    Instant const now = w_.now();
-    keys_->take_beat(now, key_beat(beat));
+    keys_->take_beat(arrived, key_beat(beat));
     report_alarm_.wake();
-    Instant const until = now + s_.keys.answer_wait;
-    while (w_.now() < until && keys_->answer_may_wait(w_.now())) co_await grant_alarm_.wait(until);
+    while (number == beats_taken_ && w_.now() < until && keys_->answer_may_wait(w_.now()))
+      co_await grant_alarm_.wait(until);
     KeyBeatAnswer const grant = keys_->answer(w_.now(), beat.id, beat.sequence);
     if (!grant.renews) co_return answer;
     answer.grant.emplace();
@@ -275,15 +286,21 @@
     return k;
   }
 
+  // Right after its start a node gets no news yet: it reads the table itself until its backend has rows.
+  bool awaits_first_rows() const { return keys_->grants_nothing() && w_.now() - started_ < news_come_after; }
+
   // The lease of the keys here rests on readings that a majority confirms.
   Task<void> keep_confirming() {
     while (true) {
       co_await sleep_for(w_, tick_period);
-      if (!keys_ || (!confirm_soon_ && w_.now() - confirmed_at_ < s_.keys.confirm_every)) continue;
+      if (!keys_ || (!confirm_soon_ && !awaits_first_rows() && w_.now() - confirmed_at_ < s_.keys.confirm_every))
+        continue;
       confirm_soon_ = false;
       registers_.learn(stores_of(registry_addresses()));
       Held const known = keys_held_;
-      Result<Confirmed> const read = co_await registers_.confirm(Register::keys, known, w_.now() + 1s);
+      // Until the voters are known all stores are waited for, even those that aren't up.
+      Duration const patience = registers_.knows_voters() ? confirm_patience : first_confirm_patience;
+      Result<Confirmed> const read = co_await registers_.confirm(Register::keys, known, w_.now() + patience);
       if (!read || !keys_) continue;
       confirmed_at_ = read->asked;
       take_keys(read->held);
@@ -305,13 +322,19 @@
       if (!early) co_await report_alarm_.wait(std::max(last + s_.keys.report_every, w_.now() + 20ms));
       if (!keys_) continue;
       last = w_.now();
-      KeyReport report = keys_->report(last, static_cast<float>(busy_));
+      KeyReport report = keys_->report(last, static_cast<float>(busy_), backend_capacity());
       if (leaving_) report.standing = KeyStanding::draining;
       for (Address const& registry : registry_addresses()) tell(w_, registry, report);
       co_await sleep_for(w_, 10ms);
     }
   }
 
+  // What the backend's slots would finish a second, by the run times of late.
+  float backend_capacity() const {
+    EndpointLoad const load = local_.load();
+    return load.run_us == 0 ? 0 : static_cast<float>(load.slots) * 1e6F / static_cast<float>(load.run_us);
+  }
+
   Task<void> keep_ticking() {
     while (true) {
       co_await sleep_for(w_, tick_period);
@@ -343,13 +366,15 @@
   LocalBackend<W> local_;
   RequestPath<W, LocalBackend<W>> path_;
   ZoneFollower<W> follower_;
+  Instant const started_;
   std::unique_ptr<KeyHolder> keys_;
   std::string keys_service_;
   std::shared_ptr<KeyTable const> table_;
   Held keys_held_;
   Instant confirmed_at_{};
   bool confirm_soon_ = true;
-  typename W::Alarm grant_alarm_;
+  std::uint64_t beats_taken_ = 0;  // only the answer to the last beat may wait
+  typename W::Alarm grant_alarm_;  // has one waiter: that beat
   typename W::Alarm report_alarm_;
   double busy_ = 0;
   Instant counted_at_{};
--- a/source/programs/mesh_registry.cpp
+++ b/source/programs/mesh_registry.cpp
@@ -51,8 +51,8 @@
   Registry<SocketWorld> registry(world, registry_settings(s));
   MeshRegistry<SocketWorld> mesh(world, registry, adapter, key_settings(*bounds));
   HttpServer operators(
-      world.io(),
-      [&mesh](HttpRequest q, std::shared_ptr<HttpExchange>) { return mesh.interface_call(std::move(q)); }, {});
+      world.io(), [&mesh](HttpRequest q, std::shared_ptr<HttpExchange>) { return mesh.interface_call(std::move(q)); },
+      {});
   Result<Address> const open = process.on_thread([&]() -> Result<Address> {
     world.serve(desk);
     registry.start(desk);
@@ -70,8 +70,7 @@
     operators.drain();
   };
   auto const idle = [&] { return registry.idle() && operators.in_flight() == 0; };
-  process.until_told_to_go(leave, idle, reload,
-                           bounds->shutdown_grace - left_of_grace);
+  process.until_told_to_go(leave, idle, reload, bounds->shutdown_grace - left_of_grace);
   std::_Exit(0);
 }
 
--- a/source/programs/mesh_registry.hpp
+++ b/source/programs/mesh_registry.hpp
@@ -57,8 +57,9 @@
     Result<Held> const done =
         co_await registry_.registers().change(Register::routing, "", w_.now() + write_patience, step);
     if (!done) {
-      log_warn("configuration_not_taken",
-               {{"version", std::to_string(write.version)}, {"step", done.error().step}, {"reason", done.error().reason}});
+      log_warn(
+          "configuration_not_taken",
+          {{"version", std::to_string(write.version)}, {"step", done.error().step}, {"reason", done.error().reason}});
       co_return http_reply(adapter_.unavailable_reply(done.error().reason));
     }
     registry_.announce(Register::routing, *done);
--- a/source/programs/mesh_settings.hpp
+++ b/source/programs/mesh_settings.hpp
@@ -60,6 +60,7 @@
   t.join_every = 600ms;
   t.warm_up = 900ms;
   t.moved_warm_up = 1500ms;
+  t.entry_every = 600ms;
   return t;
 }
 
--- a/source/programs/store_main.cpp
+++ b/source/programs/store_main.cpp
@@ -31,7 +31,8 @@
   s.need_addresses("seed-voter", 0);
   s.check([&s](std::vector<std::string>& errors) {
     std::vector<std::string> const v = s.list("voter");
-    if (v.empty() == (s.list("seed-voter").empty() && s.list("seed-control").empty())) errors.push_back("voter: needed, or else seed-voter, not both");
+    if (v.empty() == (s.list("seed-voter").empty() && s.list("seed-control").empty()))
+      errors.push_back("voter: needed, or else seed-voter, not both");
     if (!v.empty() && std::count(v.begin(), v.end(), s.text("address")) != 1)
       errors.push_back("voter: must name this address once");
     if (s.text("data").empty()) errors.push_back("data: needed");
@@ -87,9 +88,11 @@
     return true;
   });
   log_info("started", {{"address", *bound}});
-  process.until_told_to_go(
-      [] {}, [] { return true; },
-      [&] { Process::reload(s, define, line.count(), line.words(),
-                              [](std::string const&, Settings const&) { return false; }); }, 1s);
+  process.until_told_to_go([] {}, [] { return true; },
+                           [&] {
+                             Process::reload(s, define, line.count(), line.words(),
+                                             [](std::string const&, Settings const&) { return false; });
+                           },
+                           1s);
   std::_Exit(0);
 }
--- a/source/protocol/key_messages.hpp
+++ b/source/protocol/key_messages.hpp
@@ -10,7 +10,8 @@
 // How a backend stands towards its keys.
 enum class KeyStanding : std::uint8_t { serving = 0, draining = 1 };
 
-// A row that the backend may serve now, and the requests a second on it.
+// A row that the backend may serve now, and the requests a second on it; the
+// rates are below 0 until they have been measured.
 struct KeyRowLoad {
   std::uint16_t from = 0;
   std::uint16_t to = 0;
@@ -52,12 +53,14 @@
   KeyStanding standing = KeyStanding::serving;
   bool leased = false;  // the node has a lease and so can grant
   std::uint32_t slots = 1;
-  float busy = 0;  // the share of its slots in use over the last seconds; over 1 if requests queue
+  float busy = 0;      // the share of its slots in use over the last seconds; over 1 if requests queue
+  float capacity = 0;  // the requests a second that its slots would finish, by their run times; 0: not known
   Revision table = 0;
   std::vector<KeyRowLoad> held;
   std::vector<KeyRelease> released;
   std::vector<KeyEnd> ended;
-  BANKTIDE_FIELDS(service, instance, node, address, zone, standing, leased, slots, busy, table, held, released, ended)
+  BANKTIDE_FIELDS(service, instance, node, address, zone, standing, leased, slots, busy, capacity, table, held,
+                  released, ended)
 };
 
 }  // namespace banktide
--- a/source/state/key_planner.cpp
+++ b/source/state/key_planner.cpp
@@ -1,6 +1,7 @@
 // The steps of a plan, in order: revoke the silent and restore the returned;
-// free what nobody can hold any more; finish moves; give free rows out; begin
-// moves away from drains, towards newcomers, and from overloaded to idle.
+// free what nobody can hold any more, or give it to the new life on the same
+// node; finish moves; give free rows out; begin moves away from drains, towards
+// newcomers, and from overloaded to idle.
 #include "state/key_planner.hpp"
 
 #include <algorithm>
@@ -14,10 +15,14 @@
 constexpr Duration tick_gap = 500ms;     // a longer one means that this process was held up
 constexpr Duration growth_calm = 500ms;  // no new backend for this long: all have been heard
 constexpr Duration remember_ends = 120s;
-constexpr double neighbour_cost = 0.1;   // what it counts against a taker to hold a neighbouring row
-constexpr double width_weight = 0.25;    // how a row counts that shows no load
-constexpr double newcomer_share = 0.75;  // of the mean share, up to which a newcomer is fed
-constexpr double hot_row_share = 0.6;    // of the wanted shift, above which a row is split
+constexpr double neighbour_cost = 0.1;    // what it counts against a taker to hold a neighbouring row
+constexpr double width_weight = 0.25;     // how a row counts that shows no load
+constexpr double newcomer_share = 0.75;   // of the mean share, up to which a newcomer is fed
+constexpr double hot_row_share = 0.3;     // how far above the wanted shift a row's rate may lie
+constexpr double small_row_share = 0.25;  // of the wanted shift: smaller rows move only if none is too hot
+constexpr std::uint32_t split_parts = 8;
+constexpr double newest_capacity_weight = 0.15;
+constexpr double least_measured_busy = 0.05;  // below this, run times say little of the capacity
 constexpr double all_keys = 65536;
 
 double width_of(KeyRow const& row) { return (row.to - row.from + 1) / all_keys; }
@@ -46,9 +51,24 @@
   if (backend.heard == Instant{}) {
     ++service.known;
     service.grew = now;
+    backend.first_heard = now;
   }
   backend.heard = now;
   backend.report = std::move(report);
+  learn_capacity(backend);
+}
+
+// By the run times that its node measures; without those, by how busy the
+// requests on its rows make it.
+void KeyPlanner::learn_capacity(Backend& backend) {
+  if (backend.report.busy < least_measured_busy) return;
+  double demand = 0;
+  for (KeyRowLoad const& load : backend.report.held) demand += std::max(0.0F, load.rate);
+  if (demand <= 0) return;
+  double const told = backend.report.capacity > 0 ? backend.report.capacity : demand / backend.report.busy;
+  ++backend.measured;
+  double const weight = std::max(newest_capacity_weight, 1.0 / static_cast<double>(backend.measured));
+  backend.capacity += (told - backend.capacity) * weight;
 }
 
 void KeyPlanner::on_table(Instant const now, KeyTable table) {
@@ -182,14 +202,36 @@
   }
 }
 
+// The new life on the node of an ended one: it may inherit rows at once, also
+// in its first moments, while its node has no lease yet.
+KeyPlanner::Backend const* KeyPlanner::successor_of(KeyHolderRecord const& ended_holder, std::string const& service,
+                                                    Instant const now) const {
+  for (std::pair<std::string const, Backend> const& known : backends_) {
+    Backend const& backend = known.second;
+    KeyReport const& report = backend.report;
+    if (report.node != ended_holder.node || report.service != service || ended(report.instance)) continue;
+    bool const able = report.leased || now - backend.first_heard <= settings_.successor_patience;
+    bool const here = now - backend.heard <= settings_.eligible_for;
+    if (able && here && report.standing == KeyStanding::serving) return &backend;
+  }
+  return nullptr;
+}
+
 // A row without a holder is one that nobody can hold: its holder has ended, or
-// the whole term has passed since its revocation.
-void KeyPlanner::free_rows(KeyTable& table, KeyService& service, Instant const now) const {
+// the whole term has passed since its revocation. The rows of an ended life go
+// to the next one on its node, if there is one, and keep their shares.
+void KeyPlanner::free_rows(KeyTable& table, KeyService& service, Instant const now) {
+  std::uint32_t const fence = service.highest_fence() + 1;
   for (KeyRow& row : service.rows) {
     if (row.next != no_holder && ended(table.holders[row.next].instance)) row.next = no_holder;
     if (row.holder == no_holder) continue;
     bool const gone = ended(table.holders[row.holder].instance);
     if (!gone && !(row.revoked != 0 && wait_is_over(row.revoked, now))) continue;
+    Backend const* const successor = gone ? successor_of(table.holders[row.holder], service.name, now) : nullptr;
+    if (successor != nullptr) {
+      give(row, table.add_holder(record_of(successor->report)), fence, "");
+      continue;
+    }
     row.holder = no_holder;
     row.moving = 0;
     row.revoked = 0;
@@ -245,8 +287,8 @@
   if (found == backends_.end()) return 0;
   double all = 0, mine = 0;
   for (KeyRowLoad const& load : found->second.report.held) {
-    all += load.rate;
-    if (load.from <= row.from && load.to >= row.to) mine = load.rate;
+    all += std::max(0.0F, load.rate);
+    if (load.from <= row.from && load.to >= row.to) mine = std::max(0.0F, load.rate);
   }
   return all <= 0 ? 0 : found->second.report.busy * mine / all;
 }
@@ -370,56 +412,150 @@
   }
 }
 
-// One row a second from the busiest to the idlest, such that it takes about half
-// of their difference along; a row too hot for that is split first.
-void KeyPlanner::rebalance(KeyTable& table, KeyService& service, Takers& takers, Instant const now) {
-  ServiceState& state = services_[service.name];
-  if (now < state.next_rebalance) return;
-  Taker* hot = nullptr;
-  Taker* idle = nullptr;
+// The requests a second on a row, by its holder's last report; none if it has
+// not measured this very row yet.
+std::optional<double> KeyPlanner::row_rate(KeyTable const& table, KeyRow const& row) const {
+  if (row.holder == no_holder) return std::nullopt;
+  std::map<std::string, Backend>::const_iterator const found = backends_.find(table.holders[row.holder].instance);
+  if (found == backends_.end()) return std::nullopt;
+  for (KeyRowLoad const& load : found->second.report.held)
+    if (load.from == row.from && load.to == row.to && load.rate >= 0) return load.rate;
+  return std::nullopt;
+}
+
+// The backends whose loads may be compared now: those whose rows have all been
+// measured. A row on the move counts for its taker already.
+std::vector<KeyPlanner::Judged> KeyPlanner::judged(KeyTable const& table, KeyService const& service, Takers& takers,
+                                                   Instant const now) const {
+  std::vector<Judged> all;
   for (Taker& taker : takers) {
-    if (taker.arriving > 0 || taker.leaving > 0 || taker.backend->feeding || now < taker.backend->settled) continue;
-    if (hot == nullptr || taker.backend->report.busy > hot->backend->report.busy) hot = &taker;
-    if (taker.rows >= settings_.held_rows_limit) continue;
-    if (idle == nullptr || taker.backend->report.busy < idle->backend->report.busy) idle = &taker;
+    Backend const& backend = *taker.backend;
+    if (backend.feeding || now < backend.settled || backend.capacity <= 0) continue;
+    Judged one{&taker, 0, backend.capacity};
+    bool measured = true;
+    for (KeyRow const& row : service.rows) {
+      bool const comes = row.next == taker.number;
+      bool const stays = row.holder == taker.number && row.moving == 0;
+      if (!comes && !stays) continue;
+      std::optional<double> const rate = row_rate(table, row);
+      one.demand += rate.value_or(0);
+      measured = measured && (rate || comes);
+    }
+    if (measured) all.push_back(one);
   }
-  if (hot == nullptr || idle == nullptr || hot == idle) return;
-  double const gap = hot->backend->report.busy - idle->backend->report.busy;
-  if (hot->backend->report.busy <= settings_.overloaded || gap <= settings_.load_gap) return;
-  double const wanted = gap / 2;
+  return all;
+}
+
+// The giver's row whose rate is nearest to what is wanted, and not far above.
+std::size_t KeyPlanner::row_to_move(KeyTable const& table, KeyService const& service, Judged const& giver,
+                                    double const wanted, double const width_left) const {
   std::size_t chosen = service.rows.size();
   double nearest = std::numeric_limits<double>::max();
-  std::size_t hottest = service.rows.size();
-  double most = 0;
   for (std::size_t i = 0; i < service.rows.size(); ++i) {
     KeyRow const& row = service.rows[i];
-    if (row.holder != hot->number || row.moving != 0 || row.revoked != 0) continue;
-    double const cost = row_cost(table, row);
-    if (cost > most) {
-      most = cost;
-      hottest = i;
-    }
-    if (cost <= 0 || cost > wanted * (1 + hot_row_share) || std::abs(wanted - cost) >= nearest) continue;
-    nearest = std::abs(wanted - cost);
+    if (row.holder != giver.taker->number || row.moving != 0 || row.revoked != 0) continue;
+    double const rate = row_rate(table, row).value_or(0);
+    if (rate <= 0 || rate > wanted * (1 + hot_row_share) || width_of(row) > width_left) continue;
+    if (std::abs(wanted - rate) >= nearest) continue;
+    nearest = std::abs(wanted - rate);
     chosen = i;
   }
-  bool const split = chosen == service.rows.size() || nearest > wanted * (1 - hot_row_share / 4);
-  if (split && hottest < service.rows.size() && most > wanted && service.rows.size() < settings_.rows_limit &&
-      hot->rows < settings_.held_rows_limit && service.rows[hottest].from < service.rows[hottest].to) {
-    KeyRow upper = service.rows[hottest];
-    std::uint16_t const middle = static_cast<std::uint16_t>(upper.from + (upper.to - upper.from) / 2);
-    upper.from = static_cast<std::uint16_t>(middle + 1);
-    service.rows[hottest].to = middle;
-    service.rows.insert(service.rows.begin() + static_cast<std::ptrdiff_t>(hottest) + 1, std::move(upper));
-    state.next_rebalance = now + settings_.rebalance_every;
-    hot->backend->settled = now + settings_.settle;
-    return;
+  return chosen;
+}
+
+// The giver's hottest row, if it's too hot to be moved as it is.
+std::size_t KeyPlanner::row_to_split(KeyTable const& table, KeyService const& service, Judged const& giver,
+                                     double const wanted) const {
+  std::size_t hottest = service.rows.size();
+  double most = wanted * (1 + hot_row_share);
+  for (std::size_t i = 0; i < service.rows.size(); ++i) {
+    KeyRow const& row = service.rows[i];
+    if (row.holder != giver.taker->number || row.moving != 0 || row.revoked != 0 || row.from == row.to) continue;
+    double const rate = row_rate(table, row).value_or(0);
+    if (rate <= most) continue;
+    most = rate;
+    hottest = i;
+  }
+  return hottest;
+}
+
+// Into equal parts, as far as there is room; nothing moves, but the parts' rates
+// will be known.
+void KeyPlanner::split(KeyService& service, std::size_t const row, Taker& holder) const {
+  KeyRow const whole = service.rows[row];
+  std::uint32_t const keys = whole.to - whole.from + 1u;
+  std::size_t const room = std::min(settings_.rows_limit - std::min(settings_.rows_limit, service.rows.size()),
+                                    settings_.held_rows_limit - std::min(settings_.held_rows_limit, holder.rows));
+  std::uint32_t const parts = std::min({split_parts, keys, static_cast<std::uint32_t>(room + 1)});
+  std::vector<KeyRow> split(parts, whole);
+  for (std::uint32_t i = 0; i < parts; ++i) {
+    split[i].from = static_cast<std::uint16_t>(whole.from + i * keys / parts);
+    split[i].to = static_cast<std::uint16_t>(whole.from + (i + 1) * keys / parts - 1);
+  }
+  std::vector<KeyRow>::iterator const at = service.rows.begin() + static_cast<std::ptrdiff_t>(row);
+  *at = split.front();
+  service.rows.insert(at + 1, split.begin() + 1, split.end());
+  holder.rows += parts - 1;
+}
+
+// Evens out the utilisation, demand by capacity. While loads are far apart a
+// step moves several rows, each from the backend that is then the most utilised
+// to the least; later steps move single rows, and seldom.
+void KeyPlanner::rebalance(KeyTable& table, KeyService& service, Takers& takers, Instant const now) {
+  ServiceState& state = services_[service.name];
+  if (now < state.next_rebalance) return;
+  std::vector<Judged> all = judged(table, service, takers, now);
+  if (all.size() < 2) return;
+  double demand = 0, capacity = 0, width_left = settings_.moving_width_limit;
+  bool overloaded = false;
+  for (Judged const& one : all) {
+    demand += one.demand;
+    capacity += one.capacity;
+    overloaded = overloaded || one.taker->backend->report.busy > settings_.overloaded;
+  }
+  for (KeyRow const& row : service.rows) width_left -= row.moving != 0 ? width_of(row) : 0;
+  if (!overloaded || demand <= 0) return;
+  double const mean = demand / capacity;
+  std::size_t moved = 0;
+  bool coarse = false;
+  while (true) {
+    auto const less = [](Judged const& a, Judged const& b) { return a.utilisation() < b.utilisation(); };
+    Judged& hot = *std::max_element(all.begin(), all.end(), less);
+    Judged& idle = *std::min_element(all.begin(), all.end(), less);
+    double const gap = hot.utilisation() / mean - 1;
+    if (moved == 0) coarse = gap > settings_.load_gap_coarse;
+    if (gap <= settings_.load_gap || idle.utilisation() >= mean) break;
+    std::size_t const most_leaving = settings_.moving_rows_limit * (coarse ? 2 : 1);
+    if (hot.taker->leaving >= most_leaving || idle.taker->rows >= settings_.held_rows_limit) break;
+    double const wanted = std::min(hot.demand - mean * hot.capacity, mean * idle.capacity - idle.demand);
+    std::size_t const chosen = row_to_move(table, service, hot, wanted, width_left);
+    bool const small =
+        chosen == service.rows.size() || row_rate(table, service.rows[chosen]).value_or(0) < wanted * small_row_share;
+    std::size_t const too_hot = small ? row_to_split(table, service, hot, wanted) : service.rows.size();
+    if (too_hot < service.rows.size()) {
+      split(service, too_hot, *hot.taker);
+      state.next_rebalance = now + rebalance_pause(service);
+      break;
+    }
+    if (chosen == service.rows.size()) break;
+    double const rate = row_rate(table, service.rows[chosen]).value_or(0);
+    width_left -= width_of(service.rows[chosen]);
+    begin_move(table, service, chosen, *idle.taker);
+    ++hot.taker->leaving;
+    hot.demand -= rate;
+    idle.demand += rate;
+    ++moved;
+    if (coarse) continue;
+    hot.taker->backend->settled = now + settings_.settle;
+    idle.taker->backend->settled = now + settings_.settle;
+    break;
   }
-  if (chosen == service.rows.size()) return;
-  begin_move(table, service, chosen, *idle);
-  state.next_rebalance = now + settings_.rebalance_every;
-  hot->backend->settled = now + settings_.settle;
-  idle->backend->settled = now + settings_.settle;
+  if (moved > 0) state.next_rebalance = now + rebalance_pause(service);
+}
+
+Duration KeyPlanner::rebalance_pause(KeyService const& service) const {
+  Duration const by_size = settings_.rebalance_per_row * static_cast<int>(service.rows.size());
+  return std::max(settings_.rebalance_every, by_size);
 }
 
 void KeyPlanner::forget_old(Instant const now) {
--- a/source/state/key_planner.hpp
+++ b/source/state/key_planner.hpp
@@ -30,11 +30,17 @@
   KeyTable const& table() const { return table_; }
 
  private:
+  /// Each step sends the whole table to every node: the larger it is, the rarer.
+  Duration rebalance_pause(KeyService const& service) const;
+
   struct Backend {
     KeyReport report;
+    Instant first_heard{};
     Instant heard{};
-    Instant settled{};     // its load is judged from then on
-    bool feeding = false;  // it's new and gets its first share
+    Instant settled{};         // its load is judged from then on
+    double capacity = 0;       // requests a second, smoothed over its reports; 0: not known
+    std::size_t measured = 0;  // reports that told its capacity
+    bool feeding = false;      // it's new and gets its first share
   };
   struct ServiceState {
     Instant first_report{};
@@ -53,6 +59,13 @@
     std::size_t arriving = 0;
   };
   using Takers = std::vector<Taker>;
+  // A backend whose load is judged: what its rows demand against what it can do.
+  struct Judged {
+    Taker* taker = nullptr;
+    double demand = 0;    // requests a second on its rows
+    double capacity = 0;  // requests a second
+    double utilisation() const { return demand / capacity; }
+  };
 
   Backend* backend_of(std::string const& instance);
   bool ended(std::string const& instance) const { return ended_.contains(instance); }
@@ -67,11 +80,19 @@
 
   void create(KeyTable& table, std::string const& name, Instant now);
   void revoke_and_restore(KeyTable& table, KeyService& service, Instant now);
-  void free_rows(KeyTable& table, KeyService& service, Instant now) const;
+  void free_rows(KeyTable& table, KeyService& service, Instant now);
+  Backend const* successor_of(KeyHolderRecord const& ended_holder, std::string const& service, Instant now) const;
   void finish_moves(KeyTable& table, KeyService& service, Takers& takers);
   void assign_free(KeyService& service, Takers& takers);
   void drain(KeyTable& table, KeyService& service, Takers& takers);
   void feed_newcomers(KeyTable& table, KeyService& service, Takers& takers);
+  static void learn_capacity(Backend& backend);
+  std::vector<Judged> judged(KeyTable const& table, KeyService const& service, Takers& takers, Instant now) const;
+  std::optional<double> row_rate(KeyTable const& table, KeyRow const& row) const;
+  std::size_t row_to_move(KeyTable const& table, KeyService const& service, Judged const& giver, double wanted,
+                          double width_left) const;
+  std::size_t row_to_split(KeyTable const& table, KeyService const& service, Judged const& giver, double wanted) const;
+  void split(KeyService& service, std::size_t row, Taker& holder) const;
   void rebalance(KeyTable& table, KeyService& service, Takers& takers, Instant now);
   void begin_move(KeyTable& table, KeyService& service, std::size_t row, Taker& taker);
   static void merge_free(KeyService& service, std::size_t room);
--- a/source/transport/http_edge.hpp
+++ b/source/transport/http_edge.hpp
@@ -313,8 +313,7 @@
     } catch (std::exception const& e) {
       std::string const reason = e.what();
       bool const unsent = reason.starts_with("Failed to connect to any resolved endpoint");
-      out = mishap(unsent ? "connect" : "call_backend", peer, reason,
-                   unsent ? Proof::not_run : Proof::unknown);
+      out = mishap(unsent ? "connect" : "call_backend", peer, reason, unsent ? Proof::not_run : Proof::unknown);
     }
     *finished = true;
     limit->wake();
--- a/source/transport/http_server.cpp
+++ b/source/transport/http_server.cpp
@@ -264,9 +264,7 @@
 
 // ---- connection: parsing
 
-bool HttpConnection::may_begin_request() const {
-  return slots_.size() + unsent_.size() < pipeline_depth;
-}
+bool HttpConnection::may_begin_request() const { return slots_.size() + unsent_.size() < pipeline_depth; }
 
 // Whether that moved anything.
 bool HttpConnection::parse_pending() {
--- a/tests/coordination/key_holder_test.cpp
+++ b/tests/coordination/key_holder_test.cpp
@@ -209,5 +209,26 @@
   EXPECT_EQ(from, 65536u);
 }
 
+// A coordinator must not take a row that has just come for an idle one.
+TEST(KeyHolder, tells_no_rate_of_a_row_before_it_is_measured_and_then_the_whole_rate_at_once) {
+  HolderTrial t;
+  t.confirm();
+  t.holder.report(t.now, 0.5F);
+  t.now += 1s;
+  t.confirm();
+  t.holder.on_beat(t.now, t.beat());
+  for (int i = 0; i < 20; ++i) t.holder.may_run(static_cast<std::uint16_t>(i), t.now, 1ms);
+  t.now += 100ms;
+  KeyReport const early = t.holder.report(t.now, 0.5F, 120);
+  ASSERT_EQ(early.held.size(), 1u);
+  EXPECT_LT(early.held[0].rate, 0);
+  EXPECT_EQ(early.capacity, 120);
+  t.now += 400ms;
+  KeyReport const measured = t.holder.report(t.now, 0.5F, 120);
+  EXPECT_FLOAT_EQ(measured.held[0].rate, 40);
+  t.now += 500ms;
+  EXPECT_LT(t.holder.report(t.now, 0.5F, 120).held[0].rate, 40);
+}
+
 }  // namespace
 }  // namespace banktide
--- a/tests/coordination/key_trial_test.cpp
+++ b/tests/coordination/key_trial_test.cpp
@@ -553,6 +553,39 @@
   }
 }
 
+// A loss of power everywhere: every node comes back with a new backend, in any
+// order, and the coordinators know nothing but the table.
+TEST(KeyTrial, after_everything_was_off_each_node_has_its_rows_back) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Trial trial(seed, 5, KeySettings{});
+    trial.loop.run_for(10s);
+    std::map<std::string, std::size_t> before;
+    for (std::unique_ptr<Node> const& node : trial.nodes) {
+      for (Backend::Row const& row : node->backend->rows) before[node->name] += row.to - row.from + 1u;
+      node->backend->alive = false;
+      node->up = false;
+    }
+    trial.core_down = true;
+    for (std::size_t i = 0; i < 2; ++i) trial.restart_planner(i);
+    trial.loop.run_for(900ms);
+    for (std::unique_ptr<Node> const& node : trial.nodes)
+      trial.loop.after(trial.loop.between(0, 500), [&trial, &node = *node] {
+        trial.start_node(node);
+        trial.start_backend(node);
+      });
+    trial.loop.after(400ms, [&trial] { trial.core_down = false; });
+    trial.loop.run_for(500ms + 2s);
+    EXPECT_EQ(trial.twice_held, 0u) << "seed " << seed;
+    trial.loop.run_for(3s);
+    EXPECT_EQ(trial.keys_held(), 65536u) << "seed " << seed;
+    for (std::unique_ptr<Node> const& node : trial.nodes) {
+      std::size_t keys = 0;
+      for (Backend::Row const& row : node->backend->rows) keys += row.to - row.from + 1u;
+      EXPECT_EQ(keys, before[node->name]) << "seed " << seed << " " << node->name;
+    }
+  }
+}
+
 // Backends of three speeds and busy keys that lie together: the load evens out,
 // and then hardly a row moves.
 TEST(KeyTrial, load_evens_out_between_backends_of_different_speed_and_then_rests) {
--- /dev/null
+++ b/tests/programs/hollow_fleet_test.cpp
@@ -0,0 +1,127 @@
+// A small hollow fleet forms, takes configurations and comes through the loss of
+// a zone and of a region's links. Counts only: nothing here bounds how fast it is.
+#include "coordination/feed_timing.hpp"
+#include "programs/hollow_fleet.hpp"
+
+#include <gtest/gtest.h>
+
+namespace banktide {
+namespace {
+
+constexpr Duration patience = 60s;
+constexpr Duration zone_forgotten_within = 120s;
+
+HollowFleetSettings three_regions(std::size_t const nodes) {
+  HollowFleetSettings s;
+  s.nodes = nodes;
+  s.backends = nodes;
+  s.zones = 3;
+  s.regions = 3;
+  s.controls = 3;
+  s.services = 40;
+  s.seed = 7;
+  return s;
+}
+
+HollowMeasurement find(HollowMeasurements const& all, std::string const& role, std::string const& metric) {
+  for (HollowMeasurement const& m : all)
+    if (m.role == role && m.metric == metric) return m;
+  return {};
+}
+
+}  // namespace
+
+TEST(HollowFleet, two_hundred_nodes_form_and_have_each_acknowledged_version_in_force) {
+  HollowFleet fleet(three_regions(200));
+  ASSERT_TRUE(fleet.form(patience));
+  EXPECT_EQ(fleet.ready_nodes(), 200u);
+  EXPECT_EQ(fleet.running_backends(), 200u);
+  EXPECT_EQ(fleet.nodes_with_other_endpoints(200), 0u);
+  EXPECT_EQ(fleet.voters(), 3u);
+  for (std::size_t const control : {0u, 1u, 2u}) {
+    fleet.write_next(control);
+    fleet.run_for(1s);
+  }
+  std::size_t const acknowledged = fleet.acknowledged();
+  EXPECT_GE(acknowledged, 4u);
+  EXPECT_EQ(fleet.refused(), 0u);
+  EXPECT_TRUE(fleet.formed());
+  EXPECT_EQ(fleet.times_to_acknowledge().all.size(), acknowledged);
+  EXPECT_EQ(fleet.times_to_force().all.size(), (acknowledged - 1) * 200);
+}
+
+TEST(HollowFleet, a_quiet_node_hears_each_pulse_once_and_three_others_beat) {
+  HollowFleet fleet(three_regions(60));
+  ASSERT_TRUE(fleet.form(patience));
+  fleet.run_for(5s);
+  fleet.reset_meters();
+  fleet.run_for(30s);
+  HollowMeasurements const all = fleet.measurements();
+  FeedTiming const timing;
+  double const pulses = std::chrono::duration<double>(1s) / timing.pulse_every;
+  double const beats = 3 * (std::chrono::duration<double>(1s) / timing.beat_every);
+  EXPECT_NEAR(find(all, "proxy", "received_news_messages").mean, pulses, 0.1);
+  EXPECT_NEAR(find(all, "proxy", "received_news_messages").highest, pulses, 0.2);
+  EXPECT_NEAR(find(all, "proxy", "sent_beat_messages").mean, beats, 0.2);
+  EXPECT_EQ(find(all, "store", "disk_writes").highest, 0);
+}
+
+TEST(HollowFleet, the_same_seed_sends_the_same_messages) {
+  std::vector<double> bytes;
+  for (int run = 0; run < 2; ++run) {
+    HollowFleet fleet(three_regions(30));
+    ASSERT_TRUE(fleet.form(patience));
+    fleet.run_for(10s);
+    HollowMeasurements const all = fleet.measurements();
+    for (std::string const role : {"proxy", "registry", "store"}) bytes.push_back(find(all, role, "sent_bytes").mean);
+  }
+  EXPECT_EQ(std::vector<double>(bytes.begin(), bytes.begin() + 3), std::vector<double>(bytes.begin() + 3, bytes.end()));
+}
+
+TEST(HollowFleet, keys_are_spread_over_backends_of_keyed_services) {
+  HollowFleetSettings settings = three_regions(24);
+  settings.services = 6;
+  settings.keyed_services = 2;
+  HollowFleet fleet(settings);
+  ASSERT_TRUE(fleet.form(patience));
+  std::size_t const keyed_backends = 8;
+  EXPECT_TRUE(fleet.run_until([&] { return fleet.rows_held() >= keyed_backends; }, patience));
+}
+
+TEST(HollowFleet, a_lost_zone_is_forgotten_and_comes_back) {
+  HollowFleet fleet(three_regions(30));
+  ASSERT_TRUE(fleet.form(patience));
+  fleet.lose_zone(2);
+  EXPECT_EQ(fleet.running_backends(), 20u);
+  EXPECT_TRUE(fleet.run_until([&] { return fleet.nodes_with_other_endpoints(20) == 0; }, zone_forgotten_within));
+  fleet.bring_back_zone(2);
+  EXPECT_TRUE(fleet.run_until([&] { return fleet.formed(); }, patience));
+  EXPECT_EQ(fleet.ready_nodes(), 30u);
+}
+
+TEST(HollowFleet, a_region_cut_off_keeps_serving_but_acknowledges_nothing) {
+  HollowFleet fleet(three_regions(30));
+  ASSERT_TRUE(fleet.form(patience));
+  fleet.cut_region(0);
+  fleet.run_for(5s);
+  std::size_t const before = fleet.acknowledged();
+  fleet.write_next(0);
+  fleet.run_for(5s);
+  EXPECT_EQ(fleet.acknowledged(), before);
+  fleet.write_next(1);
+  fleet.run_for(5s);
+  EXPECT_EQ(fleet.acknowledged(), before + 1);
+  EXPECT_EQ(fleet.ready_nodes(), 30u);
+  fleet.heal();
+  EXPECT_TRUE(fleet.run_until([&] { return fleet.formed(); }, patience));
+}
+
+TEST(HollowFleet, a_restarted_node_is_back_in_every_view) {
+  HollowFleet fleet(three_regions(30));
+  ASSERT_TRUE(fleet.form(patience));
+  fleet.restart_node(5, 1s);
+  EXPECT_EQ(fleet.running_backends(), 29u);
+  EXPECT_TRUE(fleet.run_until([&] { return fleet.running_backends() == 30 && fleet.formed(); }, patience));
+}
+
+}  // namespace banktide
--- /dev/null
+++ b/tests/sources/source_rules.cpp
@@ -0,0 +1,113 @@
+#include "sources/source_rules.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <regex>
+#include <sstream>
+
+namespace banktide {
+
+namespace {
+
+// A folder may include itself and every folder of a lower level. Transport and
+// protocol know each other: frames carry messages, messages end in results.
+std::map<std::string, int> const level_of_folder{
+    {"protocol", 1},  {"transport", 1}, {"state", 2},      {"coordination", 3},
+    {"data_path", 4}, {"programs", 5},  {"simulation", 6}, {"platform", 7},
+};
+
+constexpr std::string_view source_folder = "source/";
+constexpr std::string_view main_ending = "_main.cpp";
+
+// The part of a path that names its level: "state" for source/state/pick.hpp.
+std::string folder_of(std::string_view path) {
+  if (path.starts_with(source_folder)) path.remove_prefix(source_folder.size());
+  return std::string(path.substr(0, path.find('/')));
+}
+
+// The platform's folder is included by the programs' mains alone, and includes of
+// the product what its adapter is made of: messages, state and results.
+bool allowed(std::string const& path, std::string const& included) {
+  std::string const from = folder_of(path);
+  std::string const to = folder_of(included);
+  if (!level_of_folder.contains(from) || !level_of_folder.contains(to) || from == to) return true;
+  if (to == "platform") return path.ends_with(main_ending);
+  if (from == "platform") return to == "protocol" || to == "state" || to == "transport";
+  return level_of_folder.at(to) <= level_of_folder.at(from);
+}
+
+bool part_of_word(char const c) { return std::isalnum(static_cast<unsigned char>(c)) != 0; }
+
+bool holds_word(std::string_view const text, std::string_view const word) {
+  for (std::size_t at = text.find(word); at != std::string_view::npos; at = text.find(word, at + 1)) {
+    std::size_t const end = at + word.size();
+    bool const starts = at == 0 || !part_of_word(text[at - 1]);
+    bool const ends = end == text.size() || !part_of_word(text[end]);
+    if (starts && ends) return true;
+  }
+  return false;
+}
+
+bool peculiar(std::string const& word) {
+  if (word.starts_with('/')) return true;
+  if (word.find('-') != std::string::npos) return true;
+  return std::any_of(word.begin(), word.end(), [](unsigned char const c) { return std::isupper(c) != 0; });
+}
+
+std::string read_file(std::filesystem::path const& path) {
+  std::ifstream const in(path);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return text.str();
+}
+
+}  // namespace
+
+std::vector<SourceFile> read_sources(std::string const& repository, std::string const& folder) {
+  std::vector<SourceFile> files;
+  for (std::filesystem::directory_entry const& entry :
+       std::filesystem::recursive_directory_iterator(std::filesystem::path(repository) / folder)) {
+    std::string const ending = entry.path().extension();
+    if (ending != ".hpp" && ending != ".cpp") continue;
+    files.push_back({std::filesystem::relative(entry.path(), repository), read_file(entry.path())});
+  }
+  std::sort(files.begin(), files.end(), [](SourceFile const& a, SourceFile const& b) { return a.path < b.path; });
+  return files;
+}
+
+std::vector<std::string> includes_upwards(std::vector<SourceFile> const& files) {
+  static std::regex const include_line("^#include \"([^\"]+/[^\"]+)\"");
+  std::vector<std::string> found;
+  for (SourceFile const& file : files) {
+    std::istringstream lines(file.text);
+    for (std::string line; std::getline(lines, line);) {
+      if (line.starts_with("#ifdef TESTS_OF_")) break;
+      std::smatch match;
+      if (!std::regex_search(line, match, include_line)) continue;
+      if (!allowed(file.path, match[1])) found.push_back(file.path + " -> " + match[1].str());
+    }
+  }
+  return found;
+}
+
+std::vector<std::string> peculiar_words(std::string_view const constants) {
+  static std::regex const constant("string_view [a-z_]+ = \"([^\"]+)\"");
+  std::string const text(constants);
+  std::vector<std::string> words;
+  for (std::sregex_iterator at(text.begin(), text.end(), constant); at != std::sregex_iterator(); ++at)
+    if (peculiar((*at)[1])) words.push_back((*at)[1]);
+  return words;
+}
+
+std::vector<std::string> lines_with(std::vector<SourceFile> const& files, std::vector<std::string> const& words) {
+  std::vector<std::string> found;
+  for (SourceFile const& file : files)
+    for (std::string const& word : words)
+      if (holds_word(file.text, word)) found.push_back(file.path + ": " + word);
+  return found;
+}
+
+}  // namespace banktide
--- /dev/null
+++ b/tests/sources/source_rules.hpp
@@ -0,0 +1,31 @@
+// Rules that the sources keep among themselves: which folder may include which,
+// and that the words of the users' platform stay in their folder. The rules work
+// on texts, so that their own tests need no files.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace banktide {
+
+struct SourceFile {
+  std::string path;  // from the repository's root, for instance source/state/pick.hpp
+  std::string text;
+};
+
+/// The files under one folder of the repository, by path.
+std::vector<SourceFile> read_sources(std::string const& repository, std::string const& folder);
+
+/// Includes that reach from a folder into one above it, as "path -> included". What stands in a header's
+/// own tests (below its first `#ifdef TESTS_OF_`) is not looked at.
+std::vector<std::string> includes_upwards(std::vector<SourceFile> const& files);
+
+/// The quoted words of a file of constants that no other program would use: with a
+/// capital inside, as a header's name or as a path.
+std::vector<std::string> peculiar_words(std::string_view constants);
+
+/// Lines, as "path: word", that hold one of the words as a whole.
+std::vector<std::string> lines_with(std::vector<SourceFile> const& files, std::vector<std::string> const& words);
+
+}  // namespace banktide
--- /dev/null
+++ b/tests/sources/source_rules_test.cpp
@@ -0,0 +1,97 @@
+// The rules on made-up files, and then on this repository.
+#include "sources/source_rules.hpp"
+
+#include <gtest/gtest.h>
+
+namespace banktide {
+
+namespace {
+
+using Lines = std::vector<std::string>;
+
+// What stands today; an entry that is mended has to go from here too.
+Lines const standing_exceptions{
+    "source/protocol/interface_adapter.hpp -> state/service_configuration.hpp",
+    "source/protocol/interface_adapter.hpp -> state/timing_bounds.hpp",
+    "source/state/sqlite_disk.hpp -> coordination/acceptor.hpp",
+};
+
+SourceFile including(std::string const& path, std::string const& included) {
+  return {path, "#pragma once\n#include <vector>\n#include \"" + included + "\"\n"};
+}
+
+bool goes_upwards(std::string const& path, std::string const& included) {
+  return !includes_upwards({including(path, included)}).empty();
+}
+
+std::vector<SourceFile> product() { return read_sources(BANKTIDE_SOURCE_FOLDER, "source"); }
+
+Lines platform_words() {
+  Lines words;
+  for (SourceFile const& file : read_sources(BANKTIDE_SOURCE_FOLDER, "platform"))
+    if (file.path == "platform/words.hpp") words = peculiar_words(file.text);
+  words.insert(words.end(), {"adjunct", "holdings"});
+  return words;
+}
+
+}  // namespace
+
+TEST(IncludeRules, a_folder_includes_itself_and_those_below) {
+  EXPECT_FALSE(goes_upwards("source/state/pick.hpp", "state/layout.hpp"));
+  EXPECT_FALSE(goes_upwards("source/data_path/request_path.hpp", "coordination/key_holder.hpp"));
+  EXPECT_FALSE(goes_upwards("source/transport/surroundings.hpp", "protocol/archive.hpp"));
+  EXPECT_FALSE(goes_upwards("source/protocol/archive.hpp", "transport/result.hpp"));
+}
+
+TEST(IncludeRules, a_folder_does_not_include_one_above) {
+  EXPECT_TRUE(goes_upwards("source/state/pick.hpp", "coordination/ring.hpp"));
+  EXPECT_TRUE(goes_upwards("source/coordination/ring.hpp", "data_path/backend_queue.hpp"));
+  EXPECT_TRUE(goes_upwards("source/data_path/backend_queue.cpp", "programs/mesh_node.hpp"));
+  EXPECT_TRUE(goes_upwards("source/programs/mesh_node.hpp", "simulation/sim_world.hpp"));
+}
+
+TEST(IncludeRules, only_mains_include_the_platform) {
+  EXPECT_FALSE(goes_upwards("source/programs/proxy_main.cpp", "platform/platform_adapter.hpp"));
+  EXPECT_TRUE(goes_upwards("source/programs/mesh_proxy.cpp", "platform/platform_adapter.hpp"));
+  EXPECT_TRUE(goes_upwards("source/transport/http_server.cpp", "platform/words.hpp"));
+}
+
+TEST(IncludeRules, the_platform_includes_what_its_adapter_is_made_of) {
+  EXPECT_FALSE(goes_upwards("platform/platform_adapter.hpp", "protocol/interface_adapter.hpp"));
+  EXPECT_TRUE(goes_upwards("platform/platform_adapter.cpp", "data_path/request_path.hpp"));
+}
+
+TEST(IncludeRules, a_headers_own_tests_include_what_they_need) {
+  SourceFile file = including("source/coordination/ring.hpp", "protocol/messages.hpp");
+  file.text += "#ifdef TESTS_OF_RING\n#include \"simulation/sim_world.hpp\"\n#endif\n";
+  EXPECT_EQ(includes_upwards({file}), Lines{});
+}
+
+TEST(IncludeRules, hold_in_this_repository) {
+  std::vector<SourceFile> files = product();
+  std::vector<SourceFile> const platform = read_sources(BANKTIDE_SOURCE_FOLDER, "platform");
+  files.insert(files.end(), platform.begin(), platform.end());
+  ASSERT_GT(files.size(), 50u);
+  EXPECT_EQ(includes_upwards(files), standing_exceptions);
+}
+
+TEST(PlatformWords, are_those_that_no_other_program_would_use) {
+  std::string const constants =
+      "inline constexpr std::string_view key_header = \"Mesh-Key\";\n"
+      "inline constexpr std::string_view path = \"/api/ready\";\n"
+      "inline constexpr std::string_view limit = \"attemptLimit\";\n"
+      "inline constexpr std::string_view name = \"name\";\n";
+  EXPECT_EQ(peculiar_words(constants), (Lines{"Mesh-Key", "/api/ready", "attemptLimit"}));
+}
+
+TEST(PlatformWords, are_found_as_whole_words) {
+  SourceFile const file{"source/state/pick.hpp", "std::string h = \"Mesh-Key\";  // attemptLimits\n"};
+  EXPECT_EQ(lines_with({file}, {"Mesh-Key", "attemptLimit"}), Lines{"source/state/pick.hpp: Mesh-Key"});
+}
+
+TEST(PlatformWords, stand_in_the_platforms_folder_alone) {
+  ASSERT_GT(platform_words().size(), 10u);
+  EXPECT_EQ(lines_with(product(), platform_words()), Lines{});
+}
+
+}  // namespace banktide
--- a/tests/state/key_planner_test.cpp
+++ b/tests/state/key_planner_test.cpp
@@ -148,5 +148,141 @@
   for (auto const& [instance, count] : rows) EXPECT_LE(count, KeySettings{}.held_rows_limit) << instance;
 }
 
+// After a restart of a whole machine what was learnt about shares is kept.
+TEST(KeyPlanner, gives_the_rows_of_an_ended_life_to_the_next_one_on_its_node) {
+  Fleet fleet(5);
+  fleet.run(3s);
+  std::vector<KeyRow> const before = fleet.planner.table().services[0].rows;
+  std::uint16_t const former = fleet.planner.table().number_of("i-2");
+  KeyReport& report = fleet.reports[2];
+  report.ended.push_back(KeyEnd{"i-2", "a new life began beside the same node"});
+  report.instance = "i-2-again";
+  report.leased = false;  // as in the first moments of a node
+  fleet.run(200ms);
+  KeyTable const& table = fleet.planner.table();
+  ASSERT_EQ(table.services[0].rows.size(), before.size());
+  for (std::size_t i = 0; i < before.size(); ++i) {
+    KeyRow const& row = table.services[0].rows[i];
+    EXPECT_EQ(row.from, before[i].from);
+    if (before[i].holder == former) {
+      EXPECT_EQ(table.holders[row.holder].instance, "i-2-again");
+      EXPECT_GT(row.fence, before[i].fence);
+      EXPECT_EQ(row.handover, "");
+    } else {
+      EXPECT_EQ(row.fence, before[i].fence);
+    }
+  }
+}
+
+TEST(KeyPlanner, a_next_life_whose_node_gets_no_lease_inherits_nothing_any_more) {
+  Fleet fleet(5);
+  fleet.run(3s);
+  KeyReport& report = fleet.reports[2];
+  fleet.add(4) = report;
+  fleet.reports.back().instance = "i-2-again";
+  fleet.reports.back().leased = false;
+  fleet.run(KeySettings{}.successor_patience + 500ms);
+  EXPECT_FALSE(fleet.rows_by_holder().contains("i-2-again"));
+  fleet.reports.back().ended.push_back(KeyEnd{"i-2", "a new life began beside the same node"});
+  fleet.run(200ms);
+  std::map<std::string, std::size_t> const rows = fleet.rows_by_holder();
+  EXPECT_FALSE(rows.contains("i-2"));
+  EXPECT_FALSE(rows.contains("i-2-again"));
+  EXPECT_FALSE(rows.contains(""));
+}
+
+// Reports as backends of given capacities would make them, under requests that
+// come to all keys, and more to some. A row is let go in a moment.
+struct LoadedFleet : Fleet {
+  explicit LoadedFleet(std::vector<double> const& all_capacities)
+      : Fleet(all_capacities.size()), capacities(all_capacities) {}
+  static double rate_of(std::uint32_t const from, std::uint32_t const to) {
+    double const busy_keys = std::max(0.0, std::min<double>(to, 29999) - std::max<double>(from, 20000) + 1);
+    return 200.0 * (to - from + 1) / 65536 + 150.0 * busy_keys / 10000;
+  }
+  double demand_of(std::size_t const backend) const {
+    double demand = 0;
+    for (KeyRowLoad const& load : reports[backend].held) demand += load.rate;
+    return demand;
+  }
+  void measure() {
+    for (std::size_t i = 0; i < reports.size(); ++i) {
+      KeyReport& report = reports[i];
+      report.held.clear();
+      report.released.clear();
+      KeyTable const& table = planner.table();
+      if (table.services.empty()) continue;
+      for (KeyRow const& row : table.services[0].rows) {
+        if (row.holder == no_holder || table.holders[row.holder].instance != report.instance) continue;
+        report.held.push_back(
+            KeyRowLoad{row.from, row.to, row.fence, static_cast<float>(rate_of(row.from, row.to)), 0});
+        if (row.moving != 0) report.released.push_back(KeyRelease{row.from, row.to, row.fence, row.moving, "token"});
+      }
+      report.capacity = static_cast<float>(capacities[i]);
+      report.busy = loaded ? static_cast<float>(std::min(1.3, demand_of(i) / capacities[i])) : 0.0F;
+    }
+  }
+  double utilisation_over_mean() const {
+    double demand = 0, capacity = 0, highest = 0;
+    for (std::size_t i = 0; i < reports.size(); ++i) {
+      demand += demand_of(i);
+      capacity += capacities[i];
+      highest = std::max(highest, demand_of(i) / capacities[i]);
+    }
+    return highest * capacity / demand;
+  }
+  void run_loaded(Duration const d) {
+    for (Instant const end = now + d; now < end;) {
+      measure();
+      run(200ms);
+      look_at_moves();
+    }
+  }
+  std::size_t look_at_moves() {
+    std::size_t rows = 0;
+    double width = 0;
+    for (KeyRow const& row : planner.table().services[0].rows) {
+      if (row.moving == 0) continue;
+      ++rows;
+      width += (row.to - row.from + 1) / 65536.0;
+    }
+    most_moving = std::max(most_moving, width);
+    return rows;
+  }
+
+  std::vector<double> capacities;
+  bool loaded = false;
+  double most_moving = 0;
+};
+
+TEST(KeyPlanner, moves_several_rows_at_once_while_loads_are_far_apart_and_rests_when_they_are_even) {
+  LoadedFleet fleet({70, 70, 160, 70, 70});
+  fleet.run(3s);
+  fleet.loaded = true;
+  fleet.measure();
+  ASSERT_GT(fleet.utilisation_over_mean(), 1.25);
+  fleet.run(100ms);
+  EXPECT_GT(fleet.look_at_moves(), 1u);
+  fleet.run_loaded(5s);
+  fleet.measure();
+  EXPECT_LT(fleet.utilisation_over_mean(), 1.3);
+  fleet.run_loaded(30s);
+  EXPECT_LT(fleet.utilisation_over_mean(), 1.2);
+  EXPECT_GT(fleet.most_moving, 0);
+  EXPECT_LE(fleet.most_moving, KeySettings{}.moving_width_limit);
+  std::size_t const plans = fleet.plans;
+  fleet.run_loaded(60s);
+  EXPECT_LT(fleet.plans - plans, 6u);
+}
+
+TEST(KeyPlanner, moves_nothing_for_load_while_nobody_is_busy) {
+  LoadedFleet fleet({300, 300, 700, 300, 300});
+  fleet.run(3s);
+  std::size_t const plans = fleet.plans;
+  fleet.loaded = true;
+  fleet.run_loaded(20s);
+  EXPECT_EQ(fleet.plans, plans);
+}
+
 }  // namespace
 }  // namespace banktide
