--- a/source/programs/hollow_main.cpp
+++ b/source/programs/hollow_main.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr Duration form_patience = 180s;
 constexpr Duration event_patience = 150s;
 constexpr Duration calm_first = 5s;
 constexpr Duration restart_takes = 1s;
@@ -31,6 +30,7 @@
   s.number("keyed-services", 0, 0, 5000, "services with keys, of these");
   s.number("routes", 100, 1, 100000, "routes of the configuration");
   s.number("region-delay-ms", 40, 0, 1000, "one way between regions");
+  s.number("form-seconds", 60, 1, 3600, "virtual seconds in which the fleet must form");
   s.number("seconds", 20, 1, 3600, "virtual seconds to measure");
   s.number("seed", 1, 0, 1u << 30, "seed of everything drawn");
   s.number("changes-per-minute", 0, 0, 6000, "configurations written while measuring");
@@ -71,9 +71,12 @@
         seconds_(std::chrono::seconds(s.number("seconds"))) {}
 
   int run() {
-    std::optional<Duration> const formed = fleet_.form(form_patience);
+    std::optional<Duration> const formed = fleet_.form(std::chrono::seconds(s_.number("form-seconds")));
     print("fleet", "form_s", seconds_of(formed));
-    if (!formed) return 1;
+    if (!formed) {
+      report_unformed();
+      return 0;
+    }
     fleet_.run_for(calm_first);
     print("fleet", "voters", static_cast<double>(fleet_.voters()));
     measure();
@@ -92,6 +95,20 @@
     print(role, metric, value, value);
   }
 
+  void print_all(HollowMeasurements const& all) const {
+    for (HollowMeasurement const& m : all)
+      if (m.highest > 0) print(m.role, m.metric, m.mean, m.highest);
+  }
+
+  // What a fleet that can't form is busy with.
+  void report_unformed() {
+    print("fleet", "voters", static_cast<double>(fleet_.voters()));
+    print("fleet", "ready_share", static_cast<double>(fleet_.ready_nodes()) / static_cast<double>(s_.number("nodes")));
+    fleet_.reset_meters();
+    fleet_.run_for(calm_first);
+    print_all(fleet_.measurements());
+  }
+
   // Configurations and restarts come evenly over the time measured.
   void measure() {
     std::size_t const changes = per_time("changes-per-minute"), restarts = per_time("restarts-per-minute");
@@ -102,7 +119,7 @@
       if (due(i, steps, restarts)) fleet_.restart_node((restarted_ += 7) % s_.number("nodes"), restart_takes);
       fleet_.run_for(seconds_ / steps);
     }
-    for (HollowMeasurement const& m : fleet_.measurements()) print(m.role, m.metric, m.mean, m.highest);
+    print_all(fleet_.measurements());
     fleet_.run_for(calm_first);
     print("fleet", "ready_share", static_cast<double>(fleet_.ready_nodes()) / static_cast<double>(s_.number("nodes")));
     print("fleet", "rows_held", static_cast<double>(fleet_.rows_held()));
