--- a/source/coordination/zone_follower.hpp
+++ b/source/coordination/zone_follower.hpp
@@ -177,7 +177,8 @@
       Join const q = join_question();
       Result<JoinReply> const r = co_await ask(w_, registry, q, w_.now() + 800ms);
       if (r) take_join_reply(q, *r, registry);
-      bool const not_yet = r && !r->taken;
+      bool const refutes = r && r->incarnation > q.self.incarnation;
+      bool const not_yet = r && !r->taken && !refutes;
       if (not_yet) dirty_ = true;
       co_await sleep_for(w_, r && !not_yet ? Duration(10ms) : Duration(150ms));
     }
