--- a/tests/coordination/store_trial.hpp
+++ b/tests/coordination/store_trial.hpp
@@ -23,7 +23,9 @@
       registers.push_back(std::make_unique<RegisterClient<SimProcess>>(*clients.back(), StoreSeeds{seeds}));
     }
   }
+  // What was spawned last starts first, so that it ends with its process.
   ~StoreTrial() {
+    sim.settle();
     for (std::shared_ptr<SimProcess> const& p : all) p->kill();
     for (std::shared_ptr<SimProcess> const& p : clients) p->kill();
     sim.clear();
