One start for both programs on the new data path; members that nothing calls are gone

The port of stores, the patience of a leaving process and the reading of settings again stood twice, in mesh_proxy.cpp and mesh_registry.cpp. SocketWorld::silent, five questions of LocalBackend and EndpointSelector::in_flight had no caller.

--- a/source/data_path/endpoint_selector.cpp
+++ b/source/data_path/endpoint_selector.cpp
@@ -137,9 +137,4 @@
   return it != history_.end() && now < it->second.avoid_until;
 }
 
-std::size_t EndpointSelector::in_flight(Address const& address) const {
-  auto const it = history_.find(address);
-  return it == history_.end() ? 0 : it->second.in_flight;
-}
-
 }  // namespace banktide
--- a/source/data_path/endpoint_selector.hpp
+++ b/source/data_path/endpoint_selector.hpp
@@ -59,7 +59,6 @@
   /** The request that `sent` counted failed; `certain`: nothing is there at all. */
   void failed(Address const& address, bool certain, Instant now);
   bool avoided(Address const& address, Instant now) const;
-  std::size_t in_flight(Address const& address) const;
 
   /** A remote endpoint must look this much better than a local one that has no free slot. */
   static constexpr double crossing_penalty = 1.3;
--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -97,13 +97,8 @@
     return {r};
   }
 
-  bool draining() const { return instance_ && instance_->draining_since; }
-  std::string service() const { return instance_ ? instance_->beat.service : ""; }
-  std::string instance_id() const { return instance_ ? instance_->beat.id : ""; }
   std::size_t in_flight() const { return requests_.size(); }
-  std::uint64_t connections_opened() const { return instance_ ? instance_->connections->opened() : 0; }
   void set_keys(KeyHolder* const keys) { keys_ = keys; }
-  std::uint32_t slots() const { return instance_ ? instance_->beat.slots : 0; }
 
   EndpointLoad load() const {
     EndpointLoad l;
--- a/source/programs/mesh_proxy.cpp
+++ b/source/programs/mesh_proxy.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr Duration left_of_grace = 600ms;
-
 void define(Settings& s) {
   define_mesh_settings(s);
   s.text("region", "", "the region that the zone belongs to");
@@ -21,7 +19,6 @@
   s.text("service", "", "the service of this machine's backend");
   s.text("backend-address", "", "ip:port of this machine's backend");
   s.text("heartbeat-interval", "", "seconds between two heartbeats of a backend");
-  s.text("store-port", "0", "the port at which stores listen");
   s.text("memory-mb", "0", "the memory that the process may use, in MB");
   s.text("cpu-share", "", "the part of a core that the process may use");
   s.list("contracts", "parts of the operators' rules in force; for the log only");
@@ -39,7 +36,7 @@
   n.follower.seeds = seed_peers(s);
   n.follower.timing = mesh_timing();
   n.service = s.text("service");
-  n.store_port = static_cast<std::uint16_t>(number_of(s, "store-port", 0));
+  n.store_port = store_port(s);
   n.bounds = bounds;
   n.keys = key_settings(bounds);
   return n;
@@ -101,11 +98,8 @@
     clients.close_listener();
     return node.idle();
   };
-  auto const reload = [&] {
-    Process::reload(s, define, line.count(), line.words(),
-                    [](std::string const& name, Settings const&) { return name == "initial-start"; });
-  };
-  process.until_told_to_go(leave, idle, reload, bounds->shutdown_grace - left_of_grace);
+  auto const reload = [&] { reload_mesh_settings(s, define, line); };
+  process.until_told_to_go(leave, idle, reload, leave_patience(*bounds));
   std::_Exit(0);
 }
 
--- a/source/programs/mesh_registry.cpp
+++ b/source/programs/mesh_registry.cpp
@@ -11,11 +11,8 @@
 
 namespace {
 
-constexpr Duration left_of_grace = 600ms;
-
 void define(Settings& s) {
   define_mesh_settings(s);
-  s.text("store-port", "0", "the port at which stores listen");
   s.text("control-address", "", "ip:port for operators (HTTP)");
   s.flag("counted", "this machine counts among those that may be lost");
   s.list("zones", "names of all zones");
@@ -29,7 +26,7 @@
   r.address = s.text("address");
   r.seeds = seed_peers(s);
   r.timing = mesh_timing();
-  r.store_port = static_cast<std::uint16_t>(number_of(s, "store-port", 0));
+  r.store_port = store_port(s);
   return r;
 }
 
@@ -61,16 +58,13 @@
   });
   if (!open) return start_failed(open.error());
   log_info("started", {{"address", *bound}, {"operators", s.text("control-address")}, {"zone", s.text("zone")}});
-  auto const reload = [&] {
-    Process::reload(s, define, line.count(), line.words(),
-                    [](std::string const& name, Settings const&) { return name == "initial-start"; });
-  };
+  auto const reload = [&] { reload_mesh_settings(s, define, line); };
   auto const leave = [&] {
     registry.leave();
     operators.drain();
   };
   auto const idle = [&] { return registry.idle() && operators.in_flight() == 0; };
-  process.until_told_to_go(leave, idle, reload, bounds->shutdown_grace - left_of_grace);
+  process.until_told_to_go(leave, idle, reload, leave_patience(*bounds));
   std::_Exit(0);
 }
 
--- a/source/programs/mesh_settings.hpp
+++ b/source/programs/mesh_settings.hpp
@@ -30,6 +30,7 @@
   s.text("address", "", "ip:port for other processes");
   s.list("seed-control", "ip:port of a registry's operator interface; repeat for three");
   s.text("peer-port", "0", "the port at which registries listen for other processes");
+  s.text("store-port", "0", "the port at which stores listen");
   s.flag("initial-start", "the whole system starts for the first time");
   s.text("losses", "1", "how many machines with a disk may be lost at once");
   s.list("bounds", "name=value, as the operators state them");
@@ -46,6 +47,9 @@
   return std::stoull(text);
 }
 
+/** The port at which stores listen. */
+inline std::uint16_t store_port(Settings const& s) { return static_cast<std::uint16_t>(number_of(s, "store-port", 0)); }
+
 /** The seeds' addresses for other processes: their machines, at the port that all registries share. */
 inline std::vector<Address> seed_peers(Settings const& s) {
   std::vector<Address> peers;
@@ -73,6 +77,19 @@
   return k;
 }
 
+/** How long a process told to go may take: a little less than it is given. */
+inline Duration leave_patience(TimingBounds const& bounds) {
+  constexpr Duration left_of_grace = 600ms;
+  return bounds.shutdown_grace - left_of_grace;
+}
+
+/** Reads the settings again. Whether the system starts for the first time matters at a start only. */
+template <class Define>
+void reload_mesh_settings(Settings& s, Define define, CommandLine& line) {
+  Process::reload(s, define, line.count(), line.words(),
+                  [](std::string const& name, Settings const&) { return name == "initial-start"; });
+}
+
 /** Logs why a start failed; the exit code. */
 inline int start_failed(Mishap const& m) {
   log_warn("start_failed", {{"step", m.step}, {"peer", m.peer}, {"reason", m.reason}});
--- a/source/transport/socket_world.hpp
+++ b/source/transport/socket_world.hpp
@@ -30,7 +30,6 @@
 inline constexpr std::uint8_t ping_kind = 0;
 inline constexpr Duration connect_limit = 300ms;
 inline constexpr Duration ping_after = 150ms;
-inline constexpr Duration silent_after = 200ms;
 inline constexpr Duration reset_after = 900ms;
 inline constexpr Duration watch_period = 100ms;
 inline constexpr int unacknowledged_limit_ms = 1500;
@@ -158,12 +157,6 @@
     co_return mishap("wait_for_reply", peer, "deadline", Proof::unknown);
   }
 
-  /** A peer that owes answers and has not answered a ping either. */
-  bool silent(Address const& peer) const {
-    auto const it = links_.find(peer);
-    return it != links_.end() && it->second->pinged && now() - it->second->pinged_at > silent_after;
-  }
-
   void tell_raw(Address const& peer, std::uint8_t const kind, Bytes payload) {
     std::shared_ptr<Link> link = link_to(peer);
     if (link->backlog.size() >= backlog_limit || payload.size() > frame_limit) return;
