--- a/source/coordination/register_client.hpp
+++ b/source/coordination/register_client.hpp
@@ -24,6 +24,13 @@
   std::vector<Address> addresses;
 };
 
+/// The stores on the machines of these registries, all of which listen at one port.
+inline std::vector<Address> stores_beside(std::vector<Address> const& registries, std::uint16_t const port) {
+  std::vector<Address> stores;
+  for (Address const& a : registries) stores.push_back(a.substr(0, a.rfind(':') + 1) + std::to_string(port));
+  return stores;
+}
+
 /// A reading, and when its question was sent: it holds every change that was
 /// completed before that.
 struct Confirmed {
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -20,11 +20,6 @@
   KeySettings keys;
 };
 
-/** The address of another port on the same machine. */
-inline Address with_port(Address const& address, std::uint16_t const port) {
-  return address.substr(0, address.rfind(':') + 1) + std::to_string(port);
-}
-
 template <Surroundings W>
 class MeshNode {
  public:
@@ -32,7 +27,7 @@
       : w_(w),
         s_(std::move(settings)),
         adapter_(adapter),
-        registers_(w, StoreSeeds{stores_of(s_.follower.seeds)}),
+        registers_(w, StoreSeeds{stores_beside(s_.follower.seeds, s_.store_port)}),
         local_(w, local_settings(), adapter.headers, std::move(factory), local_events()),
         path_(w, path_settings(), adapter.headers, local_),
         follower_(w, s_.follower, follower_events()),
@@ -100,12 +95,6 @@
 
   bool in_contact() const { return follower_.since_contact() < isolated_after; }
 
-  std::vector<Address> stores_of(std::vector<Address> const& registries) const {
-    std::vector<Address> stores;
-    for (Address const& a : registries) stores.push_back(with_port(a, s_.store_port));
-    return stores;
-  }
-
   LocalBackendSettings local_settings() const {
     LocalBackendSettings l;
     l.node = s_.follower.id;
@@ -296,7 +285,7 @@
       if (!keys_ || (!confirm_soon_ && !awaits_first_rows() && w_.now() - confirmed_at_ < s_.keys.confirm_every))
         continue;
       confirm_soon_ = false;
-      registers_.learn(stores_of(registry_addresses()));
+      registers_.learn(stores_beside(registry_addresses(), s_.store_port));
       Held const known = keys_held_;
       // Until the voters are known all stores are waited for, even those that aren't up.
       Duration const patience = registers_.knows_voters() ? confirm_patience : first_confirm_patience;
--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -189,11 +189,6 @@
     if (!s.voters.empty()) return RegisterClient<W>(w, s.voters);
     return RegisterClient<W>(w, StoreSeeds{stores_beside(s.seeds, s.store_port)});
   }
-  static std::vector<Address> stores_beside(std::vector<Address> const& registries, std::uint16_t const port) {
-    std::vector<Address> stores;
-    for (Address const& a : registries) stores.push_back(a.substr(0, a.rfind(':') + 1) + std::to_string(port));
-    return stores;
-  }
 
   // ---- values of the registers
 
