--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -7,6 +7,7 @@
 #include "coordination/zone_follower.hpp"
 #include "data_path/request_path.hpp"
 #include "protocol/interface_adapter.hpp"
+#include "state/compressed_text.hpp"
 
 namespace banktide {
 
@@ -148,7 +149,9 @@
   }
 
   void take_configuration(Held const& held) {
-    Result<ServiceConfiguration> read = adapter_.read_configuration(held.bytes);
+    Result<std::string> const text = decompress(held.bytes);
+    Result<ServiceConfiguration> read =
+        text ? adapter_.read_configuration(*text) : tl::unexpected<Mishap>(text.error());
     if (!read) {
       log_warn("configuration_unreadable",
                {{"version", std::to_string(held.revision)}, {"reason", read.error().reason}});
--- a/source/programs/mesh_registry.hpp
+++ b/source/programs/mesh_registry.hpp
@@ -6,6 +6,7 @@
 #include "coordination/key_coordinator.hpp"
 #include "programs/registry.hpp"
 #include "protocol/interface_adapter.hpp"
+#include "state/compressed_text.hpp"
 
 namespace banktide {
 
@@ -46,14 +47,11 @@
   // The highest version holds. One that is not above it changes nothing, but is
   // acknowledged only after a majority has what is held.
   Task<HttpReply> write_configuration(WriteConfigurationOperation write) {
-    auto const step = [&write](Held const& now) -> Result<Held> {
-      if (now.revision >= write.version) return now;
-      Held next;
-      next.revision = write.version;
-      next.bytes = write.bytes;
-      next.digest = digest_of(next.bytes);
-      return next;
-    };
+    Held next;
+    next.revision = write.version;
+    next.bytes = compress(write.bytes);
+    next.digest = digest_of(next.bytes);
+    auto const step = [&next](Held const& now) -> Result<Held> { return now.revision >= next.revision ? now : next; };
     Result<Held> const done =
         co_await registry_.registers().change(Register::routing, "", w_.now() + write_patience, step);
     if (!done) {
@@ -73,7 +71,13 @@
     Result<Held> const held = co_await registry_.registers().read(Register::routing, known, w_.now() + read_patience);
     if (!held) co_return http_reply(adapter_.unavailable_reply(held.error().reason));
     if (held->revision == 0) co_return http_reply(adapter_.unavailable_reply("no configuration was ever sent"));
-    co_return http_reply(adapter_.configuration_reply(held->bytes));
+    Result<std::string> const text = decompress(held->bytes);
+    if (!text) {
+      log_warn("configuration_unreadable",
+               {{"version", std::to_string(held->revision)}, {"reason", text.error().reason}});
+      co_return http_reply(adapter_.unavailable_reply(text.error().reason));
+    }
+    co_return http_reply(adapter_.configuration_reply(*text));
   }
 
   W& w_;
--- /dev/null
+++ b/source/state/compressed_text.cpp
@@ -0,0 +1,52 @@
+#include "state/compressed_text.hpp"
+
+#include <array>
+#include <cstdint>
+#include <zlib.h>
+
+namespace banktide {
+
+namespace {
+
+constexpr std::size_t length_bytes = 4;
+constexpr int level = 6;
+// zlib can't make a text more than about a thousand times longer than its input.
+constexpr std::size_t greatest_ratio = 1100;
+
+std::size_t told_length(std::string_view const bytes) {
+  std::size_t length = 0;
+  for (std::size_t i = length_bytes; i-- > 0;) length = length << 8 | static_cast<unsigned char>(bytes[i]);
+  return length;
+}
+
+}  // namespace
+
+std::string compress(std::string_view const text) {
+  uLongf size = compressBound(static_cast<uLong>(text.size()));
+  std::string bytes(length_bytes + size, '\0');
+  for (std::size_t i = 0; i < length_bytes; ++i) bytes[i] = static_cast<char>(text.size() >> (8 * i) & 0xff);
+  compress2(reinterpret_cast<Bytef*>(bytes.data() + length_bytes), &size, reinterpret_cast<Bytef const*>(text.data()),
+            static_cast<uLong>(text.size()), level);
+  bytes.resize(length_bytes + size);
+  bytes.shrink_to_fit();
+  return bytes;
+}
+
+Result<std::string> decompress(std::string_view const bytes, std::size_t const longest) {
+  if (bytes.size() <= length_bytes) return mishap("decompress", "", "shorter than its head");
+  std::size_t const length = told_length(bytes);
+  std::string_view const body = bytes.substr(length_bytes);
+  if (length > longest) return mishap("decompress", "", "text of " + std::to_string(length) + " bytes");
+  if (length / greatest_ratio > body.size()) return mishap("decompress", "", "longer than its bytes can tell");
+  // A text of no bytes still needs somewhere to point to.
+  std::string text(length + 1, '\0');
+  uLongf size = static_cast<uLongf>(text.size());
+  uLong used = static_cast<uLong>(body.size());
+  int const result =
+      uncompress2(reinterpret_cast<Bytef*>(text.data()), &size, reinterpret_cast<Bytef const*>(body.data()), &used);
+  if (result != Z_OK || size != length || used != body.size()) return mishap("decompress", "", "spoilt bytes");
+  text.resize(length);
+  return text;
+}
+
+}  // namespace banktide
