A backend that forgets idle connections teaches how long they may rest

Cause: some backends of the grown sites forget connections that rested 300 ms or so; a request that may not be repeated used one that had rested up to 2 s, met the reset and was lost as unknown. Ruled out: new connections for all such requests (each is priced and holds a slot). Change: IdleLimit. A reused connection that is reset within 12 ms of the request, after a rest of 40 ms or more, halves the allowed rest for 30 s; longer rests are closed. A reset after longer is that of a backend at work and teaches nothing.

--- a/source/transport/backend_connections.cpp
+++ b/source/transport/backend_connections.cpp
@@ -4,6 +4,7 @@
 #include "transport/backend_connections.hpp"
 
 #include "transport/http_codec.hpp"
+#include "transport/idle_limit.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -25,7 +26,6 @@
 
 constexpr Duration connect_timeout = 500ms;
 constexpr int unacknowledged_ms = 2000;           // TCP_USER_TIMEOUT
-constexpr Duration proven_recently = 2s;          // a connection that may carry what can't be repeated
 constexpr std::size_t surplus_limit = 4;          // answers to other requests before ours
 constexpr std::size_t reads_per_event = 16;       // then others get their turn
 constexpr std::size_t pending_limit = 96u << 10;  // unparsed bytes of an answer
@@ -83,6 +83,7 @@
   std::vector<std::shared_ptr<BackendConnection>> idle;  // last used last
   std::size_t open = 0;
   std::uint64_t opened = 0;
+  IdleLimit idle_limit;
   bool closed = false;
 };
 
@@ -392,8 +393,9 @@
 
 void BackendPool::drop_expired(Instant const now) {
   std::vector<std::shared_ptr<BackendConnection>> expired;
+  Duration const longest_rest = idle_limit.allowed(now, true);
   for (std::shared_ptr<BackendConnection> const& connection : idle)
-    if (!connection->may_rest_at(now)) expired.push_back(connection);
+    if (!connection->may_rest_at(now) || now - connection->last_used() > longest_rest) expired.push_back(connection);
   for (std::shared_ptr<BackendConnection> const& connection : expired) connection->close();
 }
 
@@ -403,7 +405,7 @@
   drop_expired(now);
   while (!idle.empty()) {
     std::shared_ptr<BackendConnection> const last = idle.back();
-    if (!repeatable && now - last->last_used() > proven_recently) return nullptr;
+    if (now - last->last_used() > idle_limit.allowed(now, repeatable)) return nullptr;
     if (last->is_silent()) {
       idle.pop_back();
       return last;
@@ -436,8 +438,12 @@
   Proof proof = Proof::not_run;
   std::shared_ptr<BackendConnection> connection = pool->take_idle(sending->repeatable);
   if (connection) {
+    Instant const sent = std::chrono::steady_clock::now();
+    Duration const rested = sent - connection->last_used();
     Result<HttpReply> first = co_await connection->exchange(sending);
     if (first) co_return first;
+    Instant const ended = std::chrono::steady_clock::now();
+    if (connection->died_silently()) pool->idle_limit.on_silent_end(ended, rested, ended - sent);
     bool const again = first.error().proof == Proof::not_run || sending->repeatable;
     if (!connection->died_silently() || !again) co_return first;
     proof = first.error().proof;
