Backends that fail far more than their peers get few new requests

Cause: on the grown sites backends fail part of their requests while their health answer is good. A failure was counted only as three in a row by one caller, so a backend that fails a third of its requests kept its full share. Ruled out: health probes (they lie, both ways, and each takes 6 ms of a slot). Change: the node beside a backend measures the share of the latest requests that failed (fading, half-life 2 s) and tells it with each answer. What was told is forgotten after 5 s.

--- a/source/data_path/endpoint_selector.cpp
+++ b/source/data_path/endpoint_selector.cpp
@@ -1,5 +1,7 @@
 #include "data_path/endpoint_selector.hpp"
 
+#include "data_path/outliers.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -10,6 +12,9 @@
 constexpr Duration load_half_life = 400ms;
 constexpr Duration first_ejection = 250ms;
 constexpr std::uint32_t longest_ejection_doublings = 4;
+constexpr Duration outliers_found_every = 100ms;
+constexpr Duration failures_believed_for = 5s;  // then an endpoint gets another chance
+constexpr std::uint64_t one_in_so_many_probes = 24;
 
 }  // namespace
 
@@ -72,9 +77,32 @@
   return run * (1 + 0.3 * fullness + queued / slots);
 }
 
+std::uint32_t EndpointSelector::failed_percent(Endpoint const& endpoint, Instant const now) const {
+  auto const it = history_.find(endpoint.address);
+  if (it == history_.end() || now - it->second.failed_percent_at > failures_believed_for) return 0;
+  return it->second.failed_percent;
+}
+
+std::set<Address> const& EndpointSelector::outliers_of(std::string const& service, Endpoints const& endpoints,
+                                                       Instant const now) {
+  Outliers& known = outliers_[service];
+  if (now - known.found_at < outliers_found_every) return known.addresses;
+  known.found_at = now;
+  known.addresses.clear();
+  std::vector<std::uint32_t> failed;
+  failed.reserve(endpoints.size());
+  for (Endpoint const& e : endpoints) failed.push_back(failed_percent(e, now));
+  std::vector<bool> const outlier = find_outliers(failed);
+  for (std::size_t i = 0; i < endpoints.size(); ++i)
+    if (outlier[i]) known.addresses.insert(endpoints[i].address);
+  return known.addresses;
+}
+
 Endpoint const* EndpointSelector::select(std::string const& service, std::set<Address> const& tried, Instant const now,
-                                         std::mt19937_64& chance) {
+                                         std::mt19937_64& chance, bool const repeatable) {
   Endpoints const& all = of(service);
+  std::set<Address> const& outliers = outliers_of(service, all, now);
+  bool const probes = repeatable && !outliers.empty() && chance() % one_in_so_many_probes == 0;
   double const mean = mean_run(all);
   struct Best {
     Endpoint const* endpoint = nullptr;
@@ -87,7 +115,7 @@
   for (std::size_t i = 0; i < all.size(); ++i) {
     Endpoint const& e = all[(start + i) % all.size()];
     if (tried.contains(e.address)) continue;
-    if (avoided(e.address, now)) {
+    if (avoided(e.address, now) || (!probes && outliers.contains(e.address))) {
       last_resort.push_back(&e);
       continue;
     }
@@ -114,6 +142,8 @@
   h.others = std::max(0.0, static_cast<double>(load.running + load.waiting) - h.in_flight);
   h.others_at = now;
   if (load.run_us > 0) h.run_us = load.run_us;
+  h.failed_percent = load.failed_percent;
+  h.failed_percent_at = now;
 }
 
 void EndpointSelector::busy(Address const& address, EndpointLoad const& load, Duration const for_time,
--- a/source/data_path/endpoint_selector.hpp
+++ b/source/data_path/endpoint_selector.hpp
@@ -38,6 +38,9 @@
   Instant avoid_until{};
   /** For how long refusals for being busy are believed. */
   Instant busy_until{};
+  /** Of the requests that reached the backend there, how many failed, as it last told. */
+  std::uint32_t failed_percent = 0;
+  Instant failed_percent_at{};
 };
 
 class EndpointSelector {
@@ -48,9 +51,12 @@
   void replace(std::map<std::string, Endpoints> endpoints);
   Endpoints const& of(std::string const& service) const;
 
-  /** The best endpoint whose address isn't in `tried`; nullptr when there is none. */
+  /**
+   * The best endpoint whose address isn't in `tried`; nullptr when there is none. Of the
+   * repeatable requests a few go to endpoints that fail much, to learn whether they still do.
+   */
   Endpoint const* select(std::string const& service, std::set<Address> const& tried, Instant now,
-                         std::mt19937_64& chance);
+                         std::mt19937_64& chance, bool repeatable = false);
 
   void sent(Address const& address);
   /** The request that `sent` counted is over; its answer told the load there. */
@@ -68,10 +74,19 @@
   bool has_free_slot(Endpoint const& endpoint, Instant now) const;
   double busy_there(Endpoint const& endpoint, Instant now) const;
   double mean_run(Endpoints const& endpoints) const;
+  std::set<Address> const& outliers_of(std::string const& service, Endpoints const& endpoints, Instant now);
+  std::uint32_t failed_percent(Endpoint const& endpoint, Instant now) const;
+
+  /** Endpoints that fail far more than the others of their service. */
+  struct Outliers {
+    std::set<Address> addresses;
+    Instant found_at{};
+  };
 
   static constexpr std::uint32_t failures_to_eject = 3;
   std::map<std::string, Endpoints> endpoints_;
   tsl::robin_map<Address, EndpointHistory> history_;
+  tsl::robin_map<std::string, Outliers> outliers_;
 };
 
 }  // namespace banktide
--- /dev/null
+++ b/source/data_path/failure_share.cpp
@@ -0,0 +1,32 @@
+#include "data_path/failure_share.hpp"
+
+#include <cmath>
+
+namespace banktide {
+
+namespace {
+
+constexpr Duration half_life = 2s;
+// Requests without a failure that are assumed on top, so that few prove little.
+constexpr double assumed_good = 4;
+
+}  // namespace
+
+double FailureShare::fading(Instant const now) const {
+  if (now <= counted_at_) return 1;
+  return std::exp2(-(std::chrono::duration<double>(now - counted_at_) / std::chrono::duration<double>(half_life)));
+}
+
+void FailureShare::add(Instant const now, bool const failed) {
+  double const kept = fading(now);
+  failed_ = failed_ * kept + (failed ? 1 : 0);
+  all_ = all_ * kept + 1;
+  counted_at_ = std::max(counted_at_, now);
+}
+
+std::uint32_t FailureShare::percent(Instant const now) const {
+  double const kept = fading(now);
+  return static_cast<std::uint32_t>(100 * failed_ * kept / (all_ * kept + assumed_good));
+}
+
+}  // namespace banktide
--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -6,6 +6,7 @@
 
 #include "coordination/key_holder.hpp"
 #include "data_path/backend_queue.hpp"
+#include "data_path/failure_share.hpp"
 #include "protocol/backend_heartbeat.hpp"
 #include "protocol/data_path_headers.hpp"
 #include "protocol/forward_messages.hpp"
@@ -108,6 +109,7 @@
     l.slots = instance_->beat.slots;
     l.run_us = static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::microseconds>(instance_->queue.estimate().overall()).count());
+    l.failed_percent = instance_->failures.percent(w_.now());
     return l;
   }
 
@@ -168,6 +170,7 @@
     BackendHeartbeat beat;
     std::shared_ptr<BackendConnections> connections;
     BackendQueue queue;
+    FailureShare failures;
     Instant heard{};
     std::optional<Instant> draining_since;
     bool refused = false;
@@ -293,11 +296,18 @@
     Duration const took = w_.now() - begun;
     bool const good = got && got->status < 500 && got->status >= 200;
     finished(life, forward.work_class, took, good);
+    if (life == life_ && instance_ && reached_backend(got)) instance_->failures.add(w_.now(), !good);
     ForwardReply reply = got ? judge(std::move(*got), instance) : judge_failure(got.error(), instance);
     reply.run_us = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::microseconds>(took).count());
     co_return reply;
   }
 
+  /** Whether the backend may have run the request, so that its outcome tells of the backend's health. */
+  bool reached_backend(Result<HttpReply> const& got) const {
+    if (!got) return got.error().proof != Proof::not_run;
+    return got->status != 421 && !has_header(got->headers, headers_.not_executed);
+  }
+
   void finished(std::uint64_t const life, std::uint32_t const work_class, Duration const took, bool const measured) {
     if (life != life_ || !instance_) return;
     instance_->queue.finished(w_.now(), work_class, took, measured);
--- a/source/data_path/request_path.hpp
+++ b/source/data_path/request_path.hpp
@@ -72,7 +72,7 @@
   Task<ForwardReply> pass_on(Forward forward, ForwardReply refused) {
     forward.crossed = false;
     std::set<Address> const tried{s_.own_address};
-    Endpoint const* const other = selector_.select(forward.service, tried, w_.now(), w_.chance());
+    Endpoint const* const other = selector_.select(forward.service, tried, w_.now(), w_.chance(), forward.repeatable);
     if (other == nullptr || !other->local_zone) co_return refused;
     Instant const deadline = w_.now() + std::chrono::milliseconds(forward.remaining_ms);
     Address const address = other->address;
@@ -166,7 +166,7 @@
       f.crossed = holder->zone != s_.zone;
       return holder->address;
     }
-    Endpoint const* const endpoint = selector_.select(f.service, tried, w_.now(), w_.chance());
+    Endpoint const* const endpoint = selector_.select(f.service, tried, w_.now(), w_.chance(), f.repeatable);
     if (endpoint == nullptr) return std::nullopt;
     f.crossed = !endpoint->local_zone;
     return endpoint->address;
--- a/source/protocol/forward_messages.hpp
+++ b/source/protocol/forward_messages.hpp
@@ -14,7 +14,9 @@
   std::uint32_t slots = 0;
   /** Mean time of recent runs on this backend, in microseconds; 0: none yet. */
   std::uint32_t run_us = 0;
-  BANKTIDE_FIELDS(running, waiting, slots, run_us)
+  /** Of the latest requests that reached the backend, how many failed, in percent. */
+  std::uint32_t failed_percent = 0;
+  BANKTIDE_FIELDS(running, waiting, slots, run_us, failed_percent)
 };
 
 /** Why a request was not run, as far as the sender's next step depends on it. */
--- a/tests/data_path/endpoint_selector_test.cpp
+++ b/tests/data_path/endpoint_selector_test.cpp
@@ -88,5 +88,33 @@
   EXPECT_EQ(chosen(selector, chance), "far");
 }
 
+TEST(EndpointSelector, who_fails_far_more_than_the_others_gets_few_repeatable_requests_and_no_other) {
+  std::mt19937_64 chance(7);
+  EndpointSelector selector =
+      with({endpoint("a", true, 8), endpoint("b", true, 8), endpoint("grey", true, 8), endpoint("far", false, 8)});
+  for (std::string const address : {"a", "b", "far", "grey"}) {
+    selector.sent(address);
+    selector.answered(address, EndpointLoad{0, 0, 8, 50000, address == "grey" ? 40u : 1u}, start);
+  }
+  Instant const later = start + 200ms;
+  int probes = 0;
+  for (int i = 0; i < 2400; ++i) {
+    EXPECT_NE(selector.select("s", {}, later, chance, false)->address, "grey");
+    probes += selector.select("s", {}, later, chance, true)->address == "grey";
+  }
+  EXPECT_GT(probes, 10);
+  EXPECT_LT(probes, 150);
+  EXPECT_EQ(chosen(selector, chance, {"a", "b", "far"}, later), "grey") << "better than nobody";
+}
+
+TEST(EndpointSelector, what_was_told_of_failures_is_forgotten_after_a_while) {
+  std::mt19937_64 chance(7);
+  EndpointSelector selector = with({endpoint("a", false, 8), endpoint("b", false, 8), endpoint("grey", true, 8)});
+  selector.sent("grey");
+  selector.answered("grey", EndpointLoad{0, 0, 8, 50000, 60}, start);
+  EXPECT_NE(chosen(selector, chance, {}, start + 200ms), "grey");
+  EXPECT_EQ(chosen(selector, chance, {}, start + 6s), "grey");
+}
+
 }  // namespace
 }  // namespace banktide
