Keys: hot rows are cut where their load is, and loads are even within seconds

Cause: a node told the rate on a row and on its lower half, and a row too hot to move was cut into eight equal widths that had to be measured before the next cut. 37 % of the requests on some 120 neighbouring keys lie in one row of 528: cutting by widths took many rounds of 2.6 s (5 ms for each row), each used up rows of the limit of 600, and nothing ever joined them again. A backend with hardly a request told no capacity and so took no load. Requests refused for a full queue counted once and those that ran twice, so a full backend seemed less loaded than it was.

Changed: - KeyLoad: a counter for each key of a held row; rates are means over up to 10 s that begin anew when a count is no chance; a cut or joined row inherits what is known of its keys. KeyReport tells cuts of hot rows instead of lower rates. Requests count once, when they come. - KeyRates, KeyRebalancer (out of KeyPlanner): cuts by these into parts of a fifth of a mean backend's load and moves them in the same table; gives only above what chance explains, down to near the mean; hot keys come apart; cool narrow neighbours are joined under the higher fence when rows are many. - rebalance_per_row is gone; a first table has at most 600 rows, a service 960.

Rows joined under the lower fence, and rows without their rest, fail the new tests.

Tests changed: KeyHolder and KeyTrial count requests by count() where they did by may_run(), which now only asks; their bounds are as before.

--- a/source/coordination/key_holder.cpp
+++ b/source/coordination/key_holder.cpp
@@ -11,9 +11,11 @@
 
 constexpr std::size_t remembered_releases = 256;
 constexpr std::size_t remembered_ends = 8;
-constexpr Duration wake_gap = 1s;    // no report for longer than this: the process was frozen
-constexpr float rate_memory = 0.6F;  // the weight of former rates in a new one
-constexpr double least_seconds_measured = 0.4;
+constexpr Duration wake_gap = 1s;            // no report for longer than this: the process was frozen
+constexpr float hot_row_share = 0.15F;       // of the capacity, or else of the load: such a row's cuts are told
+constexpr float parts_of_least_hot_row = 4;  // into which such a row is cut
+constexpr float parts_told = 64;             // of all hot rows together, about
+constexpr std::size_t cuts_limit = 96;       // ... and with those beside very hot keys
 
 template <class A, class B>
 bool overlap(A const& a, B const& b) {
@@ -197,19 +199,23 @@
   });
 }
 
-// The counts of rows that stay are kept.
+// The counts of rows that stay are kept, also if they are cut or joined.
 void KeyHolder::serve(std::vector<KeyGrant> const& rows, Instant const now) {
   std::vector<Serving> serving;
   serving.reserve(rows.size());
-  std::size_t old = 0;
+  std::size_t first = 0;
   for (KeyGrant const& grant : rows) {
-    while (old < serving_.size() && serving_[old].grant.from < grant.from) ++old;
-    bool const same = old < serving_.size() && serving_[old].grant.from == grant.from &&
-                      serving_[old].grant.to == grant.to && serving_[old].grant.fence == grant.fence;
-    Serving one = same ? std::move(serving_[old]) : Serving{};
-    one.grant = grant;
-    if (!same) one.since = now;
-    serving.push_back(std::move(one));
+    while (first < serving_.size() && serving_[first].grant.to < grant.from) ++first;
+    bool const same = first < serving_.size() && serving_[first].grant.from == grant.from &&
+                      serving_[first].grant.to == grant.to && serving_[first].grant.fence == grant.fence;
+    if (same) {
+      serving.push_back(Serving{grant, std::move(serving_[first++].load)});
+      continue;
+    }
+    KeyLoad load(grant.from, grant.to, now);
+    for (std::size_t i = first; i < serving_.size() && serving_[i].grant.from <= grant.to; ++i)
+      load.inherit(serving_[i].load);
+    serving.push_back(Serving{grant, std::move(load)});
   }
   serving_ = std::move(serving);
 }
@@ -261,35 +267,53 @@
   end_life(instance, reason);
 }
 
-std::optional<std::uint32_t> KeyHolder::may_run(std::uint16_t const key, Instant const now, Duration const expected) {
-  if (now + expected >= hold_end_) return std::nullopt;
-  std::vector<Serving>::iterator const after = std::upper_bound(
+KeyHolder::Serving const* KeyHolder::serving_row(std::uint16_t const key) const {
+  std::vector<Serving>::const_iterator const after = std::upper_bound(
       serving_.begin(), serving_.end(), key, [](std::uint16_t k, Serving const& s) { return k < s.grant.from; });
-  if (after == serving_.begin()) return std::nullopt;
-  Serving& row = *(after - 1);
-  if (key > row.grant.to) return std::nullopt;
-  ++row.count;
-  if (key <= row.grant.from + (row.grant.to - row.grant.from) / 2) ++row.lower_count;
-  return row.grant.fence;
+  if (after == serving_.begin()) return nullptr;
+  Serving const& row = *(after - 1);
+  return key > row.grant.to ? nullptr : &row;
+}
+
+std::optional<std::uint32_t> KeyHolder::may_run(std::uint16_t const key, Instant const now,
+                                                Duration const expected) const {
+  if (now + expected >= hold_end_) return std::nullopt;
+  Serving const* const row = serving_row(key);
+  return row == nullptr ? std::nullopt : std::optional<std::uint32_t>(row->grant.fence);
+}
+
+void KeyHolder::count(std::uint16_t const key) {
+  Serving const* const row = serving_row(key);
+  if (row != nullptr) serving_[static_cast<std::size_t>(row - serving_.data())].load.count(key);
 }
 
-// A row's first rates count from when it came, so that they are right at once.
 void KeyHolder::measure(Instant const now) {
-  double const seconds = std::chrono::duration<double>(now - measured_).count();
-  if (seconds < least_seconds_measured) return;
-  measured_ = now;
-  for (Serving& row : serving_) {
-    double const served = row.measured ? seconds : std::chrono::duration<double>(now - row.since).count();
-    if (served < least_seconds_measured) continue;
-    auto const blend = [&](float& rate, std::uint32_t& count) {
-      float const newest = static_cast<float>(count / served);
-      rate = row.measured ? rate_memory * rate + (1 - rate_memory) * newest : newest;
-      count = 0;
-    };
-    blend(row.rate, row.count);
-    blend(row.lower_rate, row.lower_count);
-    row.measured = true;
+  for (Serving& row : serving_) row.load.measure(now);
+}
+
+// The hottest rows' cuts, as far as a report has room for them.
+std::vector<KeyRowCuts> KeyHolder::cuts_of_hot_rows(float const capacity) const {
+  std::vector<Serving const*> rows;
+  float demand = 0;
+  for (Serving const& row : serving_) demand += std::max(0.0F, row.load.rate());
+  float const hot = capacity > 0 ? hot_row_share * capacity : hot_row_share * demand;
+  float hot_demand = 0;
+  for (Serving const& row : serving_) {
+    if (row.grant.from == row.grant.to || row.load.rate() <= 0 || row.load.rate() < hot) continue;
+    rows.push_back(&row);
+    hot_demand += row.load.rate();
+  }
+  std::sort(rows.begin(), rows.end(),
+            [](Serving const* a, Serving const* b) { return a->load.rate() > b->load.rate(); });
+  float const part = std::max(hot / parts_of_least_hot_row, hot_demand / parts_told);
+  std::size_t room = cuts_limit;
+  std::vector<KeyRowCuts> told;
+  for (Serving const* const row : rows) {
+    KeyRowCuts one{row->grant.from, row->load.cuts(part, room)};
+    room -= one.cuts.size();
+    if (!one.cuts.empty()) told.push_back(std::move(one));
   }
+  return told;
 }
 
 KeyReport KeyHolder::report(Instant const now, float const busy, float const capacity) {
@@ -310,7 +334,9 @@
   report.capacity = capacity;
   report.table = table_revision_;
   for (Serving const& row : serving_)
-    report.held.push_back(KeyRowLoad{row.grant.from, row.grant.to, row.grant.fence, row.rate, row.lower_rate});
+    report.held.push_back(
+        KeyRowLoad{row.grant.from, row.grant.to, row.grant.fence, row.load.rate(), row.load.seconds()});
+  report.hot = cuts_of_hot_rows(capacity);
   for (Leaving const& leaving : leaving_)
     if (leaving.released)
       report.released.push_back(
--- a/source/coordination/key_holder.hpp
+++ b/source/coordination/key_holder.hpp
@@ -5,6 +5,7 @@
 // clock. State only: the caller brings the time, the beats and the tables.
 #pragma once
 
+#include "coordination/key_load.hpp"
 #include "protocol/key_messages.hpp"
 #include "state/key_table.hpp"
 
@@ -72,7 +73,9 @@
 
   /// Whether a request on a key may be sent to the backend now: the fence of
   /// its row, if work of the expected length ends within the hold.
-  std::optional<std::uint32_t> may_run(std::uint16_t key, Instant now, Duration expected);
+  std::optional<std::uint32_t> may_run(std::uint16_t key, Instant now, Duration expected) const;
+  /// A request on a key has come: it counts for the load of its row, run or not.
+  void count(std::uint16_t key);
 
   /// What the coordinators are to know; takes the count of requests since the last.
   KeyReport report(Instant now, float busy, float capacity = 0);
@@ -86,8 +89,6 @@
   bool leased(Instant now) const;
 
  private:
-  static constexpr float not_measured = -1;
-
   // A row that the table gives to this node's instance, or to one that ended here.
   struct Mine {
     KeyRow row;
@@ -95,12 +96,7 @@
   };
   struct Serving {
     KeyGrant grant;
-    Instant since{};        // it has been served
-    bool measured = false;  // its rates are known
-    std::uint32_t count = 0;
-    std::uint32_t lower_count = 0;
-    float rate = not_measured;
-    float lower_rate = not_measured;
+    KeyLoad load;
   };
   struct KnownRelease {
     std::uint16_t from = 0;
@@ -127,7 +123,9 @@
   std::string own_token(KeyRow const& row) const;
   std::vector<KeyGrant> rows_to_grant() const;
   void serve(std::vector<KeyGrant> const& rows, Instant now);
+  Serving const* serving_row(std::uint16_t key) const;
   void measure(Instant now);
+  std::vector<KeyRowCuts> cuts_of_hot_rows(float capacity) const;
 
   std::string const service_, node_, address_, zone_;
   KeySettings const settings_;
@@ -150,7 +148,6 @@
   std::optional<Instant> lease_until_;
   std::vector<Mine> mine_;
 
-  Instant measured_{};
   Instant last_report_{};
   Instant awake_since_{};
   bool news_ = false;
--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -223,6 +223,7 @@
       return refuse(Refusal::no_backend, "backend is draining", 30ms);
     if (i.draining_since && now - *i.draining_since > s_.drain_end)
       return refuse(Refusal::no_backend, "backend is draining", 100ms);
+    if (forward.keyed && keys_ != nullptr) keys_->count(forward.key);
     if (forward.keyed && !key_held(forward, now)) return refuse(Refusal::key_not_held, "key is not held here", 150ms);
     return ForwardReply{};
   }
--- a/source/protocol/key_messages.hpp
+++ b/source/protocol/key_messages.hpp
@@ -10,15 +10,28 @@
 // How a backend stands towards its keys.
 enum class KeyStanding : std::uint8_t { serving = 0, draining = 1 };
 
-// A row that the backend may serve now, and the requests a second on it; the
-// rates are below 0 until they have been measured.
+// A row that the backend may serve now, and the requests a second on it, below 0
+// until they have been measured.
 struct KeyRowLoad {
   std::uint16_t from = 0;
   std::uint16_t to = 0;
   std::uint32_t fence = 0;
   float rate = 0;
-  float lower_rate = 0;  // of these, on the lower half of the keys
-  BANKTIDE_FIELDS(from, to, fence, rate, lower_rate)
+  float seconds = 0;  // over which the rate was taken
+  BANKTIDE_FIELDS(from, to, fence, rate, seconds)
+};
+
+// Where a hot row may be cut: a part begins at the key `at` and ends before the
+// next cut.
+struct KeyCut {
+  std::uint16_t at = 0;
+  std::uint16_t share = 0;  // of the row's requests that fall on the part, in 65535ths
+  BANKTIDE_FIELDS(at, share)
+};
+struct KeyRowCuts {
+  std::uint16_t from = 0;  // the row's first key
+  std::vector<KeyCut> cuts;
+  BANKTIDE_FIELDS(from, cuts)
 };
 
 // A row that the backend has let go for a planned move, and which move that was.
@@ -57,9 +70,10 @@
   float capacity = 0;  // the requests a second that its slots would finish, by their run times; 0: not known
   Revision table = 0;
   std::vector<KeyRowLoad> held;
+  std::vector<KeyRowCuts> hot;  // the cuts of rows that carry much of the load
   std::vector<KeyRelease> released;
   std::vector<KeyEnd> ended;
-  BANKTIDE_FIELDS(service, instance, node, address, zone, standing, leased, slots, busy, capacity, table, held,
+  BANKTIDE_FIELDS(service, instance, node, address, zone, standing, leased, slots, busy, capacity, table, held, hot,
                   released, ended)
 };
 
--- a/source/state/key_planner.cpp
+++ b/source/state/key_planner.cpp
@@ -4,8 +4,9 @@
 // newcomers, and from overloaded to idle.
 #include "state/key_planner.hpp"
 
+#include "state/key_rebalancer.hpp"
+
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace banktide {
@@ -15,17 +16,11 @@
 constexpr Duration tick_gap = 500ms;     // a longer one means that this process was held up
 constexpr Duration growth_calm = 500ms;  // no new backend for this long: all have been heard
 constexpr Duration remember_ends = 120s;
-constexpr double neighbour_cost = 0.1;    // what it counts against a taker to hold a neighbouring row
-constexpr double width_weight = 0.25;     // how a row counts that shows no load
-constexpr double newcomer_share = 0.75;   // of the mean share, up to which a newcomer is fed
-constexpr double hot_row_share = 0.3;     // how far above the wanted shift a row's rate may lie
-constexpr double small_row_share = 0.25;  // of the wanted shift: smaller rows move only if none is too hot
-constexpr std::uint32_t split_parts = 8;
+constexpr double neighbour_cost = 0.1;   // what it counts against a taker to hold a neighbouring row
+constexpr double width_weight = 0.25;    // how a row counts that shows no load
+constexpr double newcomer_share = 0.75;  // of the mean share, up to which a newcomer is fed
 constexpr double newest_capacity_weight = 0.15;
 constexpr double least_measured_busy = 0.05;  // below this, run times say little of the capacity
-constexpr double all_keys = 65536;
-
-double width_of(KeyRow const& row) { return (row.to - row.from + 1) / all_keys; }
 
 KeyHolderRecord record_of(KeyReport const& report) {
   return KeyHolderRecord{report.instance, report.node, report.address, report.zone};
@@ -54,6 +49,7 @@
     backend.first_heard = now;
   }
   backend.heard = now;
+  service.rates.learn(now, report);
   backend.report = std::move(report);
   learn_capacity(backend);
 }
@@ -160,7 +156,7 @@
   service.name = name;
   Takers all = takers(table, service, now);
   if (all.empty()) return;
-  std::size_t const rows = std::min(settings_.rows_limit, settings_.rows_per_backend * all.size());
+  std::size_t const rows = std::min(settings_.first_rows_limit, settings_.rows_per_backend * all.size());
   double slots = 0;
   for (Taker const& taker : all) slots += taker.backend->report.slots;
   std::vector<double> credit(all.size(), 0);
@@ -412,150 +408,44 @@
   }
 }
 
-// The requests a second on a row, by its holder's last report; none if it has
-// not measured this very row yet.
-std::optional<double> KeyPlanner::row_rate(KeyTable const& table, KeyRow const& row) const {
-  if (row.holder == no_holder) return std::nullopt;
-  std::map<std::string, Backend>::const_iterator const found = backends_.find(table.holders[row.holder].instance);
-  if (found == backends_.end()) return std::nullopt;
-  for (KeyRowLoad const& load : found->second.report.held)
-    if (load.from == row.from && load.to == row.to && load.rate >= 0) return load.rate;
-  return std::nullopt;
-}
-
-// The backends whose loads may be compared now: those whose rows have all been
-// measured. A row on the move counts for its taker already.
-std::vector<KeyPlanner::Judged> KeyPlanner::judged(KeyTable const& table, KeyService const& service, Takers& takers,
-                                                   Instant const now) const {
-  std::vector<Judged> all;
-  for (Taker& taker : takers) {
-    Backend const& backend = *taker.backend;
-    if (backend.feeding || now < backend.settled || backend.capacity <= 0) continue;
-    Judged one{&taker, 0, backend.capacity};
-    bool measured = true;
-    for (KeyRow const& row : service.rows) {
-      bool const comes = row.next == taker.number;
-      bool const stays = row.holder == taker.number && row.moving == 0;
-      if (!comes && !stays) continue;
-      std::optional<double> const rate = row_rate(table, row);
-      one.demand += rate.value_or(0);
-      measured = measured && (rate || comes);
-    }
-    if (measured) all.push_back(one);
+// Requests a second that a slot finishes, by those backends that have told; one
+// that has hardly had a request yet is taken for as able as these.
+double KeyPlanner::capacity_of_slot(Takers const& takers) {
+  double capacity = 0, slots = 0;
+  for (Taker const& taker : takers) {
+    if (taker.backend->capacity <= 0) continue;
+    capacity += taker.backend->capacity;
+    slots += taker.backend->report.slots;
   }
-  return all;
+  return slots > 0 ? capacity / slots : 0;
 }
 
-// The giver's row whose rate is nearest to what is wanted, and not far above.
-std::size_t KeyPlanner::row_to_move(KeyTable const& table, KeyService const& service, Judged const& giver,
-                                    double const wanted, double const width_left) const {
-  std::size_t chosen = service.rows.size();
-  double nearest = std::numeric_limits<double>::max();
-  for (std::size_t i = 0; i < service.rows.size(); ++i) {
-    KeyRow const& row = service.rows[i];
-    if (row.holder != giver.taker->number || row.moving != 0 || row.revoked != 0) continue;
-    double const rate = row_rate(table, row).value_or(0);
-    if (rate <= 0 || rate > wanted * (1 + hot_row_share) || width_of(row) > width_left) continue;
-    if (std::abs(wanted - rate) >= nearest) continue;
-    nearest = std::abs(wanted - rate);
-    chosen = i;
-  }
-  return chosen;
-}
-
-// The giver's hottest row, if it's too hot to be moved as it is.
-std::size_t KeyPlanner::row_to_split(KeyTable const& table, KeyService const& service, Judged const& giver,
-                                     double const wanted) const {
-  std::size_t hottest = service.rows.size();
-  double most = wanted * (1 + hot_row_share);
-  for (std::size_t i = 0; i < service.rows.size(); ++i) {
-    KeyRow const& row = service.rows[i];
-    if (row.holder != giver.taker->number || row.moving != 0 || row.revoked != 0 || row.from == row.to) continue;
-    double const rate = row_rate(table, row).value_or(0);
-    if (rate <= most) continue;
-    most = rate;
-    hottest = i;
-  }
-  return hottest;
-}
-
-// Into equal parts, as far as there is room; nothing moves, but the parts' rates
-// will be known.
-void KeyPlanner::split(KeyService& service, std::size_t const row, Taker& holder) const {
-  KeyRow const whole = service.rows[row];
-  std::uint32_t const keys = whole.to - whole.from + 1u;
-  std::size_t const room = std::min(settings_.rows_limit - std::min(settings_.rows_limit, service.rows.size()),
-                                    settings_.held_rows_limit - std::min(settings_.held_rows_limit, holder.rows));
-  std::uint32_t const parts = std::min({split_parts, keys, static_cast<std::uint32_t>(room + 1)});
-  std::vector<KeyRow> split(parts, whole);
-  for (std::uint32_t i = 0; i < parts; ++i) {
-    split[i].from = static_cast<std::uint16_t>(whole.from + i * keys / parts);
-    split[i].to = static_cast<std::uint16_t>(whole.from + (i + 1) * keys / parts - 1);
-  }
-  std::vector<KeyRow>::iterator const at = service.rows.begin() + static_cast<std::ptrdiff_t>(row);
-  *at = split.front();
-  service.rows.insert(at + 1, split.begin() + 1, split.end());
-  holder.rows += parts - 1;
-}
-
-// Evens out the utilisation, demand by capacity. While loads are far apart a
-// step moves several rows, each from the backend that is then the most utilised
-// to the least; later steps move single rows, and seldom.
-void KeyPlanner::rebalance(KeyTable& table, KeyService& service, Takers& takers, Instant const now) {
+// The backends that take part are those whose rows' rates are known.
+void KeyPlanner::rebalance(KeyTable const& table, KeyService& service, Takers const& takers, Instant const now) {
   ServiceState& state = services_[service.name];
+  state.rates.forget_old(service, now);
   if (now < state.next_rebalance) return;
-  std::vector<Judged> all = judged(table, service, takers, now);
-  if (all.size() < 2) return;
-  double demand = 0, capacity = 0, width_left = settings_.moving_width_limit;
-  bool overloaded = false;
-  for (Judged const& one : all) {
-    demand += one.demand;
-    capacity += one.capacity;
-    overloaded = overloaded || one.taker->backend->report.busy > settings_.overloaded;
-  }
-  for (KeyRow const& row : service.rows) width_left -= row.moving != 0 ? width_of(row) : 0;
-  if (!overloaded || demand <= 0) return;
-  double const mean = demand / capacity;
-  std::size_t moved = 0;
-  bool coarse = false;
-  while (true) {
-    auto const less = [](Judged const& a, Judged const& b) { return a.utilisation() < b.utilisation(); };
-    Judged& hot = *std::max_element(all.begin(), all.end(), less);
-    Judged& idle = *std::min_element(all.begin(), all.end(), less);
-    double const gap = hot.utilisation() / mean - 1;
-    if (moved == 0) coarse = gap > settings_.load_gap_coarse;
-    if (gap <= settings_.load_gap || idle.utilisation() >= mean) break;
-    std::size_t const most_leaving = settings_.moving_rows_limit * (coarse ? 2 : 1);
-    if (hot.taker->leaving >= most_leaving || idle.taker->rows >= settings_.held_rows_limit) break;
-    double const wanted = std::min(hot.demand - mean * hot.capacity, mean * idle.capacity - idle.demand);
-    std::size_t const chosen = row_to_move(table, service, hot, wanted, width_left);
-    bool const small =
-        chosen == service.rows.size() || row_rate(table, service.rows[chosen]).value_or(0) < wanted * small_row_share;
-    std::size_t const too_hot = small ? row_to_split(table, service, hot, wanted) : service.rows.size();
-    if (too_hot < service.rows.size()) {
-      split(service, too_hot, *hot.taker);
-      state.next_rebalance = now + rebalance_pause(service);
-      break;
-    }
-    if (chosen == service.rows.size()) break;
-    double const rate = row_rate(table, service.rows[chosen]).value_or(0);
-    width_left -= width_of(service.rows[chosen]);
-    begin_move(table, service, chosen, *idle.taker);
-    ++hot.taker->leaving;
-    hot.demand -= rate;
-    idle.demand += rate;
-    ++moved;
-    if (coarse) continue;
-    hot.taker->backend->settled = now + settings_.settle;
-    idle.taker->backend->settled = now + settings_.settle;
-    break;
+  double const of_slot = capacity_of_slot(takers);
+  KeyRebalancer step(settings_, service, state.rates, table.revision, now);
+  for (Taker const& taker : takers) {
+    Backend const& backend = *taker.backend;
+    double const capacity = backend.capacity > 0 ? backend.capacity : of_slot * backend.report.slots;
+    if (backend.feeding || capacity <= 0) continue;
+    LoadedBackend loaded;
+    loaded.instance = backend.report.instance;
+    loaded.number = taker.number;
+    loaded.capacity = capacity;
+    loaded.busy = backend.report.busy;
+    loaded.settling = now < backend.settled;
+    step.add(loaded);
   }
-  if (moved > 0) state.next_rebalance = now + rebalance_pause(service);
-}
-
-Duration KeyPlanner::rebalance_pause(KeyService const& service) const {
-  Duration const by_size = settings_.rebalance_per_row * static_cast<int>(service.rows.size());
-  return std::max(settings_.rebalance_every, by_size);
+  bool const evened = step.even_out(now < state.level_until);
+  if (step.uneven()) state.level_until = now + settings_.even_for;
+  bool const gathered = step.gather_cool_rows();
+  if (evened || gathered) state.next_rebalance = now + settings_.rebalance_every;
+  for (Taker const& taker : takers)
+    if (std::count(step.settling().begin(), step.settling().end(), taker.number) > 0)
+      taker.backend->settled = now + settings_.settle;
 }
 
 void KeyPlanner::forget_old(Instant const now) {
--- a/source/state/key_planner.hpp
+++ b/source/state/key_planner.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "protocol/key_messages.hpp"
+#include "state/key_rates.hpp"
 #include "state/key_table.hpp"
 
 #include <map>
@@ -30,9 +31,6 @@
   KeyTable const& table() const { return table_; }
 
  private:
-  /// Each step sends the whole table to every node: the larger it is, the rarer.
-  Duration rebalance_pause(KeyService const& service) const;
-
   struct Backend {
     KeyReport report;
     Instant first_heard{};
@@ -47,6 +45,8 @@
     Instant next_rebalance{};
     std::size_t known = 0;
     Instant grew{};
+    KeyRates rates;
+    Instant level_until{};  // somebody was overloaded, and loads haven't been even for a while yet
   };
   // A backend that may take rows, and what it has by now.
   struct Taker {
@@ -59,13 +59,6 @@
     std::size_t arriving = 0;
   };
   using Takers = std::vector<Taker>;
-  // A backend whose load is judged: what its rows demand against what it can do.
-  struct Judged {
-    Taker* taker = nullptr;
-    double demand = 0;    // requests a second on its rows
-    double capacity = 0;  // requests a second
-    double utilisation() const { return demand / capacity; }
-  };
 
   Backend* backend_of(std::string const& instance);
   bool ended(std::string const& instance) const { return ended_.contains(instance); }
@@ -87,13 +80,8 @@
   void drain(KeyTable& table, KeyService& service, Takers& takers);
   void feed_newcomers(KeyTable& table, KeyService& service, Takers& takers);
   static void learn_capacity(Backend& backend);
-  std::vector<Judged> judged(KeyTable const& table, KeyService const& service, Takers& takers, Instant now) const;
-  std::optional<double> row_rate(KeyTable const& table, KeyRow const& row) const;
-  std::size_t row_to_move(KeyTable const& table, KeyService const& service, Judged const& giver, double wanted,
-                          double width_left) const;
-  std::size_t row_to_split(KeyTable const& table, KeyService const& service, Judged const& giver, double wanted) const;
-  void split(KeyService& service, std::size_t row, Taker& holder) const;
-  void rebalance(KeyTable& table, KeyService& service, Takers& takers, Instant now);
+  static double capacity_of_slot(Takers const& takers);
+  void rebalance(KeyTable const& table, KeyService& service, Takers const& takers, Instant now);
   void begin_move(KeyTable& table, KeyService& service, std::size_t row, Taker& taker);
   static void merge_free(KeyService& service, std::size_t room);
   void forget_old(Instant now);
--- a/source/state/key_table.hpp
+++ b/source/state/key_table.hpp
@@ -33,17 +33,22 @@
   Duration gather = 1s;              // from the first report of a service to its first table
   Duration gather_limit = 3s;        // ... at the latest
   Duration rebalance_every = 500ms;  // from one step of moves for load to the next
-  Duration rebalance_per_row = 5ms;  // the same, for each row of the service, if that is longer
-  Duration settle = 4s;              // after a fine step, neither of the two backends is judged for this long
+  Duration settle = 4s;              // a row moved for load rests for this long, a backend after a fine step too
   Duration successor_patience = 3s;  // a new life may lack its lease for this long and still inherit rows
+  Duration even_for = 10s;           // loads are evened out until they have been even for this long
   double overloaded = 0.75;          // the busy share from which rows are moved away
   double load_gap = 0.12;            // how much above the mean utilisation, as a part of it, calls for moves
   double load_gap_coarse = 0.2;      // ... from which a step is coarse: several rows at once
   double moving_width_limit = 0.12;  // the part of a service's keys that is on the move for load at one time
+  double part_share = 0.2;           // of a mean backend's load, that a row may carry without being cut
+  double many_rows_share = 0.65;     // of the rows that there may be: above it, cool narrow ones are joined
   std::size_t rows_per_backend = 12;
-  std::size_t rows_limit = 600;       // of one service
-  std::size_t held_rows_limit = 56;   // of one backend, so that an answer fits in 4 KiB
-  std::size_t moving_rows_limit = 4;  // of one holder at a time, drains excepted
+  std::size_t first_rows_limit = 600;         // of one service, at first
+  std::size_t rows_limit = 960;               // of one service
+  std::size_t held_rows_limit = 56;           // of one backend, so that an answer fits in 4 KiB
+  std::size_t moving_rows_limit = 4;          // of one holder at a time, drains excepted
+  std::size_t coarse_moving_rows_limit = 24;  // the same, while loads are far apart
+  std::size_t gathered_rows_limit = 16;       // that are brought to their neighbours in a step
 };
 
 // A backend that holds keys or is to hold them, and the node beside it.
--- a/tests/coordination/key_holder_test.cpp
+++ b/tests/coordination/key_holder_test.cpp
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <map>
+
 namespace banktide {
 namespace {
 
@@ -217,7 +220,7 @@
   t.now += 1s;
   t.confirm();
   t.holder.on_beat(t.now, t.beat());
-  for (int i = 0; i < 20; ++i) t.holder.may_run(static_cast<std::uint16_t>(i), t.now, 1ms);
+  for (int i = 0; i < 20; ++i) t.holder.count(static_cast<std::uint16_t>(i));
   t.now += 100ms;
   KeyReport const early = t.holder.report(t.now, 0.5F, 120);
   ASSERT_EQ(early.held.size(), 1u);
@@ -230,5 +233,131 @@
   EXPECT_LT(t.holder.report(t.now, 0.5F, 120).held[0].rate, 40);
 }
 
+// A node whose backend holds keys 0 to 9999, and requests on them.
+struct LoadTrial : HolderTrial {
+  LoadTrial() {
+    table.services[0].rows = {row_of(0, 9999, 0, 5), row_of(10000, last_key, 1, 6)};
+    renew();
+    holder.report(now, 0.5F);
+  }
+  void renew() {
+    confirm();
+    holder.on_beat(now, beat());
+  }
+  // So many requests on each key in half a second, and a report.
+  KeyReport report_after(std::map<std::uint16_t, int> const& requests, float const capacity) {
+    for (auto const& [key, times] : requests)
+      for (int i = 0; i < times; ++i) holder.count(key);
+    now += 500ms;
+    return holder.report(now, 0.5F, capacity);
+  }
+  static std::size_t size_of(KeyReport const& report) {
+    Bytes bytes;
+    SaveArchive archive(bytes);
+    archive(report);
+    return bytes.size();
+  }
+};
+
+// The parts that a report's cuts make of a row, the first one included.
+std::vector<double> shares_of(KeyRowCuts const& cuts) {
+  std::vector<double> shares{1};
+  for (KeyCut const& cut : cuts.cuts) {
+    shares.push_back(cut.share / 65535.0);
+    shares[0] -= shares.back();
+  }
+  return shares;
+}
+
+TEST(KeyHolder, tells_where_a_hot_row_may_be_cut_into_parts_of_about_equal_load) {
+  LoadTrial t;
+  std::map<std::uint16_t, int> requests;
+  for (std::uint16_t key = 7000; key < 7120; ++key) requests[key] = 1 + key % 3;
+  KeyReport const report = t.report_after(requests, 200);
+  ASSERT_EQ(report.hot.size(), 1u);
+  EXPECT_EQ(report.hot[0].from, 0);
+  ASSERT_GE(report.hot[0].cuts.size(), 31u);
+  std::uint16_t before = 0;
+  for (KeyCut const& cut : report.hot[0].cuts) {
+    EXPECT_GT(cut.at, before);
+    EXPECT_GT(cut.at, 7000);
+    EXPECT_LT(cut.at, 7120);
+    before = cut.at;
+  }
+  double all = 0;
+  for (double const share : shares_of(report.hot[0])) {
+    EXPECT_GT(share, 0);
+    EXPECT_LT(share, 0.05);
+    all += share;
+  }
+  EXPECT_NEAR(all, 1, 0.001);
+}
+
+TEST(KeyHolder, tells_no_cuts_of_cool_rows_and_makes_a_very_hot_key_a_part_by_itself) {
+  LoadTrial t;
+  std::map<std::uint16_t, int> requests;
+  for (std::uint16_t key = 0; key < 100; ++key) requests[key] = 1;
+  EXPECT_TRUE(t.report_after(requests, 5000).hot.empty());
+  requests[50] = 1000;
+  KeyReport const report = t.report_after(requests, 1000);
+  ASSERT_EQ(report.hot.size(), 1u);
+  std::vector<KeyCut> const& cuts = report.hot[0].cuts;
+  std::vector<KeyCut>::const_iterator const hottest =
+      std::find_if(cuts.begin(), cuts.end(), [](KeyCut const& cut) { return cut.at == 50; });
+  ASSERT_NE(hottest, cuts.end());
+  EXPECT_GT(hottest->share, 55000);
+  ASSERT_NE(hottest + 1, cuts.end());
+  EXPECT_EQ((hottest + 1)->at, 51);
+}
+
+TEST(KeyHolder, a_report_stays_small_however_many_rows_and_busy_keys_there_are) {
+  LoadTrial t;
+  std::vector<KeyRow>& rows = t.table.services[0].rows;
+  rows.clear();
+  for (std::uint32_t i = 0; i < 56; ++i)
+    rows.push_back(row_of(static_cast<std::uint16_t>(i * 1000), static_cast<std::uint16_t>(i * 1000 + 999), 0, 5));
+  rows.push_back(row_of(56000, last_key, 1, 5));
+  t.renew();
+  std::map<std::uint16_t, int> requests;
+  for (std::uint32_t key = 0; key < 56000; key += 2)
+    requests[static_cast<std::uint16_t>(key)] = 1 + (key % 13 == 0) * 40;
+  for (float const capacity : {0.0F, 10.0F, 100.0F, 100000.0F}) {
+    KeyReport const report = t.report_after(requests, capacity);
+    std::size_t cuts = 0;
+    for (KeyRowCuts const& hot : report.hot) cuts += hot.cuts.size();
+    EXPECT_LE(cuts, 96u);
+    EXPECT_LE(LoadTrial::size_of(report), 1600u);
+  }
+}
+
+// Otherwise a coordinator would have to wait for another measurement after each cut.
+TEST(KeyHolder, knows_the_rates_of_the_parts_of_a_cut_row_at_once_and_of_a_joined_one) {
+  LoadTrial t;
+  t.report_after({{100, 30}, {8000, 10}}, 0);
+  std::vector<KeyRow>& rows = t.table.services[0].rows;
+  rows = {row_of(0, 4999, 0, 5), row_of(5000, 9999, 0, 5), row_of(10000, last_key, 1, 6)};
+  t.renew();
+  KeyReport const cut = t.holder.report(t.now, 0.5F);
+  ASSERT_EQ(cut.held.size(), 2u);
+  EXPECT_FLOAT_EQ(cut.held[0].rate, 60);
+  EXPECT_FLOAT_EQ(cut.held[1].rate, 20);
+  rows = {row_of(0, 9999, 0, 7), row_of(10000, last_key, 1, 6)};
+  t.renew();
+  KeyReport const joined = t.holder.report(t.now, 0.5F);
+  ASSERT_EQ(joined.held.size(), 1u);
+  EXPECT_FLOAT_EQ(joined.held[0].rate, 80);
+}
+
+TEST(KeyHolder, a_rate_steadies_over_seconds_and_begins_anew_when_the_load_changes) {
+  LoadTrial t;
+  KeyReport report;
+  for (int i = 0; i < 20; ++i) report = t.report_after({{1, i % 2 == 0 ? 40 : 60}}, 0);
+  EXPECT_NEAR(report.held[0].rate, 100, 6);
+  EXPECT_GT(report.held[0].seconds, 9);
+  report = t.report_after({{1, 400}}, 0);
+  EXPECT_NEAR(report.held[0].rate, 800, 1);
+  EXPECT_LT(report.held[0].seconds, 1);
+}
+
 }  // namespace
 }  // namespace banktide
--- a/tests/coordination/key_trial_test.cpp
+++ b/tests/coordination/key_trial_test.cpp
@@ -316,8 +316,7 @@
   void send_requests() {
     for (std::unique_ptr<Node> const& node : nodes)
       for (int i = 0; i < 10; ++i)
-        node->holder->may_run(static_cast<std::uint16_t>(loop.one_in(2) ? loop.chance() % 3000 : loop.chance()),
-                              loop.now, 10ms);
+        node->holder->count(static_cast<std::uint16_t>(loop.one_in(2) ? loop.chance() % 3000 : loop.chance()));
     loop.after(50ms, [this] { send_requests(); });
   }
   void load_at_random() {
@@ -348,6 +347,8 @@
       bool const lost = core_down || loop.one_in(15);
       bool const written = held.revision + 1 == next.revision && (!lost || loop.one_in(2));
       if (written) {
+        std::size_t const rows_before = rows_in_table();
+        rows_joined += rows_before > rows_of(next) ? rows_before - rows_of(next) : 0;
         held.revision = next.revision;
         held.bytes = pack_key_table(next);
         ++changes;
@@ -371,6 +372,11 @@
     });
   }
 
+  static std::size_t rows_of(KeyTable const& table) {
+    return table.services.empty() ? 0 : table.services[0].rows.size();
+  }
+  std::size_t rows_in_table() const { return rows_of(*unpack_key_table(held.bytes, held.revision)); }
+
   void restart_planner(std::size_t const i) {
     ++planner_life[i];
     planners[i] = std::make_unique<KeyPlanner>(planning_settings);
@@ -467,7 +473,7 @@
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<std::shared_ptr<Backend>> all;
   std::function<double(Node&)> busy_of;
-  std::size_t instances = 0, changes = 0, twice_held = 0, refused_for_fence = 0;
+  std::size_t instances = 0, changes = 0, twice_held = 0, refused_for_fence = 0, rows_joined = 0;
   bool core_down = false, over = false;
 };
 
@@ -491,6 +497,28 @@
   EXPECT_GT(changes, 500u);
 }
 
+// Rows that were cut and are joined again take the higher fence of the two.
+TEST(KeyTrial, rows_joined_amid_troubles_are_neither_refused_nor_held_twice) {
+  KeySettings joining;
+  joining.many_rows_share = 0.05;
+  std::size_t rows_joined = 0;
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    Trial trial(seed, 5, joining);
+    trial.loop.run_for(8s);
+    trial.load_at_random();
+    trial.trouble();
+    trial.loop.run_for(90s);
+    trial.busy_of = nullptr;
+    trial.over = true;
+    trial.loop.run_for(32s);
+    EXPECT_EQ(trial.twice_held, 0u) << "seed " << seed;
+    EXPECT_EQ(trial.refused_for_fence, 0u) << "seed " << seed;
+    EXPECT_EQ(trial.keys_held(), 65536u) << "seed " << seed;
+    rows_joined += trial.rows_joined;
+  }
+  EXPECT_GT(rows_joined, 30u);
+}
+
 // A coordinator that doesn't wait for the lease to end is found out.
 TEST(KeyTrial, the_check_finds_a_coordinator_that_does_not_wait) {
   KeySettings hasty;
@@ -606,8 +634,7 @@
       std::size_t const times =
           static_cast<std::size_t>(weight) + (trial.loop.chance() % 1000 < (weight - std::floor(weight)) * 1000);
       for (std::size_t i = 0; i < times; ++i)
-        for (std::unique_ptr<Node> const& node : trial.nodes)
-          node->holder->may_run(static_cast<std::uint16_t>(key), trial.loop.now, 10ms);
+        for (std::unique_ptr<Node> const& node : trial.nodes) node->holder->count(static_cast<std::uint16_t>(key));
     }
     trial.loop.after(100ms, request);
   };
--- a/tests/state/key_planner_test.cpp
+++ b/tests/state/key_planner_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <random>
 
@@ -196,9 +197,23 @@
 struct LoadedFleet : Fleet {
   explicit LoadedFleet(std::vector<double> const& all_capacities)
       : Fleet(all_capacities.size()), capacities(all_capacities) {}
-  static double rate_of(std::uint32_t const from, std::uint32_t const to) {
+  double rate_of(std::uint32_t const from, std::uint32_t const to) const {
     double const busy_keys = std::max(0.0, std::min<double>(to, 29999) - std::max<double>(from, 20000) + 1);
-    return 200.0 * (to - from + 1) / 65536 + 150.0 * busy_keys / 10000;
+    double const hottest = from <= hot_key && hot_key <= to ? hot_key_rate : 0;
+    return 200.0 * (to - from + 1) / 65536 + 150.0 * busy_keys / 10000 + hottest;
+  }
+  // Cuts before and after the hot key.
+  KeyRowCuts cuts_of(KeyRow const& row) const {
+    KeyRowCuts cuts{row.from, {}};
+    double const all = rate_of(row.from, row.to);
+    auto const share = [&](std::uint32_t const from) {
+      std::uint32_t const to = from == hot_key ? from : row.to;
+      return static_cast<std::uint16_t>(65535 * rate_of(from, to) / all);
+    };
+    if (row.from < hot_key) cuts.cuts.push_back(KeyCut{hot_key, share(hot_key)});
+    std::uint16_t const after = static_cast<std::uint16_t>(hot_key + 1);
+    if (row.to > hot_key) cuts.cuts.push_back(KeyCut{after, share(after)});
+    return cuts;
   }
   double demand_of(std::size_t const backend) const {
     double demand = 0;
@@ -209,6 +224,7 @@
     for (std::size_t i = 0; i < reports.size(); ++i) {
       KeyReport& report = reports[i];
       report.held.clear();
+      report.hot.clear();
       report.released.clear();
       KeyTable const& table = planner.table();
       if (table.services.empty()) continue;
@@ -216,6 +232,8 @@
         if (row.holder == no_holder || table.holders[row.holder].instance != report.instance) continue;
         report.held.push_back(
             KeyRowLoad{row.from, row.to, row.fence, static_cast<float>(rate_of(row.from, row.to)), 0});
+        bool const hot = hot_key_rate > 0 && row.from <= hot_key && hot_key <= row.to;
+        if (hot && row.from < row.to) report.hot.push_back(cuts_of(row));
         if (row.moving != 0) report.released.push_back(KeyRelease{row.from, row.to, row.fence, row.moving, "token"});
       }
       report.capacity = static_cast<float>(capacities[i]);
@@ -252,6 +270,8 @@
 
   std::vector<double> capacities;
   bool loaded = false;
+  std::uint16_t hot_key = 50001;
+  double hot_key_rate = 0;
   double most_moving = 0;
 };
 
@@ -284,5 +304,67 @@
   EXPECT_EQ(fleet.plans, plans);
 }
 
+TEST(KeyPlanner, cuts_a_hot_row_where_it_is_told_and_moves_parts_in_the_same_table) {
+  LoadedFleet fleet({100, 100, 100, 100, 100});
+  fleet.run(3s);
+  fleet.hot_key_rate = 90;
+  fleet.loaded = true;
+  fleet.measure();
+  std::size_t const rows = fleet.planner.table().services[0].rows.size();
+  fleet.run(100ms);
+  KeyService const& service = fleet.planner.table().services[0];
+  EXPECT_EQ(service.rows.size(), rows + 2);
+  KeyRow const& key = *service.row_of(fleet.hot_key);
+  EXPECT_EQ(key.from, fleet.hot_key);
+  EXPECT_EQ(key.to, fleet.hot_key);
+  EXPECT_GT(fleet.look_at_moves(), 0u);
+}
+
+// A key that is too hot for any backend can't be cut: what can be done is done
+// once, and then nothing more is written.
+TEST(KeyPlanner, rests_though_one_key_is_too_hot_for_any_backend) {
+  for (std::size_t const count : {2u, 5u, 40u}) {
+    LoadedFleet fleet(std::vector<double>(count, 600.0 / static_cast<double>(count)));
+    fleet.run(3s);
+    fleet.hot_key_rate = 1000;
+    fleet.loaded = true;
+    fleet.run_loaded(60s);
+    fleet.measure();
+    std::size_t const plans = fleet.plans;
+    fleet.run_loaded(120s);
+    EXPECT_EQ(fleet.plans, plans) << count;
+    KeyTable const& table = fleet.planner.table();
+    KeyRow const& key = *table.services[0].row_of(fleet.hot_key);
+    ASSERT_EQ(key.from, key.to);
+    for (KeyRow const& row : table.services[0].rows) {
+      if (row.holder != key.holder || row.from == key.from) continue;
+      EXPECT_LT(fleet.rate_of(row.from, row.to), 30) << count;
+    }
+  }
+}
+
+TEST(KeyPlanner, a_row_that_moved_for_load_rests_for_a_while) {
+  LoadedFleet fleet({70, 70, 160, 70, 70});
+  fleet.run(3s);
+  fleet.loaded = true;
+  std::map<std::uint16_t, Instant> moved;
+  for (int i = 0; i < 300; ++i) {
+    if (i % 20 == 0) std::rotate(fleet.capacities.begin(), fleet.capacities.begin() + 1, fleet.capacities.end());
+    fleet.measure();
+    std::size_t const before = fleet.plans;
+    fleet.run(100ms);
+    if (fleet.plans == before) continue;
+    KeyTable const& table = fleet.planner.table();
+    for (KeyRow const& row : table.services[0].rows) {
+      if (row.moving != table.revision) continue;
+      if (moved.contains(row.from)) {
+        EXPECT_GE(fleet.now - moved[row.from], KeySettings{}.settle);
+      }
+      moved[row.from] = fleet.now;
+    }
+  }
+  EXPECT_GT(moved.size(), 3u);
+}
+
 }  // namespace
 }  // namespace banktide
