--- a/source/coordination/zone_feed.hpp
+++ b/source/coordination/zone_feed.hpp
@@ -277,7 +277,7 @@
   void send_down(News const& n) {
     if (!warm() || !has_nodes()) return;
     places_.follow(view_);
-    Bytes const raw = pack(n);
+    SharedBytes const raw = pack_shared(n);
     for (std::string const& id : places_.first_relays()) w_.tell_raw(view_.members.at(id).address, News::kind, raw);
   }
 
@@ -286,7 +286,7 @@
   void tell_watchers() {
     if (places_.watchers().empty()) return;
     Position const at = warm() ? position() : Position{};
-    Bytes const raw = pack(Beat{s_.registry_id, s_.registry_address, 1, at, s_.zone});
+    SharedBytes const raw = pack_shared(Beat{s_.registry_id, s_.registry_address, 1, at, s_.zone});
     for (std::string const& id : places_.watchers()) w_.tell_raw(view_.members.at(id).address, Beat::kind, raw);
   }
 
--- a/source/coordination/zone_follower.hpp
+++ b/source/coordination/zone_follower.hpp
@@ -247,7 +247,7 @@
     places_.follow(view_);
     std::vector<std::string> const below = places_.relays();
     if (below.empty()) return;
-    Bytes const raw = pack(q);
+    SharedBytes const raw = pack_shared(q);
     for (std::string const& id : below) w_.tell_raw(view_.members.at(id).address, News::kind, raw);
   }
 
@@ -397,7 +397,7 @@
 
   void tell_watchers() {
     if (places_.watchers().empty()) return;
-    Bytes const raw = pack(Beat{s_.id, s_.address, incarnation_, at_, s_.zone});
+    SharedBytes const raw = pack_shared(Beat{s_.id, s_.address, incarnation_, at_, s_.zone});
     for (std::string const& id : places_.watchers()) w_.tell_raw(view_.members.at(id).address, Beat::kind, raw);
   }
 
--- a/source/programs/hollow_fleet_world.cpp
+++ b/source/programs/hollow_fleet_world.cpp
@@ -208,8 +208,8 @@
   co_return mishap("wait_for_reply", peer, "deadline", Proof::unknown);
 }
 
-void HollowProcess::tell_raw(Address const& peer, std::uint8_t const kind, Bytes payload) {
-  network_.send(*this, peer, kind, std::move(payload), nullptr);
+void HollowProcess::tell_raw(Address const& peer, std::uint8_t const kind, SharedBytes const& payload) {
+  network_.send(*this, peer, kind, *payload, nullptr);
 }
 
 void HollowProcess::kill() {
--- a/source/programs/hollow_fleet_world.hpp
+++ b/source/programs/hollow_fleet_world.hpp
@@ -147,7 +147,7 @@
   std::mt19937_64& chance() { return chance_; }
   asio::io_context::executor_type executor() { return network_.io().get_executor(); }
   Task<Result<Bytes>> ask_raw(Address peer, std::uint8_t kind, Bytes payload, Instant deadline);
-  void tell_raw(Address const& peer, std::uint8_t kind, Bytes payload);
+  void tell_raw(Address const& peer, std::uint8_t kind, SharedBytes const& payload);
   void serve(Desk& desk) { desk_ = &desk; }
 
   /// Ends this life: nothing of it runs any more.
--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -286,7 +286,7 @@
 
   template <class Q>
   void tell_registries(Q const& q) {
-    Bytes const raw = pack(q);
+    SharedBytes const raw = pack_shared(q);
     for (Address const& a : directory_.live(w_.now()))
       if (a != s_.address) w_.tell_raw(a, Q::kind, raw);
   }
--- a/source/protocol/archive.hpp
+++ b/source/protocol/archive.hpp
@@ -13,12 +13,16 @@
 #include <cereal/types/utility.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstring>
+#include <memory>
 #include <string>
 
 namespace banktide {
 
 using Bytes = std::string;
 
+// What is sent to several peers is packed once and kept once.
+using SharedBytes = std::shared_ptr<Bytes const>;
+
 class SaveArchive : public cereal::OutputArchive<SaveArchive, cereal::AllowEmptyClassElision> {
  public:
   explicit SaveArchive(Bytes& out)
@@ -100,6 +104,11 @@
   return out;
 }
 
+template <class T>
+SharedBytes pack_shared(T const& t) {
+  return std::make_shared<Bytes const>(pack(t));
+}
+
 template <class T>
 Result<T> unpack(Bytes const& raw) {
   try {
--- a/source/simulation/sim_world.hpp
+++ b/source/simulation/sim_world.hpp
@@ -161,7 +161,7 @@
   asio::io_context::executor_type executor() { return sim.io.get_executor(); }
 
   Task<Result<Bytes>> ask_raw(Address const peer, std::uint8_t const kind, Bytes payload, Instant const deadline);
-  void tell_raw(Address const& peer, std::uint8_t const kind, Bytes payload);
+  void tell_raw(Address const& peer, std::uint8_t const kind, SharedBytes const& payload);
   void serve(Desk& d) { desk = &d; }
 
   // Runs now, later if frozen, never if dead.
@@ -337,12 +337,12 @@
   co_return mishap("wait_for_reply", peer, "deadline", Proof::unknown);
 }
 
-inline void SimProcess::tell_raw(Address const& peer, std::uint8_t const kind, Bytes payload) {
+inline void SimProcess::tell_raw(Address const& peer, std::uint8_t const kind, SharedBytes const& payload) {
   std::shared_ptr<SimNet::Exchange> x = std::make_shared<SimNet::Exchange>();
   x->from = shared_from_this();
   x->peer = peer;
   x->kind = kind;
-  x->payload = std::move(payload);
+  x->payload = *payload;
   net.begin(x, 0us);
 }
 
--- /dev/null
+++ b/source/transport/frame.hpp
@@ -0,0 +1,34 @@
+// The frame in which peers exchange messages: a head (length, wire number, sort,
+// kind, id) and the payload after it.
+#pragma once
+
+#include "transport/result.hpp"
+
+#include <cstddef>
+
+namespace banktide {
+
+inline constexpr std::uint8_t wire_number = 1;
+inline constexpr std::size_t frame_limit = 72u << 20;
+
+/** Handled by the transport itself: answered with nothing at once. */
+inline constexpr std::uint8_t ping_kind = 0;
+
+/** A request, its response, or a one-way message. */
+enum class Sort : std::uint8_t { ask = 0, reply = 1, tell = 2 };
+
+struct FrameHead {
+  std::uint32_t length = 0;
+  std::uint8_t wire = wire_number;
+  Sort sort = Sort::tell;
+  std::uint8_t kind = 0;
+  std::uint64_t id = 0;
+  static constexpr std::size_t size = 15;
+
+  /** Writes `size` bytes. */
+  void write(char* p) const;
+  /** Reads `size` bytes; a head that this version can't read is a mishap. */
+  static Result<FrameHead> read(char const* p);
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/source/transport/peer_connection.hpp
@@ -0,0 +1,76 @@
+// The connection to one peer: requests and one-way messages wait in its queue,
+// are written in turn, and responses find their requests by id. A request still
+// waiting at its deadline is withdrawn before that is said.
+//
+// A peer that owes answers and says nothing is pinged; one that stays silent is
+// taken for unreachable and its connection is reset, so that nothing that a cut
+// has held up reaches it later. While a ping waits behind bytes that the peer
+// still takes, it isn't silent.
+#pragma once
+
+#include "transport/peer_queue.hpp"
+#include "transport/peer_socket.hpp"
+#include "transport/socket_world.hpp"
+
+namespace banktide {
+
+class PeerConnection : public std::enable_shared_from_this<PeerConnection> {
+ public:
+  PeerConnection(SocketWorld& world, Address peer);
+
+  Task<Result<Bytes>> ask(std::uint8_t kind, Bytes payload, Instant deadline);
+  void tell(std::uint8_t kind, SharedBytes const& payload);
+
+  /** To be called every `watch_period` while answers are owed. */
+  void watch();
+  bool is_owed() const { return !waiting_.empty(); }
+  Address const& peer() const { return peer_; }
+
+  /** Connects and writes while there is something to write, and ends when there was nothing for long. */
+  Task<void> keep();
+  void stop();
+  void drop_late(Instant now) { queue_.drop_late(now); }
+
+  bool kept = false;  // a task runs `keep`
+  static constexpr Duration watch_period = 100ms;
+
+ private:
+  struct Waiting {
+    explicit Waiting(SocketWorld& w) : reply(w) {}
+    OneShot<SocketWorld, Result<Bytes>> reply;
+    bool sent = false;
+  };
+  // One connection of those that follow each other.
+  struct Line {
+    std::shared_ptr<PeerSocket> socket;
+    bool broken = false;
+  };
+
+  Task<std::shared_ptr<Line>> connect();
+  Task<boost::system::error_code> open(std::shared_ptr<PeerSocket> socket, asio::ip::tcp::endpoint at);
+  Task<void> write(std::shared_ptr<Line> line);
+  Task<void> read(std::shared_ptr<Line> line);
+  void close(Line& line);
+  void fail_queue(std::string const& step, std::string const& reason);
+  void mark_sent(std::vector<OutgoingFrame> const& batch);
+  void heard_something();
+  void wrote_something();
+  void log_dropped();
+
+  SocketWorld& world_;
+  Address const peer_;
+  PeerQueue queue_;
+  tsl::robin_map<std::uint64_t, std::shared_ptr<Waiting>> waiting_;
+  SocketWorld::Alarm alarm_;
+  std::shared_ptr<PeerSocket> socket_;  // null: not connected
+  Instant idle_since_{};
+  Instant heard_{};
+  Instant owed_since_{};
+  bool pinged_ = false;
+  bool ping_sent_ = false;
+  Instant pinged_at_{};
+  DroppedMessages dropped_;
+  Instant drops_logged_at_{};
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/source/transport/peer_socket.cpp
@@ -0,0 +1,137 @@
+// Reading and writing of frames in pieces.
+#include "transport/peer_socket.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace banktide {
+
+namespace {
+
+constexpr int unacknowledged_limit_ms = 1500;
+constexpr int unsent_in_kernel = 32 << 10;
+constexpr std::size_t read_piece = 64u << 10;
+constexpr std::size_t write_piece = 32u << 10;
+constexpr std::size_t joined_up_to = 8u << 10;
+
+// The bytes of some frames, in order. Small payloads are copied next to their
+// heads, large ones are written from where they are.
+class FrameBytes {
+ public:
+  explicit FrameBytes(std::vector<OutgoingFrame> const& frames) {
+    std::size_t joined = 0;
+    for (OutgoingFrame const& f : frames) joined += FrameHead::size + (is_joined(f) ? f.head.length : 0);
+    joined_.reserve(joined);  // so that no part moves
+    for (OutgoingFrame const& f : frames) add(f);
+  }
+
+  bool done() const { return next_ == parts_.size(); }
+
+  std::vector<asio::const_buffer> piece() const {
+    std::vector<asio::const_buffer> out;
+    std::size_t left = write_piece;
+    for (std::size_t i = next_; i < parts_.size() && left > 0; ++i) {
+      out.push_back(asio::buffer(parts_[i], left));
+      left -= out.back().size();
+    }
+    return out;
+  }
+
+  void consume(std::size_t bytes) {
+    while (next_ < parts_.size() && bytes >= parts_[next_].size()) bytes -= parts_[next_++].size();
+    if (next_ < parts_.size()) parts_[next_] += bytes;
+  }
+
+ private:
+  static bool is_joined(OutgoingFrame const& f) { return f.head.length <= joined_up_to; }
+
+  void add(OutgoingFrame const& f) {
+    std::size_t const at = joined_.size();
+    joined_.resize(at + FrameHead::size);
+    f.head.write(joined_.data() + at);
+    if (f.payload && is_joined(f)) joined_ += *f.payload;
+    add_part(asio::buffer(joined_.data() + at, joined_.size() - at));
+    if (f.payload && !is_joined(f)) add_part(asio::buffer(*f.payload));
+  }
+
+  void add_part(asio::const_buffer const part) {
+    bool const follows =
+        !parts_.empty() && static_cast<char const*>(parts_.back().data()) + parts_.back().size() == part.data();
+    if (follows)
+      parts_.back() = asio::const_buffer(parts_.back().data(), parts_.back().size() + part.size());
+    else
+      parts_.push_back(part);
+  }
+
+  Bytes joined_;
+  std::vector<asio::const_buffer> parts_;
+  std::size_t next_ = 0;
+};
+
+void close_unless_cancelled(asio::steady_timer& timer, std::shared_ptr<PeerSocket> const& socket) {
+  timer.async_wait([socket](boost::system::error_code const& cancelled) {
+    boost::system::error_code ignored;
+    if (!cancelled) socket->close(ignored);
+  });
+}
+
+}  // namespace
+
+void prepare(PeerSocket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_limit_ms,
+               sizeof unacknowledged_limit_ms);
+  // Where it is refused more waits in the kernel; nothing else changes.
+  ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsent_in_kernel, sizeof unsent_in_kernel);
+}
+
+void reset(PeerSocket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
+Task<Result<ReceivedFrame>> read_frame(PeerSocket& socket, std::function<void()> const& on_progress) {
+  char raw[FrameHead::size];
+  boost::system::error_code ec;
+  co_await asio::async_read(socket, asio::buffer(raw), asio::redirect_error(asio::use_awaitable, ec));
+  if (ec) co_return mishap("read_frame", "", ec == asio::error::eof ? "" : ec.message());
+  Result<FrameHead> const head = FrameHead::read(raw);
+  if (!head) co_return tl::unexpected<Mishap>(head.error());
+  if (on_progress) on_progress();
+  ReceivedFrame frame{*head, {}};
+  frame.payload.reserve(head->length);  // memory is only used as the bytes come
+  while (frame.payload.size() < head->length) {
+    std::size_t const at = frame.payload.size();
+    frame.payload.resize(std::min<std::size_t>(head->length, at + read_piece));
+    co_await asio::async_read(socket, asio::buffer(&frame.payload[at], frame.payload.size() - at),
+                              asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) co_return mishap("read_frame", "", ec.message());
+    if (on_progress) on_progress();
+  }
+  co_return frame;
+}
+
+Task<boost::system::error_code> write_frames(std::shared_ptr<PeerSocket> const socket,
+                                             std::vector<OutgoingFrame> const& frames, Duration const stall_limit,
+                                             std::function<void()> const& on_progress) {
+  FrameBytes bytes(frames);
+  asio::steady_timer stalled(socket->get_executor());
+  boost::system::error_code ec;
+  while (!ec && !bytes.done()) {
+    stalled.expires_after(stall_limit);
+    close_unless_cancelled(stalled, socket);
+    std::vector<asio::const_buffer> const piece = bytes.piece();
+    std::size_t const count = co_await socket->async_write_some(piece, asio::redirect_error(asio::use_awaitable, ec));
+    bytes.consume(count);
+    if (!ec && on_progress) on_progress();
+  }
+  co_return ec;
+}
+
+}  // namespace banktide
--- /dev/null
+++ b/source/transport/socket_world.cpp
@@ -0,0 +1,173 @@
+// The real surroundings: the clock's alarms, the port that peers connect to, and
+// the connections to peers.
+#include "transport/socket_world.hpp"
+
+#include "transport/peer_connection.hpp"
+#include "transport/peer_session.hpp"
+
+namespace banktide {
+
+namespace {
+
+constexpr int connections_to_accept = 1024;
+constexpr Duration after_failed_accept = 100ms;
+
+}  // namespace
+
+static_assert(Surroundings<SocketWorld>);
+
+Result<asio::ip::tcp::endpoint> parse_address(Address const& a) {
+  std::size_t const colon = a.rfind(':');
+  if (colon == std::string::npos) return mishap("parse_address", a, "no port");
+  boost::system::error_code ec;
+  asio::ip::address const ip = asio::ip::make_address(a.substr(0, colon), ec);
+  std::string const port = a.substr(colon + 1);
+  if (ec || port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos ||
+      std::stoul(port) > 65535)
+    return mishap("parse_address", a, "not an ip:port");
+  return asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(std::stoul(port)));
+}
+
+void start_pool() {
+  static bool const started = (crossplat::threadpool::initialize_with_threads(1), true);
+  (void)started;
+}
+
+SocketWorld::Alarm::Alarm(SocketWorld& w) : timer_(w.executor()) {}
+
+Task<bool> SocketWorld::Alarm::wait(Instant const until) {
+  if (woken_) {
+    woken_ = false;
+    co_return false;
+  }
+  timer_.expires_at(until);
+  boost::system::error_code ec;
+  co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+  bool const ran_out = !woken_;
+  woken_ = false;
+  co_return ran_out;
+}
+
+void SocketWorld::Alarm::wake() {
+  woken_ = true;
+  timer_.cancel();
+}
+
+SocketWorld::SocketWorld(PeerLimits const& limits)
+    : io_(crossplat::threadpool::shared_instance().service()),
+      chance_(std::random_device{}()),
+      limits_(limits),
+      totals_(std::make_shared<QueueTotals>()),
+      task_ended_(*this) {}
+
+SocketWorld::~SocketWorld() = default;
+
+Result<Address> SocketWorld::listen(Address const& at) {
+  Result<asio::ip::tcp::endpoint> ep = parse_address(at);
+  if (!ep) return tl::unexpected<Mishap>(ep.error());
+  boost::system::error_code ec;
+  acceptor_ = std::make_unique<asio::ip::tcp::acceptor>(io_);
+  acceptor_->open(ep->protocol(), ec);
+  if (!ec) acceptor_->set_option(asio::ip::tcp::acceptor::reuse_address(true), ec);
+  if (!ec) acceptor_->bind(*ep, ec);
+  if (!ec) acceptor_->listen(connections_to_accept, ec);
+  if (ec) return mishap("listen", at, ec.message());
+  return ep->address().to_string() + ":" + std::to_string(acceptor_->local_endpoint().port());
+}
+
+void SocketWorld::serve(Desk& desk) {
+  desk_ = &desk;
+  start(accept());
+}
+
+Task<Result<Bytes>> SocketWorld::ask_raw(Address const peer, std::uint8_t const kind, Bytes payload,
+                                         Instant const deadline) {
+  if (payload.size() > frame_limit) co_return mishap("ask", peer, "frame over the limit", Proof::not_run);
+  if (stopping_) co_return mishap("ask", peer, "stopping", Proof::not_run);
+  std::shared_ptr<PeerConnection> const connection = connection_to(peer);
+  if (!std::exchange(watching_, true)) start(watch_connections());
+  Result<Bytes> reply = co_await connection->ask(kind, std::move(payload), deadline);
+  co_return reply;
+}
+
+void SocketWorld::tell_raw(Address const& peer, std::uint8_t const kind, SharedBytes const& payload) {
+  if (payload->size() > frame_limit || stopping_) return;
+  connection_to(peer)->tell(kind, payload);
+}
+
+Task<void> SocketWorld::stop() {
+  stopping_ = true;
+  boost::system::error_code ignored;
+  if (acceptor_) acceptor_->close(ignored);
+  for (std::weak_ptr<PeerSession> const& weak : sessions_)
+    if (std::shared_ptr<PeerSession> const session = weak.lock()) session->close();
+  std::vector<std::shared_ptr<PeerConnection>> connections;
+  for (auto const& [peer, connection] : connections_) connections.push_back(connection);
+  for (std::shared_ptr<PeerConnection> const& connection : connections) connection->stop();
+  while (tasks_ > 0) co_await task_ended_.wait(now() + 1s);
+}
+
+void SocketWorld::start(Task<void> task, std::shared_ptr<void const> owner) {
+  ++tasks_;
+  asio::co_spawn(io_, std::move(task), [this, owner = std::move(owner)](std::exception_ptr const e) {
+    --tasks_;
+    if (stopping_) task_ended_.wake();
+    if (!e) return;
+    try {
+      std::rethrow_exception(e);
+    } catch (std::exception const& x) {
+      log_warn("task_ended", {{"reason", x.what()}});
+    }
+  });
+}
+
+std::shared_ptr<PeerConnection> SocketWorld::connection_to(Address const& peer) {
+  std::shared_ptr<PeerConnection>& connection = connections_[peer];
+  if (!connection) connection = std::make_shared<PeerConnection>(*this, peer);
+  std::shared_ptr<PeerConnection> const found = connection;
+  if (!std::exchange(found->kept, true)) start(keep(found));
+  return found;
+}
+
+Task<void> SocketWorld::keep(std::shared_ptr<PeerConnection> const connection) {
+  co_await connection->keep();
+  if (!connection->is_owed()) connections_.erase(connection->peer());
+}
+
+// Runs only while answers are owed.
+Task<void> SocketWorld::watch_connections() {
+  bool owed = true;
+  while (owed && !stopping_) {
+    co_await sleep_for(*this, PeerConnection::watch_period);
+    owed = false;
+    for (auto const& [peer, connection] : connections_) {
+      owed = owed || connection->is_owed();
+      connection->watch();
+    }
+  }
+  watching_ = false;
+}
+
+void SocketWorld::drop_late_messages() {
+  for (auto const& [peer, connection] : connections_) connection->drop_late(now());
+}
+
+Task<void> SocketWorld::accept() {
+  while (!stopping_) {
+    boost::system::error_code ec;
+    PeerSocket socket = co_await acceptor_->async_accept(asio::redirect_error(asio::use_awaitable, ec));
+    if (stopping_) break;
+    if (ec) {
+      log_warn("accept_failed", {{"reason", ec.message()}});
+      co_await sleep_for(*this, after_failed_accept);
+      continue;
+    }
+    prepare(socket);
+    std::shared_ptr<PeerSession> const session = std::make_shared<PeerSession>(*this, std::move(socket));
+    std::erase_if(sessions_, [](std::weak_ptr<PeerSession> const& weak) { return weak.expired(); });
+    sessions_.push_back(session);
+    session->start();
+  }
+}
+
+}  // namespace banktide
--- a/source/transport/surroundings.hpp
+++ b/source/transport/surroundings.hpp
@@ -52,9 +52,10 @@
 &&std::constructible_from<typename W::Alarm, W&>;
 
 template <class W>
-concept PeerTransport = requires(W& w, Address const& peer, std::uint8_t kind, Bytes b, Instant t, Desk& d) {
+concept PeerTransport = requires(W& w, Address const& peer, std::uint8_t kind, Bytes b, SharedBytes shared, Instant t,
+                                 Desk& d) {
   { w.ask_raw(peer, kind, b, t) } -> std::same_as<Task<Result<Bytes>>>;
-  w.tell_raw(peer, kind, b);
+  w.tell_raw(peer, kind, shared);
   w.serve(d);
 };
 
@@ -92,7 +93,7 @@
 
 template <class Q, PeerTransport W>
 void tell(W& w, Address const& peer, Q const& q) {
-  w.tell_raw(peer, Q::kind, pack(q));
+  w.tell_raw(peer, Q::kind, pack_shared(q));
 }
 
 // One value, given once, awaited once, with a deadline. (W is a Clock; it is not
--- /dev/null
+++ b/tests/transport/peer_queue_test.cpp
@@ -0,0 +1,451 @@
+// The outgoing queue of a peer: against a slow plain model, and rule by rule.
+#include "transport/peer_queue.hpp"
+
+#include <gtest/gtest.h>
+#include <random>
+
+namespace banktide {
+namespace {
+
+constexpr std::uint8_t kind = 7, other_kind = 8;
+Instant const start{std::chrono::hours(1)};
+
+PeerLimits small_limits() {
+  PeerLimits limits;
+  limits.one_way = QueueLimit{12, 1000, 2200};
+  limits.small = QueueLimit{10, 700, 1500};
+  limits.large = QueueLimit{6, 2000, 4000};
+  limits.large_above = 80;
+  limits.batch_bytes = 200;
+  limits.small_in_a_row = 500;
+  return limits;
+}
+
+OutgoingFrame frame(Sort const sort, std::uint64_t const id, std::size_t const size, std::uint8_t const of = kind) {
+  return OutgoingFrame::of(sort, of, id, std::make_shared<Bytes const>(size, 'x'));
+}
+
+using Ids = std::vector<std::uint64_t>;
+
+Ids ids_of(std::vector<OutgoingFrame> const& frames) {
+  Ids ids;
+  for (OutgoingFrame const& f : frames) ids.push_back(f.head.id);
+  return ids;
+}
+
+class Fixture {
+ public:
+  explicit Fixture(PeerLimits const& l = small_limits()) : limits(l) {}
+  Admission push(Sort const sort, std::uint64_t const id, std::size_t const size, std::uint8_t const of = kind) {
+    return queue.push(frame(sort, id, size, of), now);
+  }
+  // Everything in the order in which it is written.
+  Ids written() {
+    Ids all;
+    while (true) {
+      Ids const batch = ids_of(queue.take(now));
+      queue.written();
+      if (batch.empty()) return all;
+      all.insert(all.end(), batch.begin(), batch.end());
+    }
+  }
+
+  PeerLimits const limits;
+  std::shared_ptr<QueueTotals> const totals = std::make_shared<QueueTotals>();
+  PeerQueue queue{limits, totals};
+  Instant now = start;
+};
+
+// ---- the plain model: one list of what waits, everything found by going through it
+
+enum class ModelLane { small, news, large };
+
+struct ModelEntry {
+  OutgoingFrame frame;
+  Instant since;
+  ModelLane lane = ModelLane::small;
+};
+
+class Model {
+ public:
+  Model(PeerLimits const& limits, std::vector<std::unique_ptr<Model>> const& all) : limits_(limits), all_(all) {}
+
+  std::vector<ModelEntry> waiting;
+  std::vector<OutgoingFrame> in_writing;
+  std::size_t over_bound = 0, late = 0;
+
+  static QueueBound bound(PeerLimits const& limits, OutgoingFrame const& f) {
+    if (f.head.sort == Sort::tell) return QueueBound::one_way;
+    return f.head.length > limits.large_above ? QueueBound::large : QueueBound::small;
+  }
+  std::size_t bytes_waiting(QueueBound const b) const {
+    std::size_t sum = 0;
+    for (ModelEntry const& e : waiting) sum += bound(limits_, e.frame) == b ? e.frame.bytes() : 0;
+    return sum;
+  }
+  std::size_t bytes(QueueBound const b) const {
+    std::size_t sum = bytes_waiting(b);
+    for (OutgoingFrame const& f : in_writing) sum += bound(limits_, f) == b ? f.bytes() : 0;
+    return sum;
+  }
+  std::size_t bytes_of_all(QueueBound const b) const {
+    std::size_t sum = 0;
+    for (std::unique_ptr<Model> const& m : all_) sum += m->bytes(b);
+    return sum;
+  }
+
+  Admission push(OutgoingFrame const& f, Instant const now) {
+    drop_late(now);
+    QueueBound const b = bound(limits_, f);
+    QueueLimit const& limit = limits_.of(b);
+    bool const one_way = f.head.sort == Sort::tell;
+    while (true) {
+      std::size_t const all = bytes_of_all(b), others = all - bytes_waiting(b);
+      std::size_t frames = 0;
+      for (ModelEntry const& e : waiting) frames += bound(limits_, e.frame) == b;
+      Admission a = Admission::taken;
+      if (all > 0 && all + f.bytes() > limit.all_bytes) a = Admission::too_many_bytes_of_all;
+      if (frames > 0 && bytes(b) + f.bytes() > limit.bytes) a = Admission::too_many_bytes;
+      if (frames >= limit.frames) a = Admission::too_many_frames;
+      if (a == Admission::taken) break;
+      bool const hopeless = others > 0 && others + f.bytes() > limit.all_bytes;
+      if (!one_way || hopeless || frames == 0) {
+        over_bound += one_way;
+        return a;
+      }
+      erase_first_one_way();
+      ++over_bound;
+    }
+    waiting.push_back(ModelEntry{f, now, lane(f)});
+    return Admission::taken;
+  }
+
+  void drop_late(Instant const now) {
+    late += std::erase_if(waiting, [&](ModelEntry const& e) {
+      return e.frame.head.sort == Sort::tell && now - e.since > limits_.one_way_wait;
+    });
+  }
+
+  bool withdraw(std::uint64_t const id) {
+    return std::erase_if(waiting, [&](ModelEntry const& e) {
+             return e.frame.head.sort == Sort::ask && e.frame.head.id == id;
+           }) > 0;
+  }
+
+  std::vector<OutgoingFrame> take(Instant const now) {
+    drop_late(now);
+    bool const small = has(ModelLane::small), news = has(ModelLane::news), large = has(ModelLane::large);
+    std::vector<OutgoingFrame> batch;
+    if (small && (small_run_ < limits_.small_in_a_row || !(news || large))) {
+      std::size_t bytes = 0;
+      while (has(ModelLane::small) && bytes < limits_.batch_bytes) {
+        batch.push_back(take_first(ModelLane::small));
+        bytes += batch.back().bytes();
+      }
+      small_run_ = news || large ? small_run_ + bytes : 0;
+    } else if (news || large) {
+      ModelLane const turn = news && (!large || last_ == ModelLane::large) ? ModelLane::news : ModelLane::large;
+      batch.push_back(take_first(turn));
+      last_ = turn;
+      small_run_ = 0;
+    }
+    in_writing.insert(in_writing.end(), batch.begin(), batch.end());
+    return batch;
+  }
+
+ private:
+  ModelLane lane(OutgoingFrame const& f) const {
+    bool const large = f.head.length > limits_.large_above;
+    if (f.head.sort != Sort::tell) return large ? ModelLane::large : ModelLane::small;
+    bool const follows = std::any_of(waiting.begin(), waiting.end(), [&](ModelEntry const& e) {
+      return e.lane == ModelLane::news && e.frame.head.kind == f.head.kind;
+    });
+    return large || follows ? ModelLane::news : ModelLane::small;
+  }
+  bool has(ModelLane const l) const {
+    return std::any_of(waiting.begin(), waiting.end(), [&](ModelEntry const& e) { return e.lane == l; });
+  }
+  OutgoingFrame take_first(ModelLane const l) {
+    auto const at = std::find_if(waiting.begin(), waiting.end(), [&](ModelEntry const& e) { return e.lane == l; });
+    OutgoingFrame const f = at->frame;
+    waiting.erase(at);
+    return f;
+  }
+  void erase_first_one_way() {
+    waiting.erase(std::find_if(waiting.begin(), waiting.end(),
+                               [](ModelEntry const& e) { return e.frame.head.sort == Sort::tell; }));
+  }
+
+  PeerLimits const limits_;
+  std::vector<std::unique_ptr<Model>> const& all_;
+  std::size_t small_run_ = 0;
+  ModelLane last_ = ModelLane::large;
+};
+
+// Some queues of one process, each beside its model.
+class Pairs {
+ public:
+  explicit Pairs(std::uint64_t const seed) : chance_(seed) {
+    for (std::size_t i = 0; i < 3; ++i) {
+      queues.push_back(std::make_unique<PeerQueue>(limits_, totals));
+      models.push_back(std::make_unique<Model>(limits_, models));
+    }
+  }
+
+  void step() {
+    std::size_t const i = chance_() % queues.size();
+    PeerQueue& queue = *queues[i];
+    Model& model = *models[i];
+    std::uint64_t const what = chance_() % 100;
+    if (what < 60) {
+      push(queue, model);
+    } else if (what < 70) {
+      std::uint64_t const id = last_id_ - std::min<std::uint64_t>(last_id_, chance_() % 30);
+      ASSERT_EQ(queue.withdraw(id), model.withdraw(id));
+    } else if (what < 88) {
+      ASSERT_EQ(ids_of(queue.take(now_)), ids_of(model.take(now_)));
+      taken_ += model.in_writing.size();
+    } else if (what < 97) {
+      queue.written();
+      model.in_writing.clear();
+    } else if (what < 98) {
+      ASSERT_EQ(queue.take_all().size(), model.waiting.size());
+      model.waiting.clear();
+    } else {
+      now_ += std::chrono::milliseconds(chance_() % 2500);
+    }
+    compare(queue, model);
+  }
+
+  void compare(PeerQueue& queue, Model& model) {
+    ASSERT_EQ(queue.frames(), model.waiting.size());
+    std::size_t bytes = 0;
+    for (QueueBound const b : {QueueBound::one_way, QueueBound::small, QueueBound::large}) {
+      bytes += model.bytes(b);
+      ASSERT_EQ(totals->bytes[static_cast<std::size_t>(b)], model.bytes_of_all(b));
+    }
+    ASSERT_EQ(queue.bytes(), bytes);
+    DroppedMessages const dropped = queue.take_dropped();
+    ASSERT_EQ(dropped.over_bound, model.over_bound);
+    ASSERT_EQ(dropped.late, model.late);
+    seen.over_bound += dropped.over_bound;
+    seen.late += dropped.late;
+    model.over_bound = model.late = 0;
+  }
+
+  std::shared_ptr<QueueTotals> const totals = std::make_shared<QueueTotals>();
+  std::vector<std::unique_ptr<PeerQueue>> queues;
+  std::vector<std::unique_ptr<Model>> models;
+  DroppedMessages seen;
+  std::array<std::size_t, 4> admissions{};
+  std::size_t taken() const { return taken_; }
+
+ private:
+  void push(PeerQueue& queue, Model& model) {
+    Sort const sort = static_cast<Sort>(chance_() % 3);
+    std::size_t const size = chance_() % 40 == 0  ? chance_() % 5000
+                             : chance_() % 4 == 0 ? chance_() % 500
+                                                  : chance_() % 80;
+    OutgoingFrame const f = frame(sort, ++last_id_, size, chance_() % 2 == 0 ? kind : other_kind);
+    Admission const admission = queue.push(f, now_);
+    ASSERT_EQ(admission, model.push(f, now_));
+    ++admissions[static_cast<std::size_t>(admission)];
+  }
+
+  PeerLimits const limits_ = small_limits();
+  std::mt19937_64 chance_;
+  Instant now_ = start;
+  std::uint64_t last_id_ = 0;
+  std::size_t taken_ = 0;
+};
+
+TEST(PeerQueue, does_what_a_plain_model_does) {
+  DroppedMessages seen;
+  std::array<std::size_t, 4> admissions{};
+  std::size_t taken = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Pairs pairs(seed);
+    for (std::size_t i = 0; i < 3000; ++i) {
+      pairs.step();
+      if (testing::Test::HasFatalFailure()) FAIL() << "seed " << seed << " operation " << i;
+    }
+    seen.over_bound += pairs.seen.over_bound;
+    seen.late += pairs.seen.late;
+    taken += pairs.taken();
+    for (std::size_t i = 0; i < admissions.size(); ++i) admissions[i] += pairs.admissions[i];
+    pairs.queues.clear();
+    EXPECT_EQ(pairs.totals->sum(), 0u);
+  }
+  for (std::size_t const count : admissions) EXPECT_GT(count, 100u);  // each case was met
+  EXPECT_GT(seen.over_bound, 1000u);
+  EXPECT_GT(seen.late, 100u);
+  EXPECT_GT(taken, 1000u);
+}
+
+// ---- rule by rule
+
+TEST(PeerQueue, small_frames_go_first_and_each_lane_keeps_its_order) {
+  Fixture f;
+  f.push(Sort::ask, 1, 300);
+  f.push(Sort::ask, 2, 10);
+  f.push(Sort::ask, 3, 300);
+  f.push(Sort::ask, 4, 10);
+  f.push(Sort::tell, 5, 10);
+  EXPECT_EQ(f.written(), (Ids{2, 4, 5, 1, 3}));
+}
+
+TEST(PeerQueue, large_frames_have_their_turn_while_small_ones_keep_coming) {
+  Fixture f;
+  f.push(Sort::ask, 1, 300);
+  std::size_t small_before = 0;
+  for (std::uint64_t id = 2; id < 1000; ++id) {
+    ASSERT_EQ(f.push(Sort::ask, id, 50), Admission::taken);
+    Ids const batch = ids_of(f.queue.take(f.now));
+    f.queue.written();
+    if (batch == Ids{1}) break;
+    ++small_before;
+  }
+  EXPECT_GT(small_before, 0u);
+  EXPECT_LE(small_before * (50 + FrameHead::size), f.limits.small_in_a_row + f.limits.batch_bytes);
+}
+
+TEST(PeerQueue, small_frames_sent_while_nothing_else_waited_give_no_turn_away) {
+  Fixture f;
+  for (std::uint64_t id = 1; id <= 30; ++id) {
+    ASSERT_EQ(f.push(Sort::ask, id, 50), Admission::taken);
+    f.written();
+  }
+  f.push(Sort::ask, 100, 300);
+  f.push(Sort::ask, 101, 10);
+  EXPECT_EQ(f.written(), (Ids{101, 100}));
+}
+
+TEST(PeerQueue, large_requests_and_large_news_take_turns) {
+  Fixture f;
+  for (std::uint64_t id = 1; id <= 3; ++id) f.push(Sort::ask, id, 200);
+  for (std::uint64_t id = 11; id <= 13; ++id) f.push(Sort::tell, id, 200);
+  EXPECT_EQ(f.written(), (Ids{11, 1, 12, 2, 13, 3}));
+}
+
+TEST(PeerQueue, a_one_way_message_does_not_overtake_one_of_its_kind) {
+  Fixture f;
+  f.push(Sort::tell, 1, 300);
+  f.push(Sort::tell, 2, 10);
+  f.push(Sort::tell, 3, 10, other_kind);
+  EXPECT_EQ(f.written(), (Ids{3, 1, 2}));
+  f.push(Sort::tell, 4, 10);
+  f.push(Sort::ask, 5, 10);
+  EXPECT_EQ(f.written(), (Ids{4, 5}));
+}
+
+TEST(PeerQueue, the_oldest_one_way_messages_make_room_and_requests_stay) {
+  Fixture f;
+  f.push(Sort::ask, 100, 10);
+  for (std::uint64_t id = 1; id <= 9; ++id) EXPECT_EQ(f.push(Sort::tell, id, 300), Admission::taken);
+  EXPECT_EQ(f.queue.take_dropped().over_bound, 6u);
+  EXPECT_EQ(f.written(), (Ids{100, 7, 8, 9}));
+}
+
+TEST(PeerQueue, the_count_of_one_way_messages_is_bounded_too) {
+  Fixture f;
+  for (std::uint64_t id = 1; id <= 20; ++id) f.push(Sort::tell, id, 1);
+  EXPECT_EQ(f.queue.frames(), f.limits.one_way.frames);
+  EXPECT_EQ(f.written().front(), 9u);
+}
+
+TEST(PeerQueue, a_request_that_does_not_fit_is_refused_and_nothing_is_dropped_for_it) {
+  Fixture f;
+  f.push(Sort::tell, 1, 300);
+  std::uint64_t id = 10;
+  while (f.push(Sort::ask, id, 400) == Admission::taken) ++id;
+  EXPECT_EQ(f.push(Sort::ask, id, 400), Admission::too_many_bytes);
+  EXPECT_EQ(f.push(Sort::ask, 50, 10), Admission::taken);  // small ones have room of their own
+  EXPECT_EQ(f.queue.take_dropped().sum(), 0u);
+  for (std::uint64_t more = 60; more < 70; ++more) f.push(Sort::ask, more, 1);
+  EXPECT_EQ(f.push(Sort::ask, 70, 1), Admission::too_many_frames);
+}
+
+TEST(PeerQueue, a_frame_over_its_bound_is_taken_if_nothing_else_waits) {
+  Fixture f;
+  EXPECT_EQ(f.push(Sort::ask, 1, 50000), Admission::taken);
+  EXPECT_EQ(f.push(Sort::ask, 2, 100), Admission::too_many_bytes);
+  EXPECT_EQ(f.push(Sort::tell, 3, 50000), Admission::taken);
+  EXPECT_EQ(f.push(Sort::tell, 4, 100), Admission::taken);  // in place of the older one
+  EXPECT_EQ(f.written(), (Ids{4, 1}));
+}
+
+TEST(PeerQueue, what_is_being_written_counts_until_it_is) {
+  Fixture f;
+  f.push(Sort::ask, 1, 300);
+  std::size_t const bytes = f.queue.bytes();
+  EXPECT_EQ(ids_of(f.queue.take(f.now)), Ids{1});
+  EXPECT_TRUE(f.queue.empty());
+  EXPECT_EQ(f.queue.bytes(), bytes);
+  EXPECT_EQ(f.totals->sum(), bytes);
+  f.queue.written();
+  EXPECT_EQ(f.queue.bytes(), 0u);
+  EXPECT_EQ(f.totals->sum(), 0u);
+}
+
+TEST(PeerQueue, a_withdrawn_request_is_never_written_and_frees_its_bytes) {
+  Fixture f;
+  f.push(Sort::ask, 1, 300);
+  f.push(Sort::ask, 2, 300);
+  EXPECT_TRUE(f.queue.withdraw(1));
+  EXPECT_FALSE(f.queue.withdraw(1));
+  EXPECT_EQ(f.queue.bytes(), 300 + FrameHead::size);
+  EXPECT_EQ(f.written(), Ids{2});
+  EXPECT_FALSE(f.queue.withdraw(2));
+}
+
+TEST(PeerQueue, one_way_messages_that_waited_too_long_are_not_sent) {
+  Fixture f;
+  f.push(Sort::tell, 1, 10);
+  f.push(Sort::ask, 2, 10);
+  f.now += f.limits.one_way_wait;
+  f.push(Sort::tell, 3, 10);
+  f.now += 1ms;
+  EXPECT_EQ(f.written(), (Ids{2, 3}));
+  EXPECT_EQ(f.queue.take_dropped().late, 1u);
+}
+
+TEST(PeerQueue, all_queues_of_a_process_have_a_bound_for_each_sort) {
+  Fixture f;
+  PeerQueue second(f.limits, f.totals), third(f.limits, f.totals);
+  auto const fill = [&](PeerQueue& queue) {
+    for (std::uint64_t id = 1; id <= 3; ++id) queue.push(frame(Sort::tell, id, 310), f.now);
+  };
+  fill(f.queue);
+  fill(second);
+  EXPECT_EQ(third.push(frame(Sort::tell, 1, 310), f.now), Admission::too_many_bytes_of_all);
+  EXPECT_EQ(third.take_dropped().over_bound, 1u);
+  EXPECT_EQ(third.push(frame(Sort::ask, 2, 60), f.now), Admission::taken);
+  EXPECT_EQ(third.push(frame(Sort::ask, 3, 600), f.now), Admission::taken);
+  f.queue.take_all();
+  EXPECT_EQ(third.push(frame(Sort::tell, 4, 310), f.now), Admission::taken);
+}
+
+TEST(PeerQueue, gives_its_bytes_back_when_it_goes) {
+  std::shared_ptr<QueueTotals> const totals = std::make_shared<QueueTotals>();
+  {
+    PeerQueue queue(small_limits(), totals);
+    queue.push(frame(Sort::ask, 1, 300), start);
+    queue.push(frame(Sort::tell, 2, 300), start);
+    queue.take(start);
+    EXPECT_GT(totals->sum(), 600u);
+  }
+  EXPECT_EQ(totals->sum(), 0u);
+}
+
+TEST(PeerQueue, one_payload_is_shared_by_all_the_queues_it_waits_in) {
+  SharedBytes const payload = std::make_shared<Bytes const>(300, 'x');
+  std::shared_ptr<QueueTotals> const totals = std::make_shared<QueueTotals>();
+  PeerQueue first(small_limits(), totals), second(small_limits(), totals);
+  first.push(OutgoingFrame::of(Sort::tell, kind, 1, payload), start);
+  second.push(OutgoingFrame::of(Sort::tell, kind, 1, payload), start);
+  EXPECT_EQ(payload.use_count(), 3);
+  EXPECT_EQ(first.take(start).front().payload.get(), payload.get());
+}
+
+}  // namespace
+}  // namespace banktide
--- /dev/null
+++ b/tests/transport/socket_world_test.cpp
@@ -0,0 +1,326 @@
+// Peers over real sockets on loopback: answers, refusals and bad frames, and a
+// peer that doesn't read for a while.
+#include "transport/socket_world.hpp"
+
+#include "transport/peer_queue.hpp"
+#include "transport/peer_socket.hpp"
+
+#include <gtest/gtest.h>
+#include <future>
+#include <set>
+
+namespace banktide {
+namespace {
+
+struct Echo {
+  static constexpr std::uint8_t kind = 200;
+  struct Reply {
+    std::string text;
+    template <class A>
+    void serialize(A& ar) {
+      ar(text);
+    }
+  };
+  std::string text;
+  template <class A>
+  void serialize(A& ar) {
+    ar(text);
+  }
+};
+
+struct Note {
+  static constexpr std::uint8_t kind = 201;
+  struct Reply {
+    template <class A>
+    void serialize(A&) {}
+  };
+  std::uint64_t number = 0;
+  std::string text;
+  template <class A>
+  void serialize(A& ar) {
+    ar(number, text);
+  }
+};
+
+constexpr Duration long_enough = 50s;  // a deadline that no test is meant to reach
+
+// Runs a script on the pool's thread and waits for its end.
+template <class F>
+void run_on_pool(F script) {
+  std::promise<void> over;
+  auto const whole = [&]() -> Task<void> {
+    co_await script();
+    over.set_value();
+  };
+  asio::io_context& io = crossplat::threadpool::shared_instance().service();
+  asio::post(io, [&] { asio::co_spawn(io, whole(), asio::detached); });
+  over.get_future().get();
+}
+
+// Whatever is due on the thread runs before it returns.
+Task<void> let_others_run(SocketWorld& world) { co_await asio::post(world.executor(), asio::use_awaitable); }
+
+// A peer that accepts connections, and reads and answers only once it is let.
+class SlowPeer {
+ public:
+  explicit SlowPeer(SocketWorld& world) : world_(world), acceptor_(world.io(), {asio::ip::address_v4::loopback(), 0}) {}
+  Address address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
+
+  Task<void> accept() {
+    Running const running(*this);
+    boost::system::error_code ec;
+    while (!ec) {
+      PeerSocket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, ec));
+      if (ec) break;
+      sockets_.push_back(std::make_shared<PeerSocket>(std::move(socket)));
+      if (reading_) spawn(world_, read(sockets_.back()));
+    }
+  }
+  void start_reading() {
+    reading_ = true;
+    for (std::shared_ptr<PeerSocket> const& s : sockets_) spawn(world_, read(s));
+  }
+  void close() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    for (std::shared_ptr<PeerSocket> const& s : sockets_) s->close(ignored);
+  }
+
+  std::set<std::uint64_t> notes;
+  std::size_t connections() const { return sockets_.size(); }
+  std::size_t tasks() const { return tasks_; }
+
+ private:
+  class Running {
+   public:
+    explicit Running(SlowPeer& peer) : peer_(peer) { ++peer_.tasks_; }
+    Running(Running const&) = delete;
+    ~Running() { --peer_.tasks_; }
+
+   private:
+    SlowPeer& peer_;
+  };
+
+  Task<void> read(std::shared_ptr<PeerSocket> const socket) {
+    Running const running(*this);
+    std::function<void()> const no_note;
+    while (true) {
+      Result<ReceivedFrame> const frame = co_await read_frame(*socket, no_note);
+      if (!frame) break;
+      if (frame->head.sort == Sort::tell) notes.insert(unpack<Note>(frame->payload)->number);
+      if (frame->head.sort != Sort::ask) continue;
+      SharedBytes const payload = std::make_shared<Bytes const>(frame->payload);
+      std::vector<OutgoingFrame> const back{OutgoingFrame::of(Sort::reply, frame->head.kind, frame->head.id, payload)};
+      boost::system::error_code const ec = co_await write_frames(socket, back, long_enough, no_note);
+      if (ec) break;
+    }
+  }
+
+  SocketWorld& world_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::vector<std::shared_ptr<PeerSocket>> sockets_;
+  bool reading_ = false;
+  std::size_t tasks_ = 0;
+};
+
+TEST(SocketWorld, answers_come_back_refusals_are_proof_and_a_bad_frame_only_costs_its_connection) {
+  start_pool();
+  SocketWorld w;
+  Desk desk;
+  desk.on<Echo>([](Echo q) -> Task<Echo::Reply> { co_return Echo::Reply{q.text + "!"}; });
+  Address const here = *w.listen("127.0.0.1:0");
+  std::promise<void> over;
+  auto const script = [&]() -> Task<void> {
+    w.serve(desk);
+    Echo const hello{"hello"};
+    Result<Echo::Reply> const r = co_await ask(w, here, hello, w.now() + 20s);
+    EXPECT_TRUE(r && r->text == "hello!");
+    Result<Echo::Reply> const refused = co_await ask(w, Address("127.0.0.1:1"), hello, w.now() + 20s);
+    EXPECT_TRUE(!refused && refused.error().proof == Proof::not_run);
+    std::mt19937_64 chance(5);
+    for (int i = 0; i < 50; ++i) {
+      asio::ip::tcp::socket s(w.io());
+      co_await s.async_connect(*parse_address(here), asio::use_awaitable);
+      std::string junk(1 + chance() % 60, '\0');
+      for (char& c : junk) c = static_cast<char>(chance());
+      if (i % 2 == 0)
+        FrameHead{static_cast<std::uint32_t>(chance() % 8), wire_number, Sort::ask, 200, 1}.write(
+            (junk.resize(40), junk.data()));
+      co_await asio::async_write(s, asio::buffer(junk), asio::use_awaitable);
+      boost::system::error_code ec;
+      s.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+      char end[64];
+      while (!ec) co_await s.async_read_some(asio::buffer(end), asio::redirect_error(asio::use_awaitable, ec));
+    }
+    Result<Echo::Reply> const again = co_await ask(w, here, hello, w.now() + 20s);
+    EXPECT_TRUE(again && again->text == "hello!");
+    co_await w.stop();
+    over.set_value();
+  };
+  asio::post(w.io(), [&]() { spawn(w, script()); });
+  over.get_future().get();
+}
+
+// Sends more than the bound to a peer that doesn't read, then lets it read.
+TEST(SocketWorld, a_peer_that_does_not_read_costs_no_more_than_its_bounds) {
+  start_pool();
+  PeerLimits limits;
+  limits.one_way_wait = 1h;  // so that a busy machine drops nothing for its age
+  SocketWorld w(limits);
+  SlowPeer peer(w);
+  constexpr std::uint64_t notes = 1000;
+  constexpr std::size_t note_size = 30000;
+  std::size_t most_queued = 0, answered = 0, refused = 0, lost = 0;
+  bool newest_came = false;
+  std::size_t left_queued = 0;
+  run_on_pool([&]() -> Task<void> {
+    spawn(w, peer.accept());
+    constexpr std::size_t questions = 128;
+    auto const ask_once = [&](std::size_t const size) -> Task<void> {
+      Echo const question{std::string(size, 'x')};
+      Result<Bytes> const reply = co_await w.ask_raw(peer.address(), Echo::kind, pack(question), w.now() + long_enough);
+      if (reply)
+        ++answered;
+      else if (reply.error().proof == Proof::not_run)
+        ++refused;
+      else
+        ++lost;
+      EXPECT_TRUE(reply || !reply.error().reason.empty());
+    };
+    for (std::uint64_t i = 1; i <= notes; ++i) {
+      Note const note{i, std::string(note_size, 'n')};
+      tell(w, peer.address(), note);
+      most_queued = std::max(most_queued, w.queued().sum());
+      if (i % 100 == 0) co_await let_others_run(w);  // the connection is made and filled meanwhile
+    }
+    for (std::size_t i = 0; i < questions; ++i) spawn(w, ask_once(i % 2 == 0 ? 100 : 512u << 10));
+    while (peer.connections() == 0) co_await let_others_run(w);
+    co_await let_others_run(w);
+    most_queued = std::max(most_queued, w.queued().sum());
+    peer.start_reading();
+    while (answered + refused + lost < questions) co_await let_others_run(w);
+    EXPECT_EQ(answered + refused + lost, questions);
+    Note const newest{notes + 1, "newest"};
+    Instant const patience = w.now() + long_enough;
+    while (!newest_came && w.now() < patience) {  // again, as a reset connection loses what it has taken
+      tell(w, peer.address(), newest);
+      co_await let_others_run(w);
+      newest_came = peer.notes.contains(newest.number);
+    }
+    while (w.queued().sum() > 0 && w.now() < patience) co_await let_others_run(w);
+    left_queued = w.queued().sum();
+    peer.close();
+    while (peer.tasks() > 0) co_await let_others_run(w);
+    co_await w.stop();
+  });
+  std::size_t const bound = limits.one_way.bytes + limits.small.bytes + limits.large.bytes;
+  EXPECT_LE(most_queued, bound);
+  EXPECT_GT(most_queued, limits.one_way.bytes / 2);
+  EXPECT_TRUE(newest_came);
+  EXPECT_LT(peer.notes.size(), notes);
+  EXPECT_GT(answered, 0u);
+  EXPECT_GT(refused, 0u);
+  EXPECT_EQ(left_queued, 0u);
+}
+
+// Asks for large answers and reads none of them.
+TEST(SocketWorld, a_peer_that_reads_no_answers_loses_its_connection_and_costs_no_more_than_the_bound) {
+  start_pool();
+  PeerLimits limits;
+  SocketWorld server(limits);
+  Desk desk;
+  std::string const large(256u << 10, 'x');
+  desk.on<Echo>([&large](Echo) -> Task<Echo::Reply> {
+    Echo::Reply reply{large};
+    co_return reply;
+  });
+  Address const here = *server.listen("127.0.0.1:0");
+  std::size_t most_queued = 0;
+  bool closed = false;
+  run_on_pool([&]() -> Task<void> {
+    server.serve(desk);
+    asio::ip::tcp::socket asker(server.io());
+    co_await asker.async_connect(*parse_address(here), asio::use_awaitable);
+    Echo const question{"?"};
+    SharedBytes const payload = pack_shared(question);
+    std::string request(FrameHead::size, '\0');
+    boost::system::error_code ec;
+    for (std::uint64_t id = 1; !ec; ++id) {
+      OutgoingFrame const frame = OutgoingFrame::of(Sort::ask, Echo::kind, id, payload);
+      request.resize(FrameHead::size);
+      frame.head.write(request.data());
+      request += *payload;
+      co_await asio::async_write(asker, asio::buffer(request), asio::redirect_error(asio::use_awaitable, ec));
+      most_queued = std::max(most_queued, server.queued().sum());
+    }
+    closed = true;
+    co_await server.stop();
+  });
+  EXPECT_TRUE(closed);
+  EXPECT_LE(most_queued, limits.small.bytes + limits.large.bytes);
+  EXPECT_EQ(server.queued().sum(), 0u);
+}
+
+TEST(SocketWorld, a_peer_that_stops_reading_an_answer_loses_its_connection) {
+  start_pool();
+  PeerLimits limits;
+  limits.write_stall = 20ms;
+  SocketWorld server(limits);
+  Desk desk;
+  desk.on<Echo>([](Echo) -> Task<Echo::Reply> {
+    Echo::Reply reply{std::string(48u << 20, 'x')};  // more than the kernel takes
+    co_return reply;
+  });
+  Address const here = *server.listen("127.0.0.1:0");
+  std::size_t most_queued = 0, left_queued = 1;
+  run_on_pool([&]() -> Task<void> {
+    server.serve(desk);
+    asio::ip::tcp::socket asker(server.io());
+    co_await asker.async_connect(*parse_address(here), asio::use_awaitable);
+    Echo const question{"?"};
+    std::vector<OutgoingFrame> const request{OutgoingFrame::of(Sort::ask, Echo::kind, 1, pack_shared(question))};
+    std::string bytes(FrameHead::size, '\0');
+    request.front().head.write(bytes.data());
+    bytes += *request.front().payload;
+    co_await asio::async_write(asker, asio::buffer(bytes), asio::use_awaitable);
+    Instant const patience = server.now() + long_enough;
+    while (server.queued().sum() == 0 && server.now() < patience) co_await let_others_run(server);
+    most_queued = server.queued().sum();
+    while (server.queued().sum() > 0 && server.now() < patience) co_await let_others_run(server);
+    left_queued = server.queued().sum();
+    co_await server.stop();
+  });
+  EXPECT_GT(most_queued, 48u << 20);
+  EXPECT_EQ(left_queued, 0u);
+}
+
+TEST(SocketWorld, small_requests_are_answered_before_large_ones_that_were_asked_first) {
+  start_pool();
+  SocketWorld w;
+  Desk desk;
+  std::vector<std::size_t> order;
+  desk.on<Echo>([&order](Echo q) -> Task<Echo::Reply> {
+    order.push_back(q.text.size());
+    Echo::Reply reply{std::move(q.text)};
+    co_return reply;
+  });
+  Address const here = *w.listen("127.0.0.1:0");
+  constexpr std::size_t large = 1u << 20, small = 10;
+  std::size_t answered = 0;
+  run_on_pool([&]() -> Task<void> {
+    w.serve(desk);
+    auto const ask_once = [&](std::size_t const size) -> Task<void> {
+      Echo const question{std::string(size, 'x')};
+      Result<Echo::Reply> const reply = co_await ask(w, here, question, w.now() + long_enough);
+      answered += reply && reply->text.size() == size;
+    };
+    for (std::size_t i = 0; i < 4; ++i) spawn(w, ask_once(large));
+    for (std::size_t i = 0; i < 4; ++i) spawn(w, ask_once(small));
+    while (answered < 8) co_await let_others_run(w);
+    co_await w.stop();
+  });
+  EXPECT_EQ(order, (std::vector<std::size_t>{small, small, small, small, large, large, large, large}));
+}
+
+}  // namespace
+}  // namespace banktide
