--- a/source/coordination/acceptor.hpp
+++ b/source/coordination/acceptor.hpp
@@ -269,7 +269,7 @@
     reply.voting = true;
     reply.accepted = s.accepted;
     reply.revision = s.held.revision;
-    if (s.held.revision > q.have) reply.held = s.held;
+    if (q.value && s.held.revision > q.have) reply.held = s.held;
     co_return reply;
   }
 
--- a/source/coordination/register_client.hpp
+++ b/source/coordination/register_client.hpp
@@ -38,6 +38,12 @@
   Instant asked{};
 };
 
+/// The same without the value.
+struct ConfirmedRevision {
+  Revision revision = 0;
+  Instant asked{};
+};
+
 template <Surroundings W>
 class RegisterClient {
  public:
@@ -169,8 +175,7 @@
   /// before, as `known` is taken to be current if the revision is the same.
   Task<Result<Confirmed>> confirm(Register const reg, Held const known, Instant const deadline) {
     for (std::uint64_t attempt = 0; w_.now() < deadline; ++attempt) {
-      if (attempt > 0) co_await sleep_for(w_, std::chrono::milliseconds(2 + w_.chance()() % 8));
-      bool const ready = co_await find_voters(attempt, deadline);
+      bool const ready = co_await ready_to_ask(attempt, deadline);
       if (!ready) continue;
       Instant const asked = w_.now();
       std::optional<Held> agreed = co_await peek(reg, known, deadline);
@@ -180,8 +185,19 @@
       out.asked = asked;
       co_return out;
     }
-    co_return mishap("confirm", register_name(reg), set_known_ ? "no majority agrees" : "no voters known",
-                     Proof::not_run);
+    co_return not_confirmed(reg);
+  }
+
+  /// The same for those who get the value by other ways: it doesn't travel.
+  Task<Result<ConfirmedRevision>> confirm_revision(Register const reg, Instant const deadline) {
+    for (std::uint64_t attempt = 0; w_.now() < deadline; ++attempt) {
+      bool const ready = co_await ready_to_ask(attempt, deadline);
+      if (!ready) continue;
+      Instant const asked = w_.now();
+      std::optional<Agreement> const agreed = co_await agree(reg, deadline);
+      if (agreed) co_return ConfirmedRevision{agreed->revision, asked};
+    }
+    co_return not_confirmed(reg);
   }
 
   // A number greater than every one that this has given before, to anyone.
@@ -212,6 +228,7 @@
 
  private:
   static constexpr Duration round_patience = 600ms;
+  static constexpr Duration fetch_patience = 300ms;
   static constexpr std::size_t most_contacts = 16;
   static constexpr std::uint64_t attempts_before_asking_again = 3;
 
@@ -235,9 +252,25 @@
     co_return co_await discover(deadline, true);
   }
 
+  Task<bool> ready_to_ask(std::uint64_t const attempt, Instant const deadline) {
+    if (attempt > 0) co_await sleep_for(w_, std::chrono::milliseconds(2 + w_.chance()() % 8));
+    co_return co_await find_voters(attempt, deadline);
+  }
+  tl::unexpected<Mishap> not_confirmed(Register const reg) const {
+    return mishap("confirm", register_name(reg), set_known_ ? "no majority agrees" : "no voters known", Proof::not_run);
+  }
+
+  // A ballot that a majority has accepted, and who said so, the first to answer first.
+  struct Agreement {
+    Ballot accepted;
+    Revision revision = 0;
+    std::vector<Address> voters;
+  };
+
   // What a majority agrees on. A ballot of an older epoch is no agreement: it
   // may have been copied here from less than a majority.
   Task<std::optional<Held>> peek(Register const reg, Held const known, Instant const deadline) {
+    if (value_is_large(reg)) co_return co_await peek_and_fetch(reg, known, deadline);
     std::uint64_t const epoch = set_.epoch;
     std::size_t const needed = quorum_of(set_);
     Peek const question{reg, known.revision, epoch};
@@ -251,6 +284,43 @@
     co_return r.revision > known.revision ? r.held : known;
   }
 
+  // Only one voter's answer is to carry such a value.
+  static bool value_is_large(Register const reg) { return reg == Register::keys; }
+
+  Task<std::optional<Agreement>> agree(Register const reg, Instant const deadline) {
+    std::uint64_t const epoch = set_.epoch;
+    std::size_t const needed = quorum_of(set_);
+    std::vector<Address> const voters = addresses_of(set_);
+    Peek const question{reg, 0, epoch, false};
+    auto const replies =
+        co_await ask_all<Peek>(w_, voters, question, std::min(deadline, w_.now() + round_patience),
+                               [epoch, needed](auto const& r) { return agreeing(r, epoch).second >= needed; });
+    follow_newer(replies);
+    auto const [at, n] = agreeing(replies, epoch);
+    if (n < needed) co_return std::nullopt;
+    Agreement agreed;
+    agreed.accepted = replies[at].second->accepted;
+    agreed.revision = replies[at].second->revision;
+    for (auto const& [i, r] : replies)
+      if (r && r->voting && r->accepted == agreed.accepted) agreed.voters.push_back(voters[i]);
+    co_return agreed;
+  }
+
+  // A voter that has accepted another ballot meanwhile may hold what is never
+  // chosen, so only a value under the ballot of the agreement counts.
+  Task<std::optional<Held>> peek_and_fetch(Register const reg, Held const known, Instant const deadline) {
+    std::uint64_t const epoch = set_.epoch;
+    std::optional<Agreement> const agreed = co_await agree(reg, deadline);
+    if (!agreed) co_return std::nullopt;
+    if (agreed->revision <= known.revision) co_return known;
+    for (Address const& voter : agreed->voters) {
+      Peek const question{reg, known.revision, epoch};
+      Result<PeekReply> const r = co_await ask(w_, voter, question, std::min(deadline, w_.now() + fetch_patience));
+      if (r && r->voting && r->accepted == agreed->accepted) co_return r->held;
+    }
+    co_return std::nullopt;
+  }
+
   template <class Replies>
   static std::pair<std::size_t, std::size_t> agreeing(Replies const& replies, std::uint64_t const epoch) {
     std::pair<std::size_t, std::size_t> best{0, 0};
--- a/source/coordination/zone_feed.hpp
+++ b/source/coordination/zone_feed.hpp
@@ -126,6 +126,12 @@
     n.layouts.emplace_back(reg, held);
     send_down(n);
   }
+  /// A newer table of keys, by what has changed.
+  void send_key_delta(KeyDelta const& delta) {
+    News n = next_news();
+    n.key_deltas.push_back(delta);
+    send_down(n);
+  }
 
   /// What another zone offers.
   void take_entry(CellEntry const& entry) {
--- a/source/coordination/zone_follower.hpp
+++ b/source/coordination/zone_follower.hpp
@@ -10,6 +10,7 @@
 #include "coordination/ring_places.hpp"
 #include "protocol/digest.hpp"
 #include "state/cell_view.hpp"
+#include "state/key_table_delta.hpp"
 
 namespace banktide {
 
@@ -82,6 +83,23 @@
   /// How long ago any registry or member was last heard.
   Duration since_contact() const { return w_.now() - last_contact_; }
 
+  /// Takes up a chosen value that the owner has from elsewhere.
+  void take(Register const r, Held const& held) { take_values({{r, held}}); }
+  /// Asks registries for a table of keys of at least this revision, which was chosen
+  /// a moment ago: the own one, again for a while as it may be about to learn of it,
+  /// then another. True if the table is here then, also by news.
+  Task<bool> fetch_keys(Revision const wanted) {
+    Instant const own_until = w_.now() + own_keys_patience;
+    while (w_.now() < own_until && keys().revision < wanted && !own_registry().empty()) {
+      co_await ask_for_values(own_registry(), own_until);
+      if (keys().revision < wanted) co_await sleep_for(w_, ask_keys_again);
+    }
+    std::vector<Address> const others = askable().others;
+    if (keys().revision < wanted && !others.empty())
+      co_await ask_for_values(others[w_.chance()() % others.size()], w_.now() + other_keys_patience);
+    co_return keys().revision >= wanted;
+  }
+
   /// The registry is to be told anew what this node has.
   void touch() {
     dirty_ = true;
@@ -207,17 +225,38 @@
       if (broken_on_purpose("old_catalogue") && r == Register::catalogue && held_[i].revision > 0) continue;
       if (h.revision <= held_[i].revision || digest_of(h.bytes) != h.digest) continue;
       held_[i] = h;
+      if (r == Register::keys) keys_doubtful_ = false;
       taken.push_back(r);
     }
     if (!events_.value) return;
     for (Register const r : taken) events_.value(r, held(r));
   }
 
+  // Deltas made from another version than is here change nothing; the next question
+  // to a registry tells it which one is.
+  void take_key_deltas(std::vector<KeyDelta> const& deltas) {
+    if (deltas.empty() || deltas.back().to <= keys().revision) return;
+    Result<Held> const next = apply_key_deltas(keys(), deltas);
+    if (next) return take(Register::keys, *next);
+    bool const from_here = std::any_of(deltas.begin(), deltas.end(),
+                                       [this](KeyDelta const& delta) { return delta.from == keys().revision; });
+    if (!from_here) return;
+    log_warn("key_delta_refused", {{"reason", next.error().reason}});
+    keys_doubtful_ = true;
+  }
+  Held const& keys() const { return held(Register::keys); }
+
   Revisions revisions() const {
     Revisions all{};
     for (std::size_t i = 0; i < all.size(); ++i) all[i] = held_[i].revision;
     return all;
   }
+  // Of a table that deltas don't fit the whole is asked for.
+  LayoutsAsk question_for_values(bool const fresh, bool const without_keys) const {
+    LayoutsAsk question{revisions(), fresh, without_keys};
+    if (keys_doubtful_) question.have[static_cast<std::size_t>(Register::keys)] = 0;
+    return question;
+  }
   bool is_newer(Revisions const& told) const {
     for (std::size_t i = 0; i < told.size(); ++i)
       if (told[i] > held_[i].revision) return true;
@@ -229,6 +268,7 @@
   Task<Told> news(News q) {
     last_contact_ = w_.now();
     take_values(q.layouts);
+    take_key_deltas(q.key_deltas);
     // A registry that has kept the zone before may not know yet that it doesn't.
     Address const own = own_registry();
     if (!own.empty() && q.root != own) co_return Told{};
@@ -296,19 +336,27 @@
     co_return true;
   }
 
-  // Values from every registry asked that vouches for them.
+  // Values from every registry asked that vouches for them. The table of keys is
+  // large: of several registries one is asked for it.
   Task<bool> catch_up_values(std::vector<Address> const from) {
     bool const first = !fresh_;
-    LayoutsAsk const question{revisions(), first};
+    LayoutsAsk const question = question_for_values(first, from.size() > 1);
     auto const replies = co_await ask_all<LayoutsAsk>(w_, from, question, w_.now() + (first ? 1000ms : 400ms),
                                                       [](auto const&) { return false; });
     bool known = false;
+    Revision newest_keys = 0;
+    Address has_keys;
     for (auto const& [i, r] : replies) {
       if (r) heard(from[i]);
       if (!r || !r->known) continue;
-      take_values(r->newer);
+      take_reply(*r);
       known = true;
+      Revision const of_keys = r->revisions[static_cast<std::size_t>(Register::keys)];
+      if (of_keys <= newest_keys) continue;
+      newest_keys = of_keys;
+      has_keys = from[i];
     }
+    if (newest_keys > keys().revision) co_await ask_for_values(has_keys, w_.now() + 400ms);
     if (known && !fresh_) {
       fresh_ = true;
       status_changed();
@@ -316,6 +364,20 @@
     co_return known;
   }
 
+  // What one registry has is chosen even if it can't vouch that it's the newest.
+  Task<void> ask_for_values(Address const from, Instant const deadline) {
+    LayoutsAsk const question = question_for_values(false, false);
+    Result<LayoutsReply> const r = co_await ask(w_, from, question, deadline);
+    if (!r) co_return;
+    heard(from);
+    take_reply(*r);
+  }
+
+  void take_reply(LayoutsReply const& reply) {
+    take_values(reply.newer);
+    take_key_deltas(reply.key_deltas);
+  }
+
   struct Askable {
     std::vector<Address> own, others;
   };
@@ -415,6 +477,9 @@
   }
 
   static constexpr Duration meet_patience = 500ms;
+  static constexpr Duration own_keys_patience = 150ms;
+  static constexpr Duration other_keys_patience = 300ms;
+  static constexpr Duration ask_keys_again = 25ms;
   static constexpr Duration meet_often_for = 3s;  // from the start, until all registries had time to be heard of
   // Frames between processes are given up long before they are this old.
   static constexpr Duration news_may_be_late = 3s;
@@ -437,6 +502,7 @@
   std::uint64_t incarnation_ = 1, pulse_ = 0, pulse_epoch_ = 0;
   Instant vouched_{};
   bool fresh_ = false, viewed_ = false, leaving_ = false, left_ = false, dirty_ = true, is_behind_ = false;
+  bool keys_doubtful_ = false;  // a delta from this very version didn't fit
 };
 
 }  // namespace banktide
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -167,7 +167,6 @@
       log_warn("key_table_unreadable", {{"reason", read.error().reason}});
       return;
     }
-    keys_held_ = held;
     table_ = std::make_shared<KeyTable const>(std::move(*read));
     path_.set_keys(table_);
     if (keys_) keys_->on_table(*table_);
@@ -286,18 +285,41 @@
         continue;
       confirm_soon_ = false;
       registers_.learn(stores_beside(registry_addresses(), s_.store_port));
-      Held const known = keys_held_;
       // Until the voters are known all stores are waited for, even those that aren't up.
       Duration const patience = registers_.knows_voters() ? confirm_patience : first_confirm_patience;
-      Result<Confirmed> const read = co_await registers_.confirm(Register::keys, known, w_.now() + patience);
-      if (!read || !keys_) continue;
-      confirmed_at_ = read->asked;
-      take_keys(read->held);
-      keys_->on_confirmed(read->held.revision, read->asked);
-      grant_alarm_.wake();
+      bool const has_table = table_ && table_->revision > 0;
+      if (has_table) {
+        co_await confirm_table(w_.now() + patience);
+      } else {
+        co_await read_table(w_.now() + patience);
+      }
     }
   }
 
+  // Only the version travels. If it is newer than the table here there is no lease
+  // until that has come: by news, from a registry, or at last from a store.
+  Task<void> confirm_table(Instant const deadline) {
+    Result<ConfirmedRevision> const newest = co_await registers_.confirm_revision(Register::keys, deadline);
+    if (!newest || !keys_) co_return;
+    confirmed_at_ = newest->asked;
+    keys_->on_confirmed(newest->revision, newest->asked);
+    grant_alarm_.wake();
+    if (table_->revision >= newest->revision) co_return;
+    bool const here = co_await follower_.fetch_keys(newest->revision);
+    if (!here) co_await read_table(w_.now() + confirm_patience);
+  }
+
+  Task<void> read_table(Instant const deadline) {
+    Held const known = follower_.held(Register::keys);
+    Result<Confirmed> const read = co_await registers_.confirm(Register::keys, known, deadline);
+    if (!read || !keys_) co_return;
+    confirmed_at_ = read->asked;
+    follower_.take(Register::keys, read->held);
+    take_keys(read->held);
+    keys_->on_confirmed(read->held.revision, read->asked);
+    grant_alarm_.wake();
+  }
+
   std::vector<Address> registry_addresses() const {
     std::vector<Address> all;
     for (RegistryEntry const& e : follower_.directory()) all.push_back(e.address);
@@ -359,7 +381,6 @@
   std::unique_ptr<KeyHolder> keys_;
   std::string keys_service_;
   std::shared_ptr<KeyTable const> table_;
-  Held keys_held_;
   Instant confirmed_at_{};
   bool confirm_soon_ = true;
   std::uint64_t beats_taken_ = 0;  // only the answer to the last beat may wait
--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -11,6 +11,7 @@
 #include "coordination/zone_entries.hpp"
 #include "coordination/zone_feed.hpp"
 #include "programs/operator_interface.hpp"
+#include "state/key_table_delta.hpp"
 #include "state/mishaps.hpp"
 
 #include <map>
@@ -97,14 +98,28 @@
   void take(Register const r, Held const& h) {
     Held& mine = held_.at(static_cast<std::size_t>(r));
     if (h.revision <= mine.revision) return;
+    std::optional<KeyDelta> delta;
+    if (r == Register::keys) delta = make_key_delta(mine, h);
     mine = h;
+    if (r == Register::keys) remember(delta);
     log_info("revision_known", {{"register", register_name(r)}, {"revision", std::to_string(h.revision)}});
-    for (auto const& [zone, feed] : feeds_) feed->send_value(r, mine);
+    for (auto const& [zone, feed] : feeds_) {
+      if (delta) {
+        feed->send_key_delta(*delta);
+      } else {
+        feed->send_value(r, mine);
+      }
+    }
   }
   /// The same, and tells the other registries.
   void announce(Register const r, Held const& h) {
     take(r, h);
-    tell_registries(Chosen{r, h});
+    KeyDelta const* const delta = r == Register::keys ? key_deltas_.newest() : nullptr;
+    if (delta != nullptr && delta->to == h.revision) {
+      tell_registries(Chosen{r, Held{}, *delta});
+    } else {
+      tell_registries(Chosen{r, held(r).revision == h.revision ? held(r) : h, std::nullopt});
+    }
   }
 
   void note(std::string const& what, Mishap const& m) { mishaps_.note(w_.now() - started_, what, m); }
@@ -181,6 +196,8 @@
   static constexpr Duration heard_lately = 1500ms;
   static constexpr Duration adopt_after = 1s;  // of this registry's start
   static constexpr Duration meet_patience = 500ms;
+  static constexpr Duration quiet_reading = 150ms;  // for a majority to agree, before a round makes it
+  static constexpr Duration told_within = 60ms;     // by the writer of a table, of the answers of those who have it
   // One-way messages may be this late.
   static constexpr Duration told_may_be_late = 3s;
   static constexpr std::uint64_t rounds_per_look_at_silent = 8;
@@ -193,10 +210,27 @@
   // ---- values of the registers
 
   Task<Told> chosen(Chosen q) {
-    if (static_cast<std::size_t>(q.reg) < held_.size()) take(q.reg, q.held);
+    if (static_cast<std::size_t>(q.reg) >= held_.size()) co_return Told{};
+    if (!q.key_delta) {
+      take(q.reg, q.held);
+      co_return Told{};
+    }
+    // One that doesn't fit is no loss: the register is read in a moment.
+    Result<Held> const next = apply_key_deltas(held(Register::keys), {*q.key_delta});
+    if (next) take(Register::keys, *next);
     co_return Told{};
   }
 
+  void remember(std::optional<KeyDelta> const& delta) {
+    // Nodes need nothing of the requests that made the table.
+    held_[static_cast<std::size_t>(Register::keys)].requests.clear();
+    if (delta) {
+      key_deltas_.add(*delta);
+    } else {
+      key_deltas_.clear();
+    }
+  }
+
   Task<LayoutsReply> layouts(LayoutsAsk q) {
     if (q.fresh || !vouched()) co_await read_all(300ms);
     LayoutsReply reply;
@@ -204,11 +238,26 @@
     reply.revisions = revisions();
     for (Register const r : told_registers) {
       std::size_t const i = static_cast<std::size_t>(r);
-      if (reply.revisions[i] > q.have[i]) reply.newer.emplace_back(r, held_[i]);
+      if (reply.revisions[i] <= q.have[i]) continue;
+      if (r != Register::keys) {
+        reply.newer.emplace_back(r, held_[i]);
+      } else if (!q.without_keys) {
+        add_keys(reply, q.have[i]);
+      }
     }
     co_return reply;
   }
 
+  void add_keys(LayoutsReply& reply, Revision const have) const {
+    Held const& keys = held(Register::keys);
+    std::optional<std::vector<KeyDelta>> chain = key_deltas_.since(have, keys.bytes.size());
+    if (chain) {
+      reply.key_deltas = std::move(*chain);
+    } else {
+      reply.newer.emplace_back(Register::keys, keys);
+    }
+  }
+
   Revisions revisions() const {
     Revisions all{};
     for (std::size_t i = 0; i < all.size(); ++i) all[i] = held_[i].revision;
@@ -220,14 +269,35 @@
     Instant const asked = w_.now();
     bool all = true;
     for (Register const r : told_registers) {
-      Held const known = held(r);
-      Result<Held> const h = co_await register_.read(r, known, asked + patience);
-      if (h) take(r, *h);
-      all = all && h.has_value();
+      bool const done = co_await read_one(r, asked + patience);
+      all = all && done;
     }
     if (all) vouched_at_ = std::max(vouched_at_, asked);
   }
 
+  Task<bool> read_one(Register const r, Instant const deadline) {
+    bool const large = r == Register::keys && held(r).revision > 0;
+    if (large) {
+      bool const current = co_await confirm_keys(std::min(deadline, w_.now() + quiet_reading));
+      if (current) co_return true;
+    }
+    Held const known = held(r);
+    Result<Held> const h = co_await register_.read(r, known, deadline);
+    if (h) take(r, *h);
+    co_return h.has_value();
+  }
+
+  // A table that was just written comes from the registry that wrote it, by what
+  // has changed; only if it doesn't come the whole is read.
+  Task<bool> confirm_keys(Instant const deadline) {
+    Result<ConfirmedRevision> const newest = co_await register_.confirm_revision(Register::keys, deadline);
+    if (!newest) co_return false;
+    Instant const until = w_.now() + told_within;
+    while (held(Register::keys).revision < newest->revision && w_.now() < until)
+      co_await sleep_for(w_, told_within / 4);
+    co_return held(Register::keys).revision >= newest->revision;
+  }
+
   // Lease epochs go on from a number that the register has never given before.
   Task<void> find_floor() {
     while (!lease_.floored()) {
@@ -422,6 +492,7 @@
   Mishaps mishaps_;
   RegistryDirectory directory_;
   std::array<Held, told_registers.size()> held_;
+  KeyDeltaHistory key_deltas_;  // up to the table held, if any
   Instant vouched_at_{};
   bool leaving_ = false;
   std::shared_ptr<ZoneFeed<W>> own_feed_;
--- a/source/protocol/messages.hpp
+++ b/source/protocol/messages.hpp
@@ -147,7 +147,8 @@
   Register reg{};
   Revision have = 0;
   std::uint64_t epoch = 0;
-  BANKTIDE_FIELDS(reg, have, epoch)
+  bool value = true;  // false: the ballot and the revision will do
+  BANKTIDE_FIELDS(reg, have, epoch, value)
 };
 
 // ---- founding a register and joining it again
@@ -316,6 +317,18 @@
   BANKTIDE_FIELDS(at, members, backends, cells)
 };
 
+// What turns the table of keys of one revision into that of a later one, and the
+// digest of the latter's bytes; made and applied by state/key_table_delta.hpp.
+struct KeyDelta {
+  Revision from = 0;
+  Revision to = 0;
+  std::uint64_t digest = 0;
+  std::string bytes;
+  bool operator==(KeyDelta const&) const = default;
+  BANKTIDE_FIELDS(from, to, digest, bytes)
+};
+inline constexpr std::size_t key_delta_frame = 28;  // what the fields add to its bytes
+
 struct News {
   static constexpr std::uint8_t kind = 10;
   using Reply = Told;
@@ -326,7 +339,8 @@
   std::vector<Change> changes;
   Revisions revisions{};
   std::vector<std::pair<Register, Held>> layouts;
-  BANKTIDE_FIELDS(at, pulse, vouched, root, changes, revisions, layouts)
+  std::vector<KeyDelta> key_deltas;  // each from where the one before ends
+  BANKTIDE_FIELDS(at, pulse, vouched, root, changes, revisions, layouts, key_deltas)
 };
 
 struct FollowReply {
@@ -348,14 +362,16 @@
   bool known = false;  // vouched for by a majority reading
   std::vector<std::pair<Register, Held>> newer;
   Revisions revisions{};
-  BANKTIDE_FIELDS(known, newer, revisions)
+  std::vector<KeyDelta> key_deltas;  // from the asker's revision, in place of the whole table
+  BANKTIDE_FIELDS(known, newer, revisions, key_deltas)
 };
 struct LayoutsAsk {
   static constexpr std::uint8_t kind = 12;
   using Reply = LayoutsReply;
   Revisions have{};
-  bool fresh = false;  // a new majority reading, not the last known
-  BANKTIDE_FIELDS(have, fresh)
+  bool fresh = false;         // a new majority reading, not the last known
+  bool without_keys = false;  // of the table of keys its revision will do
+  BANKTIDE_FIELDS(have, fresh, without_keys)
 };
 
 struct JoinReply {
@@ -435,8 +451,9 @@
   static constexpr std::uint8_t kind = 19;
   using Reply = Told;
   Register reg{};
-  Held held;
-  BANKTIDE_FIELDS(reg, held)
+  Held held;                          // empty if there is a delta
+  std::optional<KeyDelta> key_delta;  // from the revision before
+  BANKTIDE_FIELDS(reg, held, key_delta)
 };
 
 // ---- leases over key slices
--- a/source/state/key_table.cpp
+++ b/source/state/key_table.cpp
@@ -14,28 +14,6 @@
 constexpr std::uint8_t is_revoked = 4;
 constexpr std::uint8_t has_handover = 8;
 
-void save_row(SaveArchive& archive, KeyRow const& row) {
-  std::uint8_t const flags =
-      static_cast<std::uint8_t>((row.next != no_holder ? has_next : 0) | (row.moving != 0 ? has_moving : 0) |
-                                (row.revoked != 0 ? is_revoked : 0) | (!row.handover.empty() ? has_handover : 0));
-  archive(flags, row.from, row.holder, row.fence);
-  if (flags & has_next) archive(row.next);
-  if (flags & has_moving) archive(row.moving);
-  if (flags & is_revoked) archive(row.revoked);
-  if (flags & has_handover) archive(row.handover);
-}
-
-KeyRow load_row(LoadArchive& archive) {
-  KeyRow row;
-  std::uint8_t flags = 0;
-  archive(flags, row.from, row.holder, row.fence);
-  if (flags & has_next) archive(row.next);
-  if (flags & has_moving) archive(row.moving);
-  if (flags & is_revoked) archive(row.revoked);
-  if (flags & has_handover) archive(row.handover);
-  return row;
-}
-
 // Sets the rows' ends, and refuses rows that don't tile the keys or name nobody.
 void finish_rows(std::vector<KeyRow>& rows, std::size_t const holders) {
   if (rows.empty()) return;
@@ -112,13 +90,35 @@
     }
 }
 
+void save_key_row(SaveArchive& archive, KeyRow const& row) {
+  std::uint8_t const flags =
+      static_cast<std::uint8_t>((row.next != no_holder ? has_next : 0) | (row.moving != 0 ? has_moving : 0) |
+                                (row.revoked != 0 ? is_revoked : 0) | (!row.handover.empty() ? has_handover : 0));
+  archive(flags, row.from, row.holder, row.fence);
+  if (flags & has_next) archive(row.next);
+  if (flags & has_moving) archive(row.moving);
+  if (flags & is_revoked) archive(row.revoked);
+  if (flags & has_handover) archive(row.handover);
+}
+
+KeyRow load_key_row(LoadArchive& archive) {
+  KeyRow row;
+  std::uint8_t flags = 0;
+  archive(flags, row.from, row.holder, row.fence);
+  if (flags & has_next) archive(row.next);
+  if (flags & has_moving) archive(row.moving);
+  if (flags & is_revoked) archive(row.revoked);
+  if (flags & has_handover) archive(row.handover);
+  return row;
+}
+
 Bytes pack_key_table(KeyTable const& table) {
   Bytes bytes;
   SaveArchive archive(bytes);
   archive(table.holders, static_cast<std::uint32_t>(table.services.size()));
   for (KeyService const& s : table.services) {
     archive(s.name, static_cast<std::uint32_t>(s.rows.size()));
-    for (KeyRow const& row : s.rows) save_row(archive, row);
+    for (KeyRow const& row : s.rows) save_key_row(archive, row);
   }
   return bytes;
 }
@@ -136,7 +136,7 @@
       std::uint32_t rows = 0;
       archive(one.name, rows);
       if (rows > archive.left()) throw cereal::Exception("length beyond the value");
-      for (std::uint32_t r = 0; r < rows; ++r) one.rows.push_back(load_row(archive));
+      for (std::uint32_t r = 0; r < rows; ++r) one.rows.push_back(load_key_row(archive));
       finish_rows(one.rows, table.holders.size());
       table.services.push_back(std::move(one));
     }
--- a/source/state/key_table.hpp
+++ b/source/state/key_table.hpp
@@ -100,4 +100,8 @@
 Bytes pack_key_table(KeyTable const& table);
 Result<KeyTable> unpack_key_table(Bytes const& bytes, Revision revision);
 
+/// One row as it stands within such bytes; its end is told by what follows it.
+void save_key_row(SaveArchive& archive, KeyRow const& row);
+KeyRow load_key_row(LoadArchive& archive);
+
 }  // namespace banktide
--- /dev/null
+++ b/source/state/key_table_delta.cpp
@@ -0,0 +1,281 @@
+// Bytes of a delta: the later holders as runs of earlier ones and new records, and
+// for each service the ranges of keys whose rows differ, with the rows that take
+// their place. The maker applies what it has made before it gives it away.
+#include "state/key_table_delta.hpp"
+
+#include "protocol/digest.hpp"
+
+#include <algorithm>
+
+namespace banktide {
+
+namespace {
+
+// How a service's rows are told.
+enum class RowsForm : std::uint8_t { ranges = 0, whole = 1 };
+
+// Later holders: some that stood next to each other before, then new ones.
+struct HolderRun {
+  std::uint16_t first = 0;
+  std::uint16_t count = 0;
+  std::vector<KeyHolderRecord> added;
+  BANKTIDE_FIELDS(first, count, added)
+};
+
+// The rows that cover these keys take the place of those that did before.
+struct RowRange {
+  std::uint16_t from = 0;
+  std::uint16_t to = 0;
+  std::vector<KeyRow> rows;
+};
+
+[[noreturn]] void refuse(char const* const reason) { throw cereal::Exception(reason); }
+
+// ---- holders
+
+std::vector<HolderRun> runs_of_holders(std::vector<KeyHolderRecord> const& before,
+                                       std::vector<KeyHolderRecord> const& after) {
+  std::vector<HolderRun> runs(1);
+  for (KeyHolderRecord const& holder : after) {
+    std::size_t const at = static_cast<std::size_t>(std::find(before.begin(), before.end(), holder) - before.begin());
+    HolderRun& run = runs.back();
+    if (at == before.size()) {
+      run.added.push_back(holder);
+    } else if (run.added.empty() && run.count > 0 && at == std::size_t{run.first} + run.count) {
+      ++run.count;
+    } else {
+      runs.push_back(HolderRun{static_cast<std::uint16_t>(at), 1, {}});
+    }
+  }
+  return runs;
+}
+
+std::vector<KeyHolderRecord> holders_of_runs(std::vector<KeyHolderRecord> const& before,
+                                             std::vector<HolderRun> const& runs) {
+  std::vector<KeyHolderRecord> after;
+  for (HolderRun const& run : runs) {
+    if (std::size_t{run.first} + run.count > before.size()) refuse("unknown earlier holder");
+    after.insert(after.end(), before.begin() + run.first, before.begin() + run.first + run.count);
+    after.insert(after.end(), run.added.begin(), run.added.end());
+    if (after.size() >= no_holder) refuse("too many holders");
+  }
+  return after;
+}
+
+// The rows of a service with the later table's numbers of holders: an instance
+// keeps its rows wherever it stands. `no_holder` where it is gone.
+KeyTable renumbered(KeyTable const& before, std::vector<KeyHolderRecord> const& holders) {
+  KeyTable table = before;
+  table.holders = holders;
+  std::vector<std::uint16_t> numbers;
+  for (KeyHolderRecord const& holder : before.holders) numbers.push_back(table.number_of(holder.instance));
+  for (KeyService& service : table.services)
+    for (KeyRow& row : service.rows) {
+      if (row.holder != no_holder) row.holder = numbers[row.holder];
+      if (row.next != no_holder) row.next = numbers[row.next];
+    }
+  return table;
+}
+
+// ---- rows
+
+// Both lists tile all keys.
+std::vector<RowRange> ranges_that_differ(std::vector<KeyRow> const& before, std::vector<KeyRow> const& after) {
+  std::vector<RowRange> ranges;
+  std::size_t i = 0, j = 0;
+  bool differed = false;
+  while (i < before.size() && j < after.size()) {
+    if (before[i] == after[j]) {
+      differed = false;
+      ++i, ++j;
+      continue;
+    }
+    if (!differed) ranges.push_back(RowRange{after[j].from, after[j].to, {}});
+    differed = true;
+    RowRange& range = ranges.back();
+    std::size_t const first = j;
+    // Until both end at one key.
+    while (before[i].to != after[j].to) ++(before[i].to < after[j].to ? i : j);
+    range.to = after[j].to;
+    ++i, ++j;
+    range.rows.insert(range.rows.end(), after.begin() + static_cast<std::ptrdiff_t>(first),
+                      after.begin() + static_cast<std::ptrdiff_t>(j));
+  }
+  return ranges;
+}
+
+// The ranges are in order, and each begins and ends where rows do.
+std::vector<KeyRow> rows_with(std::vector<KeyRow> const& before, std::vector<RowRange> const& ranges) {
+  std::vector<KeyRow> after;
+  std::size_t i = 0;
+  for (RowRange const& range : ranges) {
+    while (i < before.size() && before[i].from < range.from) after.push_back(before[i++]);
+    if (i == before.size() || before[i].from != range.from) refuse("a range that begins within a row");
+    while (i < before.size() && before[i].to < range.to) ++i;
+    if (i == before.size() || before[i].to != range.to) refuse("a range that ends within a row");
+    ++i;
+    after.insert(after.end(), range.rows.begin(), range.rows.end());
+  }
+  after.insert(after.end(), before.begin() + static_cast<std::ptrdiff_t>(i), before.end());
+  return after;
+}
+
+void save_rows(SaveArchive& archive, std::vector<KeyRow> const& rows) {
+  archive(static_cast<std::uint32_t>(rows.size()));
+  for (KeyRow const& row : rows) save_key_row(archive, row);
+}
+
+// Rows that cover the keys from one to another, as their bytes don't tell ends.
+std::vector<KeyRow> load_rows(LoadArchive& archive, std::uint16_t const from, std::uint16_t const to,
+                              std::size_t const holders) {
+  std::uint32_t count = 0;
+  archive(count);
+  if (count > archive.left()) refuse("length beyond the value");
+  std::vector<KeyRow> rows;
+  for (std::uint32_t r = 0; r < count; ++r) {
+    KeyRow row = load_key_row(archive);
+    if (row.from > to || row.from < from) refuse("rows beyond their range");
+    if (row.holder != no_holder && row.holder >= holders) refuse("unknown holder");
+    if (row.next != no_holder && row.next >= holders) refuse("unknown next holder");
+    if (rows.empty() ? row.from != from : row.from <= rows.back().from) refuse("rows out of order");
+    if (!rows.empty()) rows.back().to = static_cast<std::uint16_t>(row.from - 1);
+    row.to = to;
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+// ---- tables
+
+void save_service(SaveArchive& archive, KeyService const& after, KeyService const* const before) {
+  archive(after.name);
+  if (before == nullptr || before->rows.empty() || after.rows.empty()) {
+    archive(RowsForm::whole);
+    save_rows(archive, after.rows);
+    return;
+  }
+  std::vector<RowRange> const ranges = ranges_that_differ(before->rows, after.rows);
+  archive(RowsForm::ranges, static_cast<std::uint32_t>(ranges.size()));
+  for (RowRange const& range : ranges) {
+    archive(range.from, range.to);
+    save_rows(archive, range.rows);
+  }
+}
+
+KeyService load_service(LoadArchive& archive, KeyTable const& before) {
+  KeyService after;
+  RowsForm form{};
+  archive(after.name, form);
+  if (form == RowsForm::whole) {
+    after.rows = load_rows(archive, 0, last_key, before.holders.size());
+    return after;
+  }
+  if (form != RowsForm::ranges) refuse("unknown form of rows");
+  KeyService const* const known = before.service(after.name);
+  if (known == nullptr) refuse("unknown earlier service");
+  std::uint32_t count = 0;
+  archive(count);
+  if (count > archive.left()) refuse("length beyond the value");
+  std::vector<RowRange> ranges;
+  for (std::uint32_t r = 0; r < count; ++r) {
+    RowRange range;
+    archive(range.from, range.to);
+    if (range.to < range.from) refuse("a range that ends before it begins");
+    range.rows = load_rows(archive, range.from, range.to, before.holders.size());
+    if (range.rows.empty()) refuse("a range without rows");
+    ranges.push_back(std::move(range));
+  }
+  after.rows = rows_with(known->rows, ranges);
+  return after;
+}
+
+Bytes pack_delta(KeyTable const& before, KeyTable const& after) {
+  Bytes bytes;
+  SaveArchive archive(bytes);
+  archive(runs_of_holders(before.holders, after.holders), static_cast<std::uint32_t>(after.services.size()));
+  KeyTable const base = renumbered(before, after.holders);
+  for (KeyService const& service : after.services) save_service(archive, service, base.service(service.name));
+  return bytes;
+}
+
+KeyTable apply_one(KeyTable const& before, KeyDelta const& delta) {
+  LoadArchive archive(delta.bytes);
+  std::vector<HolderRun> runs;
+  std::uint32_t services = 0;
+  archive(runs, services);
+  if (services > archive.left()) refuse("length beyond the value");
+  KeyTable const base = renumbered(before, holders_of_runs(before.holders, runs));
+  KeyTable after;
+  after.revision = delta.to;
+  after.holders = base.holders;
+  for (std::uint32_t s = 0; s < services; ++s) after.services.push_back(load_service(archive, base));
+  if (archive.left() != 0) refuse("bytes left over");
+  return after;
+}
+
+}  // namespace
+
+std::optional<KeyDelta> make_key_delta(Held const& base, Held const& target) {
+  if (base.revision >= target.revision || base.bytes.empty()) return std::nullopt;
+  Result<KeyTable> const before = unpack_key_table(base.bytes, base.revision);
+  Result<KeyTable> const after = unpack_key_table(target.bytes, target.revision);
+  if (!before || !after) return std::nullopt;
+  KeyDelta delta;
+  delta.from = base.revision;
+  delta.to = target.revision;
+  delta.digest = target.digest;
+  delta.bytes = pack_delta(*before, *after);
+  if (delta.bytes.size() >= target.bytes.size() || !apply_key_deltas(base, {delta})) return std::nullopt;
+  return delta;
+}
+
+Result<Held> apply_key_deltas(Held const& base, std::vector<KeyDelta> const& deltas) {
+  std::vector<KeyDelta>::const_iterator next =
+      std::find_if(deltas.begin(), deltas.end(), [&](KeyDelta const& delta) { return delta.to > base.revision; });
+  if (next == deltas.end()) return mishap("key table delta", "", "nothing newer");
+  if (next->from != base.revision) return mishap("key table delta", "", "made from another version");
+  Result<KeyTable> table = unpack_key_table(base.bytes, base.revision);
+  if (!table) return tl::unexpected<Mishap>(table.error());
+  Held target;
+  try {
+    for (; next != deltas.end(); ++next) {
+      if (next->from != table->revision || next->to <= next->from) refuse("versions out of order");
+      table = apply_one(*table, *next);
+      target.digest = next->digest;
+    }
+  } catch (std::exception const& e) {
+    return mishap("key table delta", "", e.what());
+  }
+  target.revision = table->revision;
+  target.bytes = pack_key_table(*table);
+  if (digest_of(target.bytes) != target.digest) return mishap("key table delta", "", "another table than was meant");
+  return target;
+}
+
+void KeyDeltaHistory::add(KeyDelta delta) {
+  if (!deltas_.empty() && deltas_.back().to != delta.from) clear();
+  bytes_ += delta.bytes.size();
+  deltas_.push_back(std::move(delta));
+  while (deltas_.size() > most_deltas || bytes_ > most_bytes) {
+    bytes_ -= deltas_.front().bytes.size();
+    deltas_.pop_front();
+  }
+}
+
+void KeyDeltaHistory::clear() {
+  deltas_.clear();
+  bytes_ = 0;
+}
+
+std::optional<std::vector<KeyDelta>> KeyDeltaHistory::since(Revision const from, std::size_t const bytes_limit) const {
+  std::deque<KeyDelta>::const_iterator const first =
+      std::find_if(deltas_.begin(), deltas_.end(), [from](KeyDelta const& delta) { return delta.from == from; });
+  if (first == deltas_.end()) return std::nullopt;
+  std::vector<KeyDelta> const chain(first, deltas_.end());
+  std::size_t bytes = 0;
+  for (KeyDelta const& delta : chain) bytes += delta.bytes.size() + key_delta_frame;
+  if (bytes >= bytes_limit) return std::nullopt;
+  return chain;
+}
+
+}  // namespace banktide
--- /dev/null
+++ b/source/state/key_table_delta.hpp
@@ -0,0 +1,45 @@
+// What turns one version of the table of keys into a later one: a few rows, where
+// the whole table has hundreds. It names holders by their place in the version
+// before and the new ones by their records, so that a row whose holder was merely
+// renumbered is not part of it. Whoever applies one proves the result by the digest
+// of the later version's bytes, as a register's value carries it.
+#pragma once
+
+#include "state/key_table.hpp"
+
+#include <deque>
+
+namespace banktide {
+
+/// The delta between two values of the register of keys. None if one of them is no
+/// table or if the whole value is as small. What the values say of requests that
+/// made them is left out: only the register's voters need it.
+std::optional<KeyDelta> make_key_delta(Held const& base, Held const& target);
+
+/// The value after a chain of deltas, each of which begins at the revision where
+/// the one before ends; those that end at the base or before it are skipped. A
+/// mishap if the chain doesn't begin at the base's revision, if its bytes are spoilt,
+/// or if the result isn't the value that the last delta was made for.
+Result<Held> apply_key_deltas(Held const& base, std::vector<KeyDelta> const& deltas);
+
+/// The last deltas, bounded by count and by bytes, for those who missed some.
+class KeyDeltaHistory {
+ public:
+  /// One that doesn't begin where the last ends makes the earlier ones useless.
+  void add(KeyDelta delta);
+  void clear();
+  /// The chain from one revision to the newest; none if it isn't kept or its bytes
+  /// are not below the limit.
+  std::optional<std::vector<KeyDelta>> since(Revision from, std::size_t bytes_limit) const;
+  /// The last one added.
+  KeyDelta const* newest() const { return deltas_.empty() ? nullptr : &deltas_.back(); }
+
+ private:
+  static constexpr std::size_t most_deltas = 64;
+  static constexpr std::size_t most_bytes = 256 * 1024;
+
+  std::deque<KeyDelta> deltas_;
+  std::size_t bytes_ = 0;
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/tests/coordination/key_table_feed_test.cpp
@@ -0,0 +1,276 @@
+// How tables of keys reach every node: by what has changed, whatever is lost on the
+// way, and the bytes that this takes. Counts of bytes only, on virtual time.
+#include "tests/coordination/store_trial.hpp"
+#include "tests/coordination/zone_trial.hpp"
+#include "tests/state/key_table_changes.hpp"
+
+namespace banktide {
+namespace {
+
+// Bytes of tables and deltas in all messages and answers.
+struct TableBytes {
+  std::size_t whole = 0, deltas = 0, wholes = 0;
+
+  void add(Held const& held) {
+    whole += held.bytes.size();
+    wholes += !held.bytes.empty();
+  }
+  void add(KeyDelta const& delta) { deltas += delta.bytes.size() + key_delta_frame; }
+  void add_values(std::vector<std::pair<Register, Held>> const& values) {
+    for (auto const& [r, held] : values)
+      if (r == Register::keys) add(held);
+  }
+  void add_told(std::uint8_t const kind, Bytes const& raw) {
+    if (kind == News::kind) {
+      Result<News> const news = unpack<News>(raw);
+      ASSERT_TRUE(news);
+      add_values(news->layouts);
+      for (KeyDelta const& delta : news->key_deltas) add(delta);
+    }
+    if (kind == Chosen::kind) {
+      Result<Chosen> const chosen = unpack<Chosen>(raw);
+      ASSERT_TRUE(chosen);
+      add_values({{chosen->reg, chosen->held}});
+      if (chosen->key_delta) add(*chosen->key_delta);
+    }
+  }
+  void add_answer(std::uint8_t const kind, Bytes const& raw) {
+    if (kind == LayoutsAsk::kind) {
+      Result<LayoutsReply> const reply = unpack<LayoutsReply>(raw);
+      ASSERT_TRUE(reply);
+      add_values(reply->newer);
+      for (KeyDelta const& delta : reply->key_deltas) add(delta);
+    }
+    if (kind == Peek::kind) {
+      Result<PeekReply> const reply = unpack<PeekReply>(raw);
+      ASSERT_TRUE(reply);
+      add(reply->held);
+    }
+  }
+};
+
+// Counts the answers that leave a process.
+void watch_answers(Desk& desk, TableBytes& bytes) {
+  for (std::uint8_t const kind : {LayoutsAsk::kind, Peek::kind}) {
+    PeerHandler const handler = desk.handlers[kind];
+    if (!handler) continue;
+    desk.handlers[kind] = [handler, kind, &bytes](Bytes raw) -> Task<Result<Bytes>> {
+      Result<Peek> const peek = unpack<Peek>(raw);
+      bool const of_keys = kind != Peek::kind || (peek && peek->reg == Register::keys);
+      Result<Bytes> answer = co_await handler(std::move(raw));
+      if (answer && of_keys) bytes.add_answer(kind, *answer);
+      co_return answer;
+    };
+  }
+}
+
+// Two zones whose nodes follow the changes of one large table.
+struct TableTrial : ZoneTrial {
+  explicit TableTrial(std::uint64_t const seed) : ZoneTrial(seed), changes(seed) {
+    seeds = {"ra", "rb", "rc"};
+    for (std::string const zone : {"a", "b", "c"}) add_registry("r" + zone, zone);
+    for (int i = 0; i < 10; ++i) add_node("a" + std::to_string(i), "a", "s");
+    for (int i = 0; i < 5; ++i) add_node("b" + std::to_string(i), "b", "s");
+    watch_desks();
+    net.tap = [this](SimProcess const&, Address const&, std::uint8_t const kind, Bytes const& raw) {
+      bytes.add_told(kind, raw);
+    };
+    EXPECT_TRUE(run_until([&] { return nodes_seen("a9") == 10 && nodes_seen("b4") == 5; }, 15s));
+  }
+
+  /// Desks that were made since the last call.
+  void watch_desks() {
+    for (; watched < desks.size(); ++watched) watch_answers(*desks[watched], bytes);
+  }
+
+  Task<void> write(std::string const by, std::shared_ptr<bool> const done) {
+    std::shared_ptr<Registry<SimProcess>> const registry = controls.at(by).registry;
+    auto const step = [this](Held const& now) -> Result<Held> {
+      Result<KeyTable> const table = unpack_key_table(now.bytes, now.revision);
+      KeyTable const next = now.revision == 0 ? changes.first(264, 44) : changes.next(*table);
+      Held made = held_of(next);
+      made.requests = now.requests;
+      return made;
+    };
+    std::string const request = "keys-" + std::to_string(++requests);
+    Result<Held> const written =
+        co_await registry->registers().change(Register::keys, request, controls.at(by).process->now() + 2s, step);
+    if (written) {
+      newest = *written;
+      registry->announce(Register::keys, *written);
+      *done = true;
+    }
+  }
+  /// Some changes, one after the other, by that registry.
+  void write_some(std::string const& by, int const count) {
+    for (int i = 0; i < count; ++i) {
+      std::shared_ptr<bool> const done = std::make_shared<bool>(false);
+      spawn(*controls.at(by).process, write(by, done));
+      run_until([done] { return *done; }, 2500ms);
+      written += *done;
+      run_for(250ms);
+      if (newest.revision > 1) whole_tables_cost += nodes.size() * newest.bytes.size();
+    }
+  }
+  bool all_have_newest() {
+    for (auto const& [id, n] : nodes) {
+      Held const& held = n.follower->held(Register::keys);
+      if (held.revision != newest.revision || held.bytes != newest.bytes) return false;
+    }
+    return true;
+  }
+
+  KeyTableChanges changes;
+  TableBytes bytes;
+  std::size_t watched = 0, written = 0, requests = 0, whole_tables_cost = 0;
+  Held newest;
+};
+
+TEST(KeyTableFeed, changes_reach_every_node_by_deltas_only) {
+  TableTrial t(1);
+  t.write_some("ra", 1);
+  ASSERT_TRUE(t.run_until([&] { return t.all_have_newest(); }, 2s));
+  t.bytes = {};
+  t.write_some("ra", 100);
+  ASSERT_EQ(t.written, 101u);
+  EXPECT_TRUE(t.run_until([&] { return t.all_have_newest(); }, 1s));
+  EXPECT_EQ(t.bytes.wholes, 0u);
+  EXPECT_LT(t.bytes.deltas, t.whole_tables_cost / 20);
+}
+
+// News that are lost, late or doubled, a node cut off, and restarts of nodes and of
+// the registry that writes.
+TEST(KeyTableFeed, every_node_ends_with_the_same_table_whatever_was_lost) {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    TableTrial t(seed);
+    t.write_some("ra", 1);
+    ASSERT_TRUE(t.run_until([&] { return t.all_have_newest(); }, 2s));
+    t.bytes = {};
+    t.sim.weather = true;
+    t.write_some("ra", 60);
+    t.restart_node("a3");
+    t.watch_desks();
+    t.write_some("rb", 40);
+    std::string const lost = t.nodes.at("a5").process->machine;
+    for (auto const& [id, n] : t.nodes) t.sim.cut(n.process->machine, lost);
+    for (auto const& [id, c] : t.controls) t.sim.cut(c.process->machine, lost);
+    t.write_some("rb", 20);
+    t.sim.heal();
+    t.kill("ra:1");
+    t.write_some("rb", 20);
+    t.start_registry("ra");
+    t.watch_desks();
+    t.write_some("ra", 40);
+    t.restart_node("b1");
+    t.watch_desks();
+    t.write_some("rc", 20);
+    t.sim.weather = false;
+    t.write_some("rc", 5);
+    EXPECT_GT(t.written, 150u) << seed;
+    EXPECT_TRUE(t.run_until([&] { return t.all_have_newest(); }, 10s)) << seed;
+    for (auto const& [id, n] : t.nodes) EXPECT_EQ(n.values.at(Register::keys), t.newest.bytes) << seed << " " << id;
+    EXPECT_GT(t.bytes.wholes, 0u) << "those that were restarted need it";
+    EXPECT_LT(t.bytes.whole + t.bytes.deltas, t.whole_tables_cost / 10) << seed << " " << t.bytes.wholes;
+  }
+}
+
+TEST(KeyTableFeed, a_node_that_missed_the_news_gets_the_changes_from_a_registry_at_once) {
+  TableTrial t(3);
+  t.write_some("ra", 5);
+  ASSERT_TRUE(t.run_until([&] { return t.all_have_newest(); }, 2s));
+  t.net.at.at("a2:1")->freeze();
+  t.write_some("ra", 3);
+  t.bytes = {};
+  // Its lease's question tells it of the version; all news were lost.
+  SimProcess& process = *t.nodes.at("a2").process;
+  t.sim.weather = false;
+  process.thaw();
+  bool here = false;
+  auto const fetch = [&t, &here]() -> Task<void> {
+    here = co_await t.nodes.at("a2").follower->fetch_keys(t.newest.revision);
+  };
+  spawn(process, fetch());
+  EXPECT_TRUE(t.run_until([&] { return here; }, 200ms));
+  EXPECT_EQ(t.nodes.at("a2").follower->held(Register::keys), t.nodes.at("a1").follower->held(Register::keys));
+  EXPECT_EQ(t.bytes.wholes, 0u);
+}
+
+TEST(KeyTableFeed, fetching_from_nobody_says_no) {
+  TableTrial t(4);
+  t.write_some("ra", 2);
+  for (std::string const registry : {"ra:1", "rb:1", "rc:1"}) t.kill(registry);
+  std::optional<bool> here;
+  auto const fetch = [&t, &here]() -> Task<void> {
+    here = co_await t.nodes.at("a2").follower->fetch_keys(t.newest.revision + 1);
+  };
+  spawn(*t.nodes.at("a2").process, fetch());
+  EXPECT_TRUE(t.run_until([&] { return here.has_value(); }, 1s));
+  EXPECT_FALSE(*here);
+}
+
+// ---- readings of the register
+
+struct ReadingTrial : StoreTrial {
+  explicit ReadingTrial(std::uint64_t const seed) : StoreTrial(seed, 4, 1) {
+    start_all(true);
+    EXPECT_TRUE(run_until([&] { return all_vote(4); }, 20s));
+    for (std::unique_ptr<Desk> const& desk : desks) watch_answers(*desk, bytes);
+  }
+  Result<ConfirmedRevision> confirm_revision(std::size_t const client, Duration const patience) {
+    std::optional<Result<ConfirmedRevision>> done;
+    auto const ask_for_it = [&]() -> Task<void> {
+      done = co_await registers[client]->confirm_revision(Register::keys, clients[client]->now() + patience);
+    };
+    spawn(*clients[client], ask_for_it());
+    run_until([&] { return done.has_value(); }, patience + 2s);
+    return done ? *done : Result<ConfirmedRevision>(mishap("confirm", "", "no end"));
+  }
+  TableBytes bytes;
+};
+
+TEST(ConfirmedRevision, is_that_of_every_change_completed_before_it_was_asked_and_brings_no_value) {
+  ReadingTrial t(2);
+  std::size_t seen = 0;
+  for (Revision n = 1; n <= 30; ++n) {
+    t.net.sim.cut("core-" + std::to_string(n % 4), "client-0");
+    ASSERT_TRUE(t.put(0, Register::keys, n, std::to_string(n)));
+    t.sim.heal();
+    Instant const before = t.clients[1]->now();
+    Result<ConfirmedRevision> const newest = t.confirm_revision(1, 2s);
+    if (!newest) continue;  // a voter may still hold an older ballot: not agreed
+    ++seen;
+    EXPECT_EQ(newest->revision, n);
+    EXPECT_GE(newest->asked, before);
+  }
+  EXPECT_GT(seen, 20u);
+  EXPECT_EQ(t.bytes.wholes, 0u);
+  t.power_off(0);
+  t.power_off(3);
+  EXPECT_FALSE(t.confirm_revision(1, 1s));
+}
+
+TEST(ConfirmedRevision, one_voter_sends_the_value_to_who_has_none_and_another_if_that_one_is_gone) {
+  ReadingTrial t(3);
+  ASSERT_TRUE(t.put(0, Register::keys, 7, "seven"));
+  ASSERT_TRUE(t.confirm_revision(1, 2s));
+  t.run_for(1s);
+  Result<Confirmed> const read = t.confirm(1, Register::keys, Held{}, 2s);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->held.bytes, "seven");
+  EXPECT_EQ(t.bytes.wholes, 1u);
+  // A voter that loses its power as it is about to send the value.
+  std::size_t struck = 0;
+  t.net.struck = [&](SimProcess& voter, std::uint8_t const kind) {
+    if (kind != Peek::kind || t.bytes.wholes != 2 || struck > 0) return false;
+    ++struck;
+    voter.kill();
+    return true;
+  };
+  Result<Confirmed> const again = t.confirm(2, Register::keys, Held{}, 3s);
+  ASSERT_TRUE(again);
+  EXPECT_EQ(again->held.bytes, "seven");
+  EXPECT_EQ(struck, 1u);
+}
+
+}  // namespace
+}  // namespace banktide
--- a/tests/coordination/zone_trial.hpp
+++ b/tests/coordination/zone_trial.hpp
@@ -26,6 +26,7 @@
     std::vector<BackendRecord> backends;
     std::size_t least_members = 0;  // in any view since `watch_views`
     std::map<Register, std::string> values;
+    std::vector<std::shared_ptr<ZoneFollower<SimProcess>>> former_lives;
   };
 
   explicit ZoneTrial(std::uint64_t const seed) : sim(seed), net(sim), disks(3), acceptors(3) {
@@ -82,7 +83,9 @@
     b.service = service;
     b.instance = "instance-of-" + id;
     b.slots = 8;
-    n.backends.push_back(b);
+    n.backends.assign(1, b);
+    n.values.clear();
+    if (n.follower) n.former_lives.push_back(n.follower);
     n.process = process("machine-of-" + id, n.address);
     FollowerSettings settings;
     settings.id = id;
@@ -98,6 +101,13 @@
     n.follower->start(desk(*n.process));
   }
 
+  /// A new life of the node, which knows nothing.
+  void restart_node(std::string const& id) {
+    Node const& n = nodes.at(id);
+    kill(n.address);
+    add_node(id, n.zone, n.backends.front().service);
+  }
+
   void kill(Address const& address) { net.at.at(address)->kill(); }
   void run_for(Duration const d) { sim.run_until(sim.now + d); }
   /// Runs until the condition holds; false if it didn't within `most`.
--- /dev/null
+++ b/tests/state/key_table_delta_test.cpp
@@ -0,0 +1,157 @@
+// Deltas of key tables against a plain model: random tables through changes such
+// as a planner makes; whoever applies the deltas has the very same bytes.
+#include "state/key_table_delta.hpp"
+
+#include "protocol/digest.hpp"
+#include "tests/state/key_table_changes.hpp"
+
+#include <gtest/gtest.h>
+
+namespace banktide {
+namespace {
+
+TEST(KeyTableDelta, applied_to_its_base_gives_the_same_bytes) {
+  std::size_t whole = 0, deltas = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    KeyTableChanges changes(seed);
+    KeyTable table = changes.first(20 + changes.pick(200), 1 + changes.pick(40));
+    Held base = held_of(table);
+    for (int step = 0; step < 200; ++step) {
+      table = changes.next(table);
+      Held const target = held_of(table);
+      std::optional<KeyDelta> const delta = make_key_delta(base, target);
+      if (delta) {
+        Result<Held> const applied = apply_key_deltas(base, {*delta});
+        ASSERT_TRUE(applied) << seed << " " << step << " " << applied.error().reason;
+        ASSERT_EQ(*applied, target) << seed << " " << step;
+        ASSERT_EQ(*unpack_key_table(applied->bytes, applied->revision), table);
+      }
+      ++(delta ? deltas : whole);
+      base = target;
+    }
+  }
+  EXPECT_GT(deltas, 3900u);
+  EXPECT_LT(whole, 100u);
+}
+
+// As many rows and holders as a fleet of a hundred nodes has.
+TEST(KeyTableDelta, is_small_and_a_row_whose_holder_is_renumbered_is_no_part_of_it) {
+  KeyTableChanges changes(3);
+  KeyTable const table = changes.first(264, 44);
+  Held const base = held_of(table);
+  KeyTable moved = table;
+  ++moved.revision;
+  moved.services[0].rows[7].moving = moved.revision;
+  moved.services[0].rows[7].next = 3;
+  EXPECT_LT(make_key_delta(base, held_of(moved))->bytes.size(), 90u);
+  KeyTable renumbered = table;
+  ++renumbered.revision;
+  for (KeyService& service : renumbered.services)
+    for (KeyRow& row : service.rows)
+      if (row.holder == 0) row.holder = 1;
+  renumbered.forget_idle_holders();
+  ASSERT_EQ(renumbered.holders.size(), 43u);
+  EXPECT_LT(make_key_delta(base, held_of(renumbered))->bytes.size(), base.bytes.size() / 10);
+}
+
+TEST(KeyTableDelta, a_chain_brings_every_earlier_version_up_to_date_and_no_other) {
+  KeyTableChanges changes(4);
+  KeyTable table = changes.first(100, 10);
+  std::vector<Held> versions{held_of(table)};
+  std::vector<KeyDelta> chain;
+  for (int step = 0; step < 30; ++step) {
+    table = changes.next(table);
+    versions.push_back(held_of(table));
+    chain.push_back(*make_key_delta(versions[versions.size() - 2], versions.back()));
+  }
+  for (std::size_t i = 0; i + 1 < versions.size(); ++i)
+    EXPECT_EQ(*apply_key_deltas(versions[i], chain), versions.back());
+  EXPECT_EQ(apply_key_deltas(versions.back(), chain).error().reason, "nothing newer");
+  EXPECT_EQ(apply_key_deltas(Held{}, chain).error().reason, "made from another version");
+  std::vector<KeyDelta> const gap{chain[0], chain[2]};
+  EXPECT_EQ(apply_key_deltas(versions[0], gap).error().reason, "versions out of order");
+  Held other = held_of(KeyTableChanges(99).first(100, 10));
+  EXPECT_FALSE(apply_key_deltas(other, chain)) << "the same number, another table";
+}
+
+// Bytes that differ in what means nothing, such as unused flags, still lead to the
+// very same table; whatever else they lead to is refused.
+TEST(KeyTableDelta, spoilt_bytes_are_refused_by_name_or_give_the_same_table) {
+  std::size_t refused_by_reading = 0, refused_by_digest = 0, same = 0;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    KeyTableChanges changes(seed);
+    KeyTable table = changes.first(60, 12);
+    Held const base = held_of(table);
+    for (int n = 0; n < 8; ++n) table = changes.next(table);
+    Held const target = held_of(table);
+    KeyDelta const delta = *make_key_delta(base, target);
+    auto const try_bytes = [&](Bytes const& bytes) {
+      KeyDelta spoilt = delta;
+      spoilt.bytes = bytes;
+      Result<Held> const applied = apply_key_deltas(base, {spoilt});
+      if (applied) {
+        ASSERT_EQ(*applied, target);
+        ++same;
+        return;
+      }
+      ASSERT_EQ(applied.error().step, "key table delta");
+      ASSERT_FALSE(applied.error().reason.empty());
+      ++(applied.error().reason == "another table than was meant" ? refused_by_digest : refused_by_reading);
+    };
+    std::size_t const before = same;
+    for (std::size_t n = 0; n < delta.bytes.size(); ++n) try_bytes(delta.bytes.substr(0, n));
+    try_bytes(delta.bytes + "x");
+    EXPECT_EQ(same, before) << "cut or longer";
+    for (int i = 0; i < 4000; ++i) {
+      Bytes bytes = delta.bytes;
+      char& byte = bytes[changes.pick(bytes.size())];
+      byte = static_cast<char>(byte ^ static_cast<char>(1 + changes.pick(255)));
+      try_bytes(bytes);
+    }
+    KeyDelta other = delta;
+    ++other.digest;
+    EXPECT_EQ(apply_key_deltas(base, {other}).error().reason, "another table than was meant");
+  }
+  EXPECT_GT(refused_by_reading, 2000u);
+  EXPECT_GT(refused_by_digest, 2000u);
+  EXPECT_LT(same, 2000u);
+}
+
+TEST(KeyTableDelta, none_is_made_of_values_that_are_no_tables_or_if_the_whole_is_as_small) {
+  KeyTable const table = KeyTableChanges(6).first(10, 2);
+  Held const held = held_of(table);
+  Held const garbage{9, "no table", digest_of("no table"), {}};
+  EXPECT_FALSE(make_key_delta(held, garbage));
+  EXPECT_FALSE(make_key_delta(garbage, Held{10, held.bytes, held.digest, {}}));
+  EXPECT_FALSE(make_key_delta(Held{}, held));
+  EXPECT_FALSE(make_key_delta(held, held));
+  KeyTable other = KeyTableChanges(7).first(10, 2);
+  other.revision = 2;
+  for (KeyService& service : other.services) service.name += "-other";
+  for (KeyHolderRecord& holder : other.holders) holder.address += "9";
+  EXPECT_FALSE(make_key_delta(held, held_of(other)));
+}
+
+KeyDelta step_of(Revision const from, std::size_t const bytes) {
+  return KeyDelta{from, from + 1, 0, std::string(bytes, 'x')};
+}
+
+TEST(KeyDeltaHistory, keeps_the_last_ones_by_count_and_bytes_and_only_a_chain) {
+  KeyDeltaHistory history;
+  for (Revision n = 1; n <= 100; ++n) history.add(step_of(n, 10));
+  EXPECT_FALSE(history.since(36, 1 << 20));
+  ASSERT_TRUE(history.since(37, 1 << 20));
+  EXPECT_EQ(history.since(37, 1 << 20)->size(), 64u);
+  EXPECT_EQ(history.since(100, 1 << 20)->size(), 1u);
+  EXPECT_FALSE(history.since(101, 1 << 20));
+  EXPECT_FALSE(history.since(100, 10));
+  for (Revision n = 101; n <= 120; ++n) history.add(step_of(n, 50000));
+  EXPECT_EQ(history.since(116, 1 << 20)->size(), 5u);
+  EXPECT_FALSE(history.since(115, 1 << 20));
+  history.add(step_of(200, 10));
+  EXPECT_FALSE(history.since(120, 1 << 20));
+  EXPECT_TRUE(history.since(200, 1 << 20));
+}
+
+}  // namespace
+}  // namespace banktide
