Tests of 22 headers stand in tests/; no translation unit is generated any more

Cause: older headers ended with their own tests behind `#ifdef TESTS_OF_...`, and CMake generated a translation unit for each. The tests are moved literally to the file in tests/ that mirrors the header; each is in an unnamed namespace now, as the other test files are. The order of the lines aside, the lines taken out of source/ and those put into tests/ differ by includes, namespaces and heads of files alone.

The one that is left is in socket_world.hpp, which is being changed elsewhere; tests/transport/ socket_world_test.cpp includes it until then, so that it goes on being run.

banktide-tests is built from tests/simulation and operator_streams_test.cpp, which need the programs that are compiled for the simulator; all other tests are in banktide-unit-tests, which is linked with z3 for the placement's. The names of the tests are the same.

--- a/source/programs/settings.hpp
+++ b/source/programs/settings.hpp
@@ -191,33 +191,3 @@
 };
 
 }  // namespace banktide
-
-#ifdef TESTS_OF_SETTINGS
-#include <filesystem>
-namespace banktide {
-TEST(Settings, every_error_is_told_at_once_flags_win_and_changes_are_named) {
-  std::filesystem::path const file =
-      std::filesystem::temp_directory_path() / ("banktide-settings-" + std::to_string(::getpid()) + ".json");
-  auto const load = [&](Settings& s, std::string const& json, std::vector<char const*> flags) {
-    std::ofstream(file) << json;
-    s.text("id", "", "");
-    s.text("address", "", "");
-    s.number("limit", 5, 1, 10, "");
-    s.list("seed", "");
-    s.need_name("id");
-    s.need_address("address");
-    std::string const path = file.string();
-    std::vector<char const*> argv{"x", "--settings", path.c_str()};
-    argv.insert(argv.end(), flags.begin(), flags.end());
-    return s.load(static_cast<int>(argv.size()), argv.data());
-  };
-  Settings bad("x"), good("x"), later("x");
-  EXPECT_EQ(load(bad, R"({"id":"Bad Name","address":"nowhere","limit":50,"colour":"red"})", {}).size(), 4u);
-  EXPECT_TRUE(load(good, R"({"id":"a","address":"127.0.0.1:1","limit":7,"seed":["x","y"]})", {"--limit", "9"}).empty());
-  EXPECT_EQ(good.number("limit"), 9u);
-  EXPECT_TRUE(load(later, R"({"id":"a","address":"127.0.0.1:2","limit":7,"seed":["x"]})", {"--limit", "9"}).empty());
-  EXPECT_EQ(later.changed_from(good), (std::vector<std::string>{"address", "seed"}));
-  std::filesystem::remove(file);
-}
-}  // namespace banktide
-#endif
--- a/source/protocol/call.hpp
+++ b/source/protocol/call.hpp
@@ -49,15 +49,4 @@
   CallState state_ = CallState::read;
 };
 
-#ifdef TESTS_OF_CALL
-TEST(CallChart, a_call_ends_once_and_is_never_carried_without_a_pick) {
-  CallChart c;
-  EXPECT_FALSE(c.step(CallState::carrying));
-  for (CallState const s : {CallState::admitted, CallState::picking, CallState::carrying, CallState::waiting,
-                            CallState::picking, CallState::carrying, CallState::waiting, CallState::answered})
-    EXPECT_TRUE(c.step(s)) << state_name(s);
-  for (std::size_t s = 0; s < 7; ++s) EXPECT_FALSE(c.step(static_cast<CallState>(s)));
-}
-#endif
-
 }  // namespace banktide
--- a/source/state/cell_view.hpp
+++ b/source/state/cell_view.hpp
@@ -68,29 +68,4 @@
   std::uint64_t membership_ = 0;
 };
 
-#ifdef TESTS_OF_CELL_VIEW
-TEST(CellView, folding_changes_and_taking_a_snapshot_come_to_the_same) {
-  std::uint64_t x = 7;
-  auto const r = [&](std::uint64_t n) {
-    return (x = x * 6364136223846793005ull + 1442695040888963407ull, (x >> 33) % n);
-  };
-  CellView a;
-  for (int i = 0; i < 3000; ++i) {
-    Change c;
-    if (r(3) == 0)
-      c.member = Member{"n" + std::to_string(r(5)), "a", "", Role::node, r(9), static_cast<Standing>(r(4))};
-    else
-      c.backend =
-          BackendRecord{"s", "i" + std::to_string(r(9)), "n" + std::to_string(r(5)), 1, 0, static_cast<Standing>(r(4))};
-    a.fold(c);
-    CellView b;
-    b.replace(a.snapshot({}));
-    ASSERT_EQ(a.members, b.members);
-    ASSERT_EQ(a.backends, b.backends);
-  }
-  a.fold(Change{0, Member{"n1", "a", "", Role::node, 1, Standing::dead}, std::nullopt, std::nullopt});
-  for (auto const& [key, b] : a.backends) EXPECT_NE(b.node, "n1");
-}
-#endif
-
 }  // namespace banktide
--- a/source/state/journal.hpp
+++ b/source/state/journal.hpp
@@ -42,17 +42,4 @@
   std::deque<E> events_;
 };
 
-#ifdef TESTS_OF_JOURNAL
-TEST(Journal, a_reader_gets_all_in_order_or_is_told_of_the_gap) {
-  Journal<int> j(10);
-  for (int i = 1; i <= 25; ++i) EXPECT_EQ(j.append(i), static_cast<std::uint64_t>(i));
-  EXPECT_FALSE(j.since(14));
-  EXPECT_FALSE(j.since(26));
-  EXPECT_EQ(j.since(22)->front(), 23);
-  EXPECT_EQ(j.since(15)->size(), 10u);
-  EXPECT_EQ(j.since(15, 3)->back(), 18);
-  EXPECT_TRUE(j.since(25)->empty());
-}
-#endif
-
 }  // namespace banktide
--- a/source/state/retry_budget.hpp
+++ b/source/state/retry_budget.hpp
@@ -58,31 +58,3 @@
 };
 
 }  // namespace banktide
-
-#ifdef TESTS_OF_RETRY_BUDGET
-#include <deque>
-#include <random>
-namespace banktide {
-TEST(RetryBudget, agrees_with_a_list_of_every_try_and_never_passes_the_share) {
-  RetryBudget b;
-  std::deque<std::pair<std::int64_t, bool>> model;  // tick, extra
-  std::mt19937_64 r(3);
-  std::int64_t ms = 1000;
-  for (int i = 0; i < 50000; ++i) {
-    ms += static_cast<std::int64_t>(r() % 40) * (r() % 500 == 0 ? 1000 : 1);
-    while (!model.empty() && model.front().first <= ms / 100 - 100) model.pop_front();
-    std::uint64_t firsts = 0, extras = 0;
-    for (auto const& [t, e] : model) (e ? extras : firsts) += 1;
-    Instant const now{std::chrono::milliseconds(ms)};
-    if (r() % 3 != 0) {
-      b.first(now);
-      model.emplace_back(ms / 100, false);
-    } else {
-      bool const may = extras + 1 <= firsts / 5 + RetryBudget::margin;
-      ASSERT_EQ(b.extra(now), may);
-      if (may) model.emplace_back(ms / 100, true);
-    }
-  }
-}
-}  // namespace banktide
-#endif
--- a/source/state/sqlite_disk.hpp
+++ b/source/state/sqlite_disk.hpp
@@ -93,37 +93,3 @@
 };
 
 }  // namespace banktide
-
-#ifdef TESTS_OF_SQLITE_DISK
-#include <filesystem>
-namespace banktide {
-TEST(SqliteDisk, a_record_is_there_after_reopening_and_a_spoilt_one_is_refused) {
-  std::filesystem::path const dir =
-      std::filesystem::temp_directory_path() / ("banktide-disk-" + std::to_string(::getpid()));
-  std::filesystem::create_directories(dir);
-  std::string const file = dir / "voter.db";
-  VoterRecord r;
-  r.phase = Phase::voting;
-  r.slots[1].held.bytes = std::string("a\0b", 3);
-  asio::io_context io;
-  {
-    std::unique_ptr<SqliteDisk> d = std::move(*SqliteDisk::open(file));
-    EXPECT_EQ(d->load()->phase, Phase::blank);
-    bool kept = false;
-    asio::co_spawn(io, d->keep(r), [&](std::exception_ptr, Result<bool> ok) { kept = ok.has_value(); });
-    io.run();
-    EXPECT_TRUE(kept);
-  }
-  {
-    std::unique_ptr<SqliteDisk> d = std::move(*SqliteDisk::open(file));
-    EXPECT_EQ(d->load()->slots, r.slots);
-  }
-  sqlite3* db = nullptr;
-  sqlite3_open(file.c_str(), &db);
-  sqlite3_exec(db, "UPDATE voter SET record = x'00'", nullptr, nullptr, nullptr);
-  sqlite3_close(db);
-  EXPECT_FALSE((*SqliteDisk::open(file))->load());
-  std::filesystem::remove_all(dir);
-}
-}  // namespace banktide
-#endif
--- a/source/transport/log.hpp
+++ b/source/transport/log.hpp
@@ -61,12 +61,4 @@
   logger().setLogLevel(log4cplus::getLogLevelManager().fromString(level));
 }
 
-#ifdef TESTS_OF_LOG
-TEST(Log, a_line_stays_a_line_whatever_a_peer_sent) {
-  EXPECT_EQ(log_line("carry", {{"peer", "127.0.0.1:1"}, {"reason", "bad\n\"x\""}}),
-            "event=carry peer=127.0.0.1:1 reason=\"bad?\\\"x\\\"\"");
-  EXPECT_EQ(log_value(""), "\"\"");
-}
-#endif
-
 }  // namespace banktide
--- /dev/null
+++ b/tests/coordination/transit_test.cpp
@@ -0,0 +1,43 @@
+// How late a message came, whatever the clocks of two machines say.
+#include "coordination/transit.hpp"
+
+#include <gtest/gtest.h>
+
+namespace banktide {
+namespace {
+
+TEST(Transit, lateness_is_seen_whatever_the_clocks_say) {
+  for (std::int64_t const offset : {-5000000000ll, 0ll, 7000000000ll}) {
+    Transit t;
+    std::int64_t now = 20000000000;
+    for (int i = 0; i < 100; ++i, now += 500000) {
+      std::int64_t const held = i % 10 == 9 ? 1500000 : 0;
+      std::int64_t const sent = (now - 200 - held) + (now - held) / 20000 + offset;  // 50 ppm fast
+      Instant const came{std::chrono::microseconds(now)};
+      std::optional<Duration> late = t.late("a", sent, came);
+      ASSERT_EQ(late.has_value(), i > 0);
+      // The first is asked about, and is late as well.
+      if (!late) {
+        std::int64_t const clock = now + 300 + (now + 300) / 20000 + offset;
+        late = t.learn("a", clock, came, came + 600us, sent - 1500000, came);
+        EXPECT_GE(as_ms(*late), 1499) << "never less than it was";
+        EXPECT_LE(as_ms(*late), 1502);
+        continue;
+      }
+      EXPECT_NEAR(static_cast<double>(as_ms(*late)), static_cast<double>(held / 1000), 3) << i;
+    }
+  }
+}
+TEST(Transit, a_sender_quiet_for_long_is_asked_again_and_a_slow_answer_is_not_kept) {
+  Transit t;
+  Instant const now{1000s};
+  EXPECT_FALSE(t.late("a", 0, now));
+  EXPECT_EQ(as_ms(t.learn("a", 5000000, now, now + 300ms, 5000000, now)), 0);
+  EXPECT_FALSE(t.late("a", 5000000, now + 300ms));
+  t.learn("a", 5000000, now, now + 1ms, 5000000, now);
+  EXPECT_TRUE(t.late("a", 6000000, now + 1s));
+  EXPECT_FALSE(t.late("a", 70000000, now + 65s));
+}
+
+}  // namespace
+}  // namespace banktide
--- /dev/null
+++ b/tests/protocol/call_test.cpp
@@ -0,0 +1,19 @@
+// The states of a call: it ends once, and nothing is carried without a pick.
+#include "protocol/call.hpp"
+
+#include <gtest/gtest.h>
+
+namespace banktide {
+namespace {
+
+TEST(CallChart, a_call_ends_once_and_is_never_carried_without_a_pick) {
+  CallChart c;
+  EXPECT_FALSE(c.step(CallState::carrying));
+  for (CallState const s : {CallState::admitted, CallState::picking, CallState::carrying, CallState::waiting,
+                            CallState::picking, CallState::carrying, CallState::waiting, CallState::answered})
+    EXPECT_TRUE(c.step(s)) << state_name(s);
+  for (std::size_t s = 0; s < 7; ++s) EXPECT_FALSE(c.step(static_cast<CallState>(s)));
+}
+
+}  // namespace
+}  // namespace banktide
--- /dev/null
+++ b/tests/state/layout_test.cpp
@@ -0,0 +1,135 @@
+// Layouts and catalogues: what is refused, and where calls are placed.
+#include "state/layout.hpp"
+
+#include <gtest/gtest.h>
+#include <random>
+
+namespace banktide {
+namespace {
+
+inline std::string const sample_layout =
+    R"({"cells":["a","b"],"services":{"pay":{"key":{"header":"x-key","slices":8},"idempotent":["GET"]},"browse":{}},"ways":[{"prefix":"/pay","service":"pay"},{"prefix":"/","service":"browse"}]})";
+
+TEST(Layout, bad_revisions_are_refused_with_the_pointer_and_good_ones_are_not) {
+  EXPECT_TRUE(Layout::read(sample_layout));
+  struct Bad {
+    std::string text, step, pointer;
+  };
+  for (Bad const& b :
+       {Bad{"{", "parse_json", ""}, Bad{R"({"cells":["a"],"cells":["b"],"services":{},"ways":[]})", "parse_json", ""},
+        Bad{R"({"cells":["a"],"services":{},"ways":[],"x":1})", "check_schema", ""},
+        Bad{R"({"cells":["a"],"services":{"s":{"timeout_ms":1}},"ways":[]})", "check_schema", "/services/s/timeout_ms"},
+        Bad{R"({"cells":["a"],"services":{},"ways":[{"prefix":"/x","service":"y"}]})", "check_references",
+            "/ways/0/service"},
+        Bad{std::string(layout_limit + 1, ' '), "check_size", ""}, Bad{std::string(100, '['), "parse_json", ""}}) {
+    Result<Layout> const l = Layout::read(b.text);
+    ASSERT_FALSE(l) << b.text;
+    EXPECT_EQ(l.error().step, b.step) << b.text;
+    EXPECT_EQ(l.error().peer, b.pointer) << l.error().reason;
+  }
+  Layout const l = *Layout::read(sample_layout);
+  EXPECT_EQ(l.services[l.way_of("/pay/1?x=/")].name, "pay");
+  EXPECT_EQ(l.services[l.way_of("/payment")].name, "browse");
+}
+
+TEST(Catalogue, overlapping_slices_and_unknown_names_are_refused_and_calls_are_placed) {
+  Layout const l = *Layout::read(sample_layout);
+  for (std::string const bad :
+       {R"({"cells":{"c":{}}})", R"({"cells":{"a":{"nope":{}}}})",
+        R"({"cells":{"a":{"pay":{"slices":[[0,4]]}},"b":{"pay":{"slices":[[4,7]]}}}})",
+        R"({"cells":{"a":{"pay":{"slices":[[0,8]]}}}})", R"({"cells":{"a":{"browse":{"slices":[[0,1]]}}}})",
+        R"({"cells":{},"closed":["nope"]})"})
+    EXPECT_FALSE(Catalogue::read(bad, l)) << bad;
+  auto const nowhere = [] { return std::set<std::string>{}; };
+  Catalogue const c =
+      *Catalogue::read(R"({"cells":{"a":{"pay":{"slices":[[0,3]]}},"b":{"pay":{"slices":[[4,6]]}}}})", l);
+  Index const pay = l.service_names.find("pay"), browse = l.service_names.find("browse");
+  EXPECT_TRUE(choose_cells(l, c, "a", pay, 1, nowhere).stay);
+  EXPECT_EQ(choose_cells(l, c, "a", pay, 5, nowhere).others, std::vector<std::string>{"b"});
+  EXPECT_FALSE(choose_cells(l, c, "a", pay, 5, nowhere).stay);
+  EXPECT_EQ(choose_cells(l, c, "a", pay, 7, nowhere).dropped, "no cell has the slice");
+  EXPECT_TRUE(choose_cells(l, c, "a", browse, 0, nowhere).stay);
+  EXPECT_TRUE(choose_cells(l, *Catalogue::read(R"({"cells":{},"closed":["browse"]})", l), "a", browse, 0, nowhere)
+                  .dropped.size());
+}
+
+TEST(Catalogue, what_a_newer_routing_revision_dropped_is_passed_over_and_the_rest_holds) {
+  Layout const l = *Layout::read(sample_layout);
+  std::string const old =
+      R"({"cells":{"a":{"pay":{"slices":[[0,3]]},"gone":{}},"b":{"pay":{"slices":[[4,20]]}},"lost":{"pay":{"slices":[[0,0]]},"browse":{}}},"closed":["gone"]})";
+  EXPECT_EQ(Catalogue::read(old, l).error().step, "check_references");
+  Catalogue const c = *Catalogue::read(old, l, true);
+  auto const nowhere = [] { return std::set<std::string>{}; };
+  Index const pay = l.service_names.find("pay"), browse = l.service_names.find("browse");
+  EXPECT_TRUE(choose_cells(l, c, "a", pay, 0, nowhere).stay);
+  EXPECT_EQ(choose_cells(l, c, "a", pay, 7, nowhere).others, std::vector<std::string>{"b"});
+  EXPECT_EQ(choose_cells(l, c, "a", browse, 0, nowhere).dropped, "no cell has the service");
+}
+
+// Any bytes are refused with a step, or read into something whole.
+TEST(Layout, spoilt_revisions_are_refused_with_a_step_or_read_into_something_whole) {
+  std::string const catalogue =
+      R"({"cells":{"a":{"pay":{"slices":[[0,3]]}},"b":{"pay":{"slices":[[4,7]]},"browse":{}}},"closed":[]})";
+  std::vector<std::string> const pieces{"{",  "}",    "[",   "]",  ",",    ":",      "\"",    "null",
+                                        "-1", "1e9",  "0",   "\\", "\xff", "true",   "\"a\"", "7",
+                                        "8",  "1024", "pay", "b",  "{}",   "[[0,7]]"};
+  Layout const whole = *Layout::read(sample_layout);
+  std::mt19937_64 r(3);
+  std::size_t refused = 0, taken = 0;
+  for (int i = 0; i < 20000; ++i) {
+    bool const routing = r() % 2 == 0;
+    std::string s = routing ? sample_layout : catalogue;
+    for (std::uint64_t n = 1 + r() % 3; n > 0; --n) {
+      std::size_t const at = r() % s.size(), len = std::min<std::size_t>(r() % 6, s.size() - at);
+      s.replace(at, len, r() % 4 == 0 ? std::string(1, static_cast<char>(r())) : pieces[r() % pieces.size()]);
+    }
+    if (routing) {
+      Result<Layout> const l = Layout::read(s);
+      (l ? taken : refused) += 1;
+      if (!l) {
+        ASSERT_FALSE(l.error().step.empty()) << s;
+        continue;
+      }
+      ASSERT_EQ(l->services.size(), l->service_names.size()) << s;
+      for (Way const& w : l->ways) ASSERT_LT(w.service, l->services.size()) << s;
+      for (Service const& v : l->services) ASSERT_LE(v.slices, 1024u) << s;
+      ASSERT_TRUE(Catalogue::read(catalogue, *l, true)) << s;
+    } else {
+      Result<Catalogue> const c = Catalogue::read(s, whole);
+      (c ? taken : refused) += 1;
+      if (!c) {
+        ASSERT_FALSE(c.error().step.empty()) << s;
+        Catalogue::read(s, whole, true);
+        continue;
+      }
+      for (Index v = 0; v < whole.services.size(); ++v)
+        for (std::uint32_t slice = 0; slice < whole.services[v].slices; ++slice) {
+          int cells = 0;
+          for (Catalogue::Entry const& e : c->entries[v]) cells += e.serves(slice);
+          ASSERT_LE(cells, 1) << s;
+        }
+    }
+  }
+  EXPECT_GT(refused, 10000u);
+  EXPECT_GT(taken, 100u);
+}
+
+TEST(Catalogue, a_slice_it_is_silent_on_has_one_home_that_all_agree_on) {
+  Layout const l = *Layout::read(sample_layout);
+  Index const pay = l.service_names.find("pay");
+  std::set<std::string> const both{"a", "b"};
+  std::size_t at_a = 0;
+  for (std::uint32_t slice = 0; slice < 8; ++slice) {
+    Choice const a = choose_cells(l, Catalogue{}, "a", pay, slice, [&] { return both; }),
+                 b = choose_cells(l, Catalogue{}, "b", pay, slice, [&] { return both; });
+    EXPECT_NE(a.stay, b.stay);
+    EXPECT_EQ((a.stay ? b : a).others, std::vector<std::string>{a.stay ? "a" : "b"});
+    at_a += a.stay;
+  }
+  EXPECT_GT(at_a, 0u);
+  EXPECT_LT(at_a, 8u);
+  EXPECT_FALSE(choose_cells(l, Catalogue{}, "a", pay, 0, [] { return std::set<std::string>{}; }).dropped.empty());
+}
+
+}  // namespace
+}  // namespace banktide
--- /dev/null
+++ b/tests/state/pick_test.cpp
@@ -0,0 +1,42 @@
+// The choice among candidates, and the marks of those that fail.
+#include "state/pick.hpp"
+
+#include <gtest/gtest.h>
+
+namespace banktide {
+namespace {
+
+TEST(Pick, draws_as_often_as_the_slow_model_says) {
+  std::vector<Candidate> const n{{5, 1}, {1, 1}, {3, 0.25}, {1, 0.5}};
+  double total = 0;
+  for (Candidate const& c : n) total += c.entry;
+  std::vector<double> model(n.size(), 0);  // every ordered pair, weighted
+  for (std::size_t i = 0; i < n.size(); ++i)
+    for (std::size_t k = 0; k < n.size(); ++k)
+      model[n[k].burden < n[i].burden ? k : i] += n[i].entry / total * n[k].entry / total;
+  std::mt19937_64 chance(11);
+  std::vector<double> seen(n.size(), 0);
+  int const rounds = 200000;
+  for (int i = 0; i < rounds; ++i) seen[pick(n, chance)] += 1.0 / rounds;
+  for (std::size_t i = 0; i < n.size(); ++i) EXPECT_NEAR(seen[i], model[i], 0.01) << i;
+}
+
+TEST(Marks, three_mishaps_in_a_row_eject_and_the_way_back_is_gradual) {
+  Marks m;
+  Instant t{std::chrono::seconds(100)};
+  m.bad("x", t, false);
+  m.bad("x", t, false);
+  m.fine("x", t);
+  m.bad("x", t, false);
+  m.bad("x", t, false);
+  EXPECT_FALSE(m.ejected("x", t));
+  m.bad("x", t, false);
+  EXPECT_TRUE(m.ejected("x", t));
+  t += 2s;
+  EXPECT_FALSE(m.ejected("x", t));
+  EXPECT_LT(m.entry("x", t), 0.5);
+  EXPECT_EQ(m.entry("x", t + 10s), 1.0);
+}
+
+}  // namespace
+}  // namespace banktide
