The sources' rules: nothing under source/ or platform/ includes GoogleTest

Cause: nothing kept tests from being written into headers again. The new rule tells each line that includes GoogleTest or names a condition TESTS_OF_...; it has tests on made-up files. It was seen to fail on this repository with an include of gtest/gtest.h at the end of platform/words.hpp, and with `#ifdef TESTS_OF_RING` at the end of source/coordination/ring.hpp. The header that isn't moved yet, socket_world.hpp, is named as a standing exception, which has to go with its tests.

What a header included for its own tests was exempt from the rule of includes. The exemption is gone, and the test that held it now holds the contrary, by the name of IncludeRules.an_include_behind_a_condition_counts_too.

--- a/tests/sources/source_rules.cpp
+++ b/tests/sources/source_rules.cpp
@@ -84,7 +84,6 @@
   for (SourceFile const& file : files) {
     std::istringstream lines(file.text);
     for (std::string line; std::getline(lines, line);) {
-      if (line.starts_with("#ifdef TESTS_OF_")) break;
       std::smatch match;
       if (!std::regex_search(line, match, include_line)) continue;
       if (!allowed(file.path, match[1])) found.push_back(file.path + " -> " + match[1].str());
@@ -93,6 +92,17 @@
   return found;
 }
 
+std::vector<std::string> test_lines(std::vector<SourceFile> const& files) {
+  static std::regex const test_line("^\\s*#\\s*include\\s*[<\"](gtest|gmock)/|TESTS_OF_");
+  std::vector<std::string> found;
+  for (SourceFile const& file : files) {
+    std::istringstream lines(file.text);
+    for (std::string line; std::getline(lines, line);)
+      if (std::regex_search(line, test_line)) found.push_back(file.path + ": " + line);
+  }
+  return found;
+}
+
 std::vector<std::string> peculiar_words(std::string_view const constants) {
   static std::regex const constant("string_view [a-z_]+ = \"([^\"]+)\"");
   std::string const text(constants);
--- a/tests/sources/source_rules.hpp
+++ b/tests/sources/source_rules.hpp
@@ -1,6 +1,7 @@
 // Rules that the sources keep among themselves: which folder may include which,
-// and that the words of the users' platform stay in their folder. The rules work
-// on texts, so that their own tests need no files.
+// that the words of the users' platform stay in their folder, and that tests
+// stand in test files. The rules work on texts, so that their own tests need no
+// files.
 #pragma once
 
 #include <string>
@@ -17,10 +18,13 @@
 /// The files under one folder of the repository, by path.
 std::vector<SourceFile> read_sources(std::string const& repository, std::string const& folder);
 
-/// Includes that reach from a folder into one above it, as "path -> included". What stands in a header's
-/// own tests (below its first `#ifdef TESTS_OF_`) is not looked at.
+/// Includes that reach from a folder into one above it, as "path -> included".
 std::vector<std::string> includes_upwards(std::vector<SourceFile> const& files);
 
+/// Lines, as "path: line", by which a file of the product would hold tests: those
+/// that include GoogleTest or name a condition `TESTS_OF_...`.
+std::vector<std::string> test_lines(std::vector<SourceFile> const& files);
+
 /// The quoted words of a file of constants that no other program would use: with a
 /// capital inside, as a header's name or as a path.
 std::vector<std::string> peculiar_words(std::string_view constants);
--- a/tests/sources/source_rules_test.cpp
+++ b/tests/sources/source_rules_test.cpp
@@ -16,6 +16,9 @@
     "source/state/sqlite_disk.hpp -> coordination/acceptor.hpp",
 };
 
+// A header whose tests are yet to be moved.
+Lines const standing_tests{"source/transport/socket_world.hpp: #ifdef TESTS_OF_SOCKET_WORLD"};
+
 SourceFile including(std::string const& path, std::string const& included) {
   return {path, "#pragma once\n#include <vector>\n#include \"" + included + "\"\n"};
 }
@@ -26,6 +29,13 @@
 
 std::vector<SourceFile> product() { return read_sources(BANKTIDE_SOURCE_FOLDER, "source"); }
 
+std::vector<SourceFile> product_and_platform() {
+  std::vector<SourceFile> files = product();
+  std::vector<SourceFile> const platform = read_sources(BANKTIDE_SOURCE_FOLDER, "platform");
+  files.insert(files.end(), platform.begin(), platform.end());
+  return files;
+}
+
 Lines platform_words() {
   Lines words;
   for (SourceFile const& file : read_sources(BANKTIDE_SOURCE_FOLDER, "platform"))
@@ -61,20 +71,41 @@
   EXPECT_TRUE(goes_upwards("platform/platform_adapter.cpp", "data_path/request_path.hpp"));
 }
 
-TEST(IncludeRules, a_headers_own_tests_include_what_they_need) {
+TEST(IncludeRules, an_include_behind_a_condition_counts_too) {
   SourceFile file = including("source/coordination/ring.hpp", "protocol/messages.hpp");
   file.text += "#ifdef TESTS_OF_RING\n#include \"simulation/sim_world.hpp\"\n#endif\n";
-  EXPECT_EQ(includes_upwards({file}), Lines{});
+  EXPECT_EQ(includes_upwards({file}), Lines{"source/coordination/ring.hpp -> simulation/sim_world.hpp"});
 }
 
 TEST(IncludeRules, hold_in_this_repository) {
-  std::vector<SourceFile> files = product();
-  std::vector<SourceFile> const platform = read_sources(BANKTIDE_SOURCE_FOLDER, "platform");
-  files.insert(files.end(), platform.begin(), platform.end());
+  std::vector<SourceFile> const files = product_and_platform();
   ASSERT_GT(files.size(), 50u);
   EXPECT_EQ(includes_upwards(files), standing_exceptions);
 }
 
+TEST(TestRules, an_include_of_googletest_is_found) {
+  SourceFile const angled{"source/state/pick.hpp", "#pragma once\n#include <gtest/gtest.h>\n"};
+  SourceFile const quoted{"platform/words.hpp", "#  include \"gmock/gmock.h\"\n"};
+  EXPECT_EQ(test_lines({angled, quoted}), (Lines{"source/state/pick.hpp: #include <gtest/gtest.h>",
+                                                 "platform/words.hpp: #  include \"gmock/gmock.h\""}));
+}
+
+TEST(TestRules, a_condition_for_tests_is_found) {
+  SourceFile const file{"source/state/pick.hpp", "int a;\n#ifdef TESTS_OF_PICK\nint b;\n#endif\n"};
+  EXPECT_EQ(test_lines({file}), Lines{"source/state/pick.hpp: #ifdef TESTS_OF_PICK"});
+}
+
+TEST(TestRules, what_is_no_test_is_passed_over) {
+  SourceFile const file{"source/state/pick.hpp", "// A test of the largest.\n#include <vector>\nint tests = 0;\n"};
+  EXPECT_EQ(test_lines({file}), Lines{});
+}
+
+TEST(TestRules, hold_in_this_repository) {
+  std::vector<SourceFile> const files = product_and_platform();
+  ASSERT_GT(files.size(), 50u);
+  EXPECT_EQ(test_lines(files), standing_tests);
+}
+
 TEST(PlatformWords, are_those_that_no_other_program_would_use) {
   std::string const constants =
       "inline constexpr std::string_view key_header = \"Mesh-Key\";\n"
