Stores keep a fifth register, maintenance; disks with four are read and widened

Windows of maintenance need a value that outlives every process, told to all nodes like a configuration. Ruled out: renumbering the set of voters to keep the told registers together, as stores of two versions would then take one register for another. Revisions are by register number instead.

A record of format 2 is read and kept as format 3 with the next change; the number and the first record go in one transaction, as otherwise power lost in between would leave a record that can't be read.

Before: a record of four registers was a start-up error in a build with five.

--- a/source/coordination/zone_follower.hpp
+++ b/source/coordination/zone_follower.hpp
@@ -430,7 +430,7 @@
   Instant const started_;
   Instant last_contact_;
   ZoneView view_;
-  std::array<Held, told_registers.size()> held_;
+  std::array<Held, register_count> held_;
   Position at_;
   std::map<std::string, Instant> heard_;
   std::uint32_t cores_ = 0;
--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -421,7 +421,7 @@
   Instant const started_;
   Mishaps mishaps_;
   RegistryDirectory directory_;
-  std::array<Held, told_registers.size()> held_;
+  std::array<Held, register_count> held_;
   Instant vouched_at_{};
   bool leaving_ = false;
   std::shared_ptr<ZoneFeed<W>> own_feed_;
--- a/source/protocol/messages.hpp
+++ b/source/protocol/messages.hpp
@@ -29,11 +29,12 @@
 
 // ---- the register
 
-// `keys` holds the table of key assignments, `voters` the set of voters itself.
-enum class Register : std::uint8_t { routing = 0, catalogue = 1, keys = 2, voters = 3 };
-inline constexpr std::size_t register_count = 4;
-inline constexpr std::array<Register, register_count> kept_registers{Register::routing, Register::catalogue,
-                                                                     Register::keys, Register::voters};
+// `keys` holds the table of key assignments, `voters` the set of voters itself,
+// `maintenance` the windows in which zones carry no traffic.
+enum class Register : std::uint8_t { routing = 0, catalogue = 1, keys = 2, voters = 3, maintenance = 4 };
+inline constexpr std::size_t register_count = 5;
+inline constexpr std::array<Register, register_count> kept_registers{
+    Register::routing, Register::catalogue, Register::keys, Register::voters, Register::maintenance};
 // The two that operators write.
 inline constexpr std::array<Register, 2> all_registers{Register::routing, Register::catalogue};
 inline std::string register_name(Register const r) {
@@ -46,6 +47,8 @@
       return "keys";
     case Register::voters:
       return "voters";
+    case Register::maintenance:
+      return "maintenance";
   }
   return "unknown";
 }
@@ -283,9 +286,11 @@
   BANKTIDE_FIELDS(cell, gateways, offers, services)
 };
 
-// The registers whose values go to every node, and the revisions of these.
-inline constexpr std::array<Register, 3> told_registers{Register::routing, Register::catalogue, Register::keys};
-using Revisions = std::array<Revision, told_registers.size()>;
+// The registers whose values go to every node.
+inline constexpr std::array<Register, 4> told_registers{Register::routing, Register::catalogue, Register::keys,
+                                                        Register::maintenance};
+// By register; 0 for one that isn't told.
+using Revisions = std::array<Revision, register_count>;
 
 struct Position {
   std::uint64_t epoch = 0;
--- a/source/state/sqlite_disk.hpp
+++ b/source/state/sqlite_disk.hpp
@@ -1,7 +1,8 @@
 // The voter's disk: one row in SQLite, synced in full before `keep` returns.
 // The blob is the record as cereal packs it, with its own digest, so that a
 // torn or foreign row is a start-up error and never a vote. `user_version` is
-// the format of the record; a row of another format is refused by name.
+// the format of the record: the one before this is read and written back as
+// this one with the next change; any other is refused by name.
 #pragma once
 
 #include "coordination/acceptor.hpp"
@@ -11,6 +12,29 @@
 
 namespace banktide {
 
+/// A voter's record as it was before the register of maintenance windows.
+struct VoterRecordOfFourRegisters {
+  Phase phase = Phase::blank;
+  std::uint64_t founding = 0;
+  std::array<Slot, 4> slots;
+  VoterSet set;
+  std::uint64_t active_epoch = 0;
+  std::uint64_t disk = 0;
+  BANKTIDE_FIELDS(phase, founding, slots, set, active_epoch, disk)
+
+  /// The same record, with nothing in the new register.
+  VoterRecord widened() const {
+    VoterRecord record;
+    record.phase = phase;
+    record.founding = founding;
+    for (std::size_t i = 0; i < slots.size(); ++i) record.slots[i] = slots[i];
+    record.set = set;
+    record.active_epoch = active_epoch;
+    record.disk = disk;
+    return record;
+  }
+};
+
 class SqliteDisk {
  public:
   static Result<std::unique_ptr<SqliteDisk>> open(std::string const& file) {
@@ -35,7 +59,7 @@
       return mishap("load_disk", "", sqlite3_errmsg(db_));
     int const rc = sqlite3_step(s);
     Result<VoterRecord> out = VoterRecord{};
-    if (rc == SQLITE_ROW && format() != record_format) {
+    if (rc == SQLITE_ROW && format() != record_format && format() != format_of_four_registers) {
       out = mishap("load_disk", "",
                    "record of format " + std::to_string(format()) + ", known is " + std::to_string(record_format));
     } else if (rc == SQLITE_ROW) {
@@ -44,7 +68,7 @@
       if (digest_of(raw) != static_cast<std::uint64_t>(sqlite3_column_int64(s, 1)))
         out = mishap("load_disk", "", "digest differs");
       else
-        out = unpack<VoterRecord>(raw);
+        out = read(raw);
     } else if (rc != SQLITE_DONE) {
       out = mishap("load_disk", "", sqlite3_errmsg(db_));
     }
@@ -53,21 +77,14 @@
   }
 
   Task<Result<bool>> keep(VoterRecord const& r) {
-    if (format() != record_format) {
-      std::string const sql = "PRAGMA user_version=" + std::to_string(record_format);
-      if (sqlite3_exec(db_, sql.c_str(), nullptr, nullptr, nullptr) != SQLITE_OK)
-        co_return mishap("keep_disk", "", sqlite3_errmsg(db_));
-    }
-    Bytes const raw = pack(r);
-    sqlite3_stmt* s = nullptr;
-    if (sqlite3_prepare_v2(db_, "INSERT OR REPLACE INTO voter VALUES(1, ?, ?)", -1, &s, nullptr) != SQLITE_OK)
-      co_return mishap("keep_disk", "", sqlite3_errmsg(db_));
-    sqlite3_bind_blob64(s, 1, raw.data(), raw.size(), SQLITE_STATIC);
-    sqlite3_bind_int64(s, 2, static_cast<sqlite3_int64>(digest_of(raw)));
-    int const rc = sqlite3_step(s);
-    sqlite3_finalize(s);
-    if (rc != SQLITE_DONE) co_return mishap("keep_disk", "", sqlite3_errmsg(db_));
-    co_return true;
+    if (format() == record_format) co_return write(r);
+    // The format and the first record of it are there together, or neither is.
+    std::string const number = "BEGIN IMMEDIATE; PRAGMA user_version=" + std::to_string(record_format);
+    Result<bool> done = execute(number.c_str());
+    if (done) done = write(r);
+    if (done) done = execute("COMMIT");
+    if (!done && sqlite3_get_autocommit(db_) == 0) (void)execute("ROLLBACK");
+    co_return done;
   }
 
   /// The most pages that the file may have: a full disk, for tests.
@@ -77,7 +94,32 @@
   }
 
  private:
-  static constexpr int record_format = 2;
+  static constexpr int record_format = 3;
+  static constexpr int format_of_four_registers = 2;
+
+  Result<VoterRecord> read(Bytes const& raw) const {
+    if (format() == record_format) return unpack<VoterRecord>(raw);
+    return unpack<VoterRecordOfFourRegisters>(raw).map(
+        [](VoterRecordOfFourRegisters const& old) { return old.widened(); });
+  }
+
+  Result<bool> execute(char const* const sql) {
+    if (sqlite3_exec(db_, sql, nullptr, nullptr, nullptr) == SQLITE_OK) return true;
+    return mishap("keep_disk", "", sqlite3_errmsg(db_));
+  }
+
+  Result<bool> write(VoterRecord const& r) {
+    Bytes const raw = pack(r);
+    sqlite3_stmt* s = nullptr;
+    if (sqlite3_prepare_v2(db_, "INSERT OR REPLACE INTO voter VALUES(1, ?, ?)", -1, &s, nullptr) != SQLITE_OK)
+      return mishap("keep_disk", "", sqlite3_errmsg(db_));
+    sqlite3_bind_blob64(s, 1, raw.data(), raw.size(), SQLITE_STATIC);
+    sqlite3_bind_int64(s, 2, static_cast<sqlite3_int64>(digest_of(raw)));
+    int const rc = sqlite3_step(s);
+    sqlite3_finalize(s);
+    if (rc != SQLITE_DONE) return mishap("keep_disk", "", sqlite3_errmsg(db_));
+    return true;
+  }
 
   SqliteDisk() = default;
   int format() const {
