Maintenance windows as durations that every process counts down by itself

A window has a phase and the time left in it. Registries and nodes count it down on their own steady clocks; the acting registry writes what is left back every 5 s and at each change of phase. Ruled out: moments on the wall clock, which jumps, and phases that only a registry knows, which would stay as they are while all registries are down.

--- /dev/null
+++ b/source/coordination/maintenance_keeper.hpp
@@ -0,0 +1,104 @@
+// In every registry: counts maintenance windows down, and while it is the acting
+// one, writes the remaining times back every few seconds and at each change of
+// phase, so that they outlive a restart of all. Two that act at once do no harm:
+// a count is written only over the value that it was made from.
+#pragma once
+
+#include "coordination/maintenance_view.hpp"
+#include "protocol/digest.hpp"
+
+#include <functional>
+
+namespace banktide {
+
+/** Changes a plan and says whether there is anything to write, or why it can't be done. */
+using MaintenanceEdit = std::function<Result<bool>(MaintenancePlan&)>;
+
+/** `Store` changes the register, as RegisterClient does. */
+template <Surroundings W, class Store>
+class MaintenanceKeeper {
+ public:
+  MaintenanceKeeper(W& w, Store& store, std::function<bool()> acting)
+      : w_(w), store_(store), acting_(std::move(acting)) {}
+
+  /** The newest value that the registry knows. */
+  std::function<Held()> known;
+  /** Called with each value that was written here. */
+  std::function<void(Held const&)> on_written;
+
+  MaintenancePlan plan() const { return view_.at(w_.now()); }
+
+  Task<void> run() {
+    while (true) {
+      co_await sleep_for(w_, step_every);
+      if (known) view_.take(known(), w_.now());
+      if (acting_() && due()) co_await write_count();
+      view_.log_phases(w_.now());
+    }
+  }
+
+  /** Has an edit made over the newest plan; it may run more than once. */
+  Task<Result<MaintenancePlan>> change(MaintenanceEdit const edit) {
+    Instant counted_at{};
+    auto const over_newest = [&](Held const& newest) -> Result<Held> {
+      Result<MaintenancePlan> plan = unpack_maintenance(newest.bytes);
+      if (!plan) return tl::unexpected<Mishap>(plan.error());
+      counted_at = w_.now();
+      // A newer value than ours was counted down by another registry a moment ago.
+      if (newest.revision == view_.revision()) plan->advance(counted_at - view_.counted_at());
+      Result<bool> const changed = edit(*plan);
+      if (!changed) return tl::unexpected<Mishap>(changed.error());
+      return *changed ? next_value(newest, *plan) : newest;
+    };
+    Result<Held> const done =
+        co_await store_.change(Register::maintenance, "", w_.now() + register_patience, over_newest);
+    if (!done) co_return tl::unexpected<Mishap>(done.error());
+    take_written(*done, counted_at);
+    co_return plan();
+  }
+
+ private:
+  static constexpr Duration step_every = 100ms;
+  static constexpr Duration write_every = 5s;
+  static constexpr Duration register_patience = 900ms;
+
+  bool due() const {
+    if (!view_.written().current()) return false;
+    Duration const elapsed = w_.now() - view_.counted_at();
+    MaintenancePlan plan = view_.written();
+    return plan.advance(elapsed) || elapsed >= write_every;
+  }
+
+  Task<void> write_count() {
+    Revision const revision = view_.revision();
+    Instant const counted_at = w_.now();
+    MaintenancePlan const plan = view_.at(counted_at);
+    auto const over_own = [&](Held const& newest) -> Result<Held> {
+      if (newest.revision != revision) return mishap("maintenance", "", "another change came first");
+      return next_value(newest, plan);
+    };
+    Result<Held> const done = co_await store_.change(Register::maintenance, "", w_.now() + register_patience, over_own);
+    if (done) take_written(*done, counted_at);
+  }
+
+  static Held next_value(Held const& newest, MaintenancePlan const& plan) {
+    Held next = newest;
+    next.revision = newest.revision + 1;
+    next.bytes = pack_maintenance(plan);
+    next.digest = digest_of(next.bytes);
+    return next;
+  }
+
+  void take_written(Held const& held, Instant const counted_at) {
+    view_.take(held, counted_at);
+    view_.log_phases(w_.now());
+    if (on_written) on_written(held);
+  }
+
+  W& w_;
+  Store& store_;
+  std::function<bool()> const acting_;
+  MaintenanceView view_;
+};
+
+}  // namespace banktide
--- /dev/null
+++ b/source/state/maintenance.cpp
@@ -0,0 +1,190 @@
+#include "state/maintenance.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace banktide {
+
+namespace {
+
+constexpr std::ptrdiff_t most_remembered = 16;  // windows that are over
+
+std::int64_t milliseconds(Duration const d) { return std::chrono::duration_cast<std::chrono::milliseconds>(d).count(); }
+
+/** When a window has its effect, in milliseconds from now. */
+struct Span {
+  std::int64_t begin = 0;
+  std::int64_t end = 0;
+  bool overlaps(Span const& other) const { return begin < other.end && other.begin < end; }
+};
+
+Span span_of(MaintenanceWindow const& w) {
+  switch (w.phase) {
+    case MaintenancePhase::scheduled:
+    case MaintenancePhase::draining:
+      return Span{std::max<std::int64_t>(0, w.left - w.lead), w.left + w.lasts + w.return_time};
+    case MaintenancePhase::open:
+      return Span{0, w.left + w.return_time};
+    default:
+      return Span{0, w.left};
+  }
+}
+
+// The next phase, if the time for it has come; what is left over counts in it.
+bool step(MaintenanceWindow& w) {
+  switch (w.phase) {
+    case MaintenancePhase::scheduled:
+      if (w.left > w.lead) return false;
+      w.phase = MaintenancePhase::draining;
+      return true;
+    case MaintenancePhase::draining:
+      if (w.left > 0) return false;
+      w.phase = MaintenancePhase::open;
+      w.left += w.lasts;
+      return true;
+    case MaintenancePhase::open:
+      if (w.left > 0) return false;
+      w.phase = MaintenancePhase::returning;
+      w.left += w.return_time;
+      return true;
+    case MaintenancePhase::returning:
+      if (w.left > 0) return false;
+      w.phase = MaintenancePhase::over;
+      w.left = 0;
+      return true;
+    case MaintenancePhase::over:
+    case MaintenancePhase::cancelled:
+      return false;
+  }
+  return false;
+}
+
+bool readable(MaintenanceWindow const& w) {
+  constexpr std::int64_t most = std::numeric_limits<std::int64_t>::max() / 8;
+  for (std::int64_t const time : {w.opens_in, w.lasts, w.lead, w.return_time, w.left})
+    if (time < 0 || time > most) return false;
+  return w.phase <= MaintenancePhase::cancelled && !w.zone.empty();
+}
+
+}  // namespace
+
+std::string_view phase_name(MaintenancePhase const phase) {
+  switch (phase) {
+    case MaintenancePhase::scheduled:
+      return "scheduled";
+    case MaintenancePhase::draining:
+      return "draining";
+    case MaintenancePhase::open:
+      return "open";
+    case MaintenancePhase::returning:
+      return "returning";
+    case MaintenancePhase::over:
+      return "over";
+    case MaintenancePhase::cancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+MarkOutcome MaintenancePlan::mark(MaintenanceMark const& mark) {
+  MaintenanceWindow wanted;
+  wanted.id = 1;
+  wanted.zone = mark.zone;
+  wanted.opens_in = wanted.left = milliseconds(mark.opens_in);
+  wanted.lasts = milliseconds(mark.lasts);
+  wanted.lead = std::min(milliseconds(mark.lead), wanted.opens_in);
+  wanted.return_time = milliseconds(mark.return_time);
+  for (MaintenanceWindow& w : windows) {
+    wanted.id = std::max(wanted.id, w.id + 1);
+    if (!w.current()) continue;
+    bool const same = w.opens_in == wanted.opens_in && w.lasts == wanted.lasts && w.lead == wanted.lead;
+    bool const returning = w.phase == MaintenancePhase::returning;
+    if (w.zone == mark.zone && !returning) return same ? MarkOutcome::repeated : MarkOutcome::overlaps_own_zone;
+    if (w.zone != mark.zone && !mark.allow_second && span_of(w).overlaps(span_of(wanted)))
+      return MarkOutcome::overlaps_other_zone;
+  }
+  // What is still returning of the zone's last window is cut short by the new one.
+  for (MaintenanceWindow& w : windows)
+    if (w.zone == mark.zone && w.current()) {
+      w.phase = MaintenancePhase::over;
+      w.left = 0;
+    }
+  windows.push_back(std::move(wanted));
+  advance(Duration::zero());
+  forget_oldest();
+  return MarkOutcome::marked;
+}
+
+EndOutcome MaintenancePlan::end(std::string const& zone) {
+  EndOutcome outcome = EndOutcome::no_window;
+  for (MaintenanceWindow& w : windows) {
+    if (w.zone != zone) continue;
+    if (outcome == EndOutcome::no_window) outcome = EndOutcome::already;
+    if (w.phase == MaintenancePhase::scheduled) {
+      w.phase = MaintenancePhase::cancelled;
+      w.left = 0;
+      outcome = EndOutcome::ended;
+    } else if (w.withholds()) {
+      w.phase = MaintenancePhase::returning;
+      w.left = w.return_time;
+      outcome = EndOutcome::ended;
+    }
+  }
+  return outcome;
+}
+
+bool MaintenancePlan::advance(Duration const elapsed) {
+  std::int64_t const passed = std::max<std::int64_t>(0, milliseconds(elapsed));
+  bool changed = false;
+  for (MaintenanceWindow& w : windows) {
+    if (!w.current()) continue;
+    w.left -= passed;
+    while (step(w)) changed = true;
+  }
+  return changed;
+}
+
+bool MaintenancePlan::current() const {
+  return std::any_of(windows.begin(), windows.end(), [](MaintenanceWindow const& w) { return w.current(); });
+}
+
+MaintenanceWindow const* MaintenancePlan::newest(std::string_view const zone) const {
+  auto const found =
+      std::find_if(windows.rbegin(), windows.rend(), [&](MaintenanceWindow const& w) { return w.zone == zone; });
+  return found == windows.rend() ? nullptr : &*found;
+}
+
+std::set<std::string> MaintenancePlan::withheld_zones() const {
+  std::set<std::string> zones;
+  for (MaintenanceWindow const& w : windows)
+    if (w.withholds()) zones.insert(w.zone);
+  return zones;
+}
+
+std::map<std::string, double> MaintenancePlan::zone_shares() const {
+  std::map<std::string, double> shares;
+  for (MaintenanceWindow const& w : windows) {
+    if (w.withholds()) shares[w.zone] = 0;
+    if (w.phase == MaintenancePhase::returning && w.return_time > 0)
+      shares.try_emplace(w.zone, 1 - static_cast<double>(w.left) / static_cast<double>(w.return_time));
+  }
+  return shares;
+}
+
+void MaintenancePlan::forget_oldest() {
+  auto const is_over = [](MaintenanceWindow const& w) { return !w.current(); };
+  std::ptrdiff_t surplus = std::count_if(windows.begin(), windows.end(), is_over) - most_remembered;
+  std::erase_if(windows, [&](MaintenanceWindow const& w) { return is_over(w) && surplus-- > 0; });
+}
+
+Bytes pack_maintenance(MaintenancePlan const& plan) { return pack(plan); }
+
+Result<MaintenancePlan> unpack_maintenance(Bytes const& bytes) {
+  if (bytes.empty()) return MaintenancePlan{};
+  Result<MaintenancePlan> plan = unpack<MaintenancePlan>(bytes);
+  if (plan && !std::all_of(plan->windows.begin(), plan->windows.end(), readable))
+    return mishap("decode", "", "a window that can't be");
+  return plan;
+}
+
+}  // namespace banktide
--- /dev/null
+++ b/tests/state/maintenance_test.cpp
@@ -0,0 +1,168 @@
+// Phases and countdowns against a plain model, which knows when each phase of a
+// window begins on one clock; the plan only ever knows what is left.
+#include "state/maintenance.hpp"
+
+#include <gtest/gtest.h>
+#include <random>
+
+namespace banktide {
+namespace {
+
+MaintenanceMark mark_of(std::string const& zone, Duration const opens_in, Duration const lasts,
+                        Duration const lead = 60s) {
+  MaintenanceMark mark;
+  mark.zone = zone;
+  mark.opens_in = opens_in;
+  mark.lasts = lasts;
+  mark.lead = lead;
+  mark.return_time = 30s;
+  return mark;
+}
+
+MaintenancePhase phase_of(MaintenancePlan const& plan, std::string const& zone) {
+  MaintenanceWindow const* const window = plan.newest(zone);
+  return window == nullptr ? MaintenancePhase::over : window->phase;
+}
+
+/** What a window that was marked at 0 is at a moment, if nobody ends it. */
+struct Model {
+  MaintenanceMark mark;
+  MaintenancePhase phase(Duration const at) const {
+    if (at < mark.opens_in - mark.lead) return MaintenancePhase::scheduled;
+    if (at < mark.opens_in) return MaintenancePhase::draining;
+    if (at < mark.opens_in + mark.lasts) return MaintenancePhase::open;
+    if (at < mark.opens_in + mark.lasts + mark.return_time) return MaintenancePhase::returning;
+    return MaintenancePhase::over;
+  }
+  Duration left(Duration const at) const {
+    switch (phase(at)) {
+      case MaintenancePhase::scheduled:
+      case MaintenancePhase::draining:
+        return mark.opens_in - at;
+      case MaintenancePhase::open:
+        return mark.opens_in + mark.lasts - at;
+      case MaintenancePhase::returning:
+        return mark.opens_in + mark.lasts + mark.return_time - at;
+      default:
+        return 0s;
+    }
+  }
+  double share(Duration const at) const {
+    if (phase(at) == MaintenancePhase::scheduled || phase(at) == MaintenancePhase::over) return 1;
+    if (phase(at) != MaintenancePhase::returning) return 0;
+    return 1 - std::chrono::duration<double>(left(at)) / std::chrono::duration<double>(mark.return_time);
+  }
+};
+
+TEST(Maintenance, in_steps_of_any_length_it_agrees_with_a_window_of_fixed_moments) {
+  std::mt19937_64 chance(1);
+  auto const up_to = [&](std::uint64_t const most) { return std::chrono::milliseconds(chance() % most); };
+  for (int round = 0; round < 500; ++round) {
+    Model model{mark_of("z", 1s + up_to(100000), 1s + up_to(100000), up_to(60000))};
+    model.mark.lead = std::min(model.mark.lead, model.mark.opens_in);
+    MaintenancePlan plan;
+    ASSERT_EQ(plan.mark(model.mark), MarkOutcome::marked);
+    Duration at{};
+    while (phase_of(plan, "z") != MaintenancePhase::over) {
+      MaintenancePhase const before = phase_of(plan, "z");
+      std::chrono::milliseconds const step = chance() % 20 == 0 ? up_to(90000) : up_to(5000);
+      at += step;
+      bool const changed = plan.advance(step);
+      ASSERT_EQ(phase_of(plan, "z"), model.phase(at)) << "round " << round << " at " << as_ms(at);
+      ASSERT_EQ(changed, before != model.phase(at));
+      MaintenanceWindow const& window = *plan.newest("z");
+      ASSERT_EQ(window.left, as_ms(model.left(at)));
+      std::map<std::string, double> const shares = plan.zone_shares();
+      ASSERT_NEAR(shares.contains("z") ? shares.at("z") : 1, model.share(at), 1e-9);
+      ASSERT_EQ(plan.withheld_zones().contains("z"), window.withholds());
+      ASSERT_EQ(plan.current(), window.current());
+      Result<MaintenancePlan> const back = unpack_maintenance(pack_maintenance(plan));
+      ASSERT_TRUE(back);
+      ASSERT_EQ(*back, plan);
+    }
+  }
+}
+
+TEST(Maintenance, a_lead_longer_than_the_time_left_begins_at_once) {
+  MaintenancePlan plan;
+  plan.mark(mark_of("z", 20s, 10s, 60s));
+  EXPECT_EQ(phase_of(plan, "z"), MaintenancePhase::draining);
+  EXPECT_EQ(plan.newest("z")->left, 20000);
+}
+
+TEST(Maintenance, a_repeat_changes_nothing_and_another_window_of_the_zone_is_refused) {
+  MaintenancePlan plan;
+  ASSERT_EQ(plan.mark(mark_of("z", 100s, 50s)), MarkOutcome::marked);
+  for (int i = 0; i < 3; ++i) {
+    plan.advance(45s);
+    MaintenancePlan const before = plan;
+    EXPECT_EQ(plan.mark(mark_of("z", 100s, 50s)), MarkOutcome::repeated);
+    EXPECT_EQ(plan.mark(mark_of("z", 100s, 60s)), MarkOutcome::overlaps_own_zone);
+    EXPECT_EQ(plan, before);
+  }
+}
+
+TEST(Maintenance, windows_of_two_zones_overlap_only_if_that_is_asked_for) {
+  MaintenancePlan plan;
+  ASSERT_EQ(plan.mark(mark_of("a", 100s, 50s)), MarkOutcome::marked);
+  MaintenanceMark second = mark_of("b", 200s, 50s);
+  EXPECT_EQ(plan.mark(second), MarkOutcome::overlaps_other_zone);  // a is back at 180 s, b is left at 140 s
+  second.allow_second = true;
+  EXPECT_EQ(plan.mark(second), MarkOutcome::marked);
+  MaintenancePlan apart;
+  ASSERT_EQ(apart.mark(mark_of("a", 100s, 50s)), MarkOutcome::marked);
+  EXPECT_EQ(apart.mark(mark_of("b", 240s, 50s)), MarkOutcome::marked);
+}
+
+TEST(Maintenance, ended_early_it_is_cancelled_or_returns_and_a_repeat_changes_nothing) {
+  MaintenancePlan plan;
+  EXPECT_EQ(plan.end("z"), EndOutcome::no_window);
+  plan.mark(mark_of("z", 100s, 50s));
+  EXPECT_EQ(plan.end("z"), EndOutcome::ended);
+  EXPECT_EQ(phase_of(plan, "z"), MaintenancePhase::cancelled);
+  EXPECT_EQ(plan.end("z"), EndOutcome::already);
+  plan.mark(mark_of("z", 100s, 50s));
+  plan.advance(41s);
+  ASSERT_EQ(phase_of(plan, "z"), MaintenancePhase::draining);
+  EXPECT_EQ(plan.end("z"), EndOutcome::ended);
+  EXPECT_EQ(phase_of(plan, "z"), MaintenancePhase::returning);
+  EXPECT_EQ(plan.newest("z")->left, 30000);
+  EXPECT_EQ(plan.end("z"), EndOutcome::already);
+  EXPECT_EQ(plan.newest("z")->left, 30000);
+}
+
+TEST(Maintenance, a_zone_that_returns_may_be_marked_again) {
+  MaintenancePlan plan;
+  plan.mark(mark_of("z", 100s, 50s));
+  plan.advance(160s);
+  ASSERT_EQ(phase_of(plan, "z"), MaintenancePhase::returning);
+  EXPECT_EQ(plan.mark(mark_of("z", 100s, 50s)), MarkOutcome::marked);
+  EXPECT_EQ(phase_of(plan, "z"), MaintenancePhase::scheduled);
+  EXPECT_FALSE(plan.zone_shares().contains("z"));
+}
+
+TEST(Maintenance, only_the_last_windows_that_are_over_are_remembered) {
+  MaintenancePlan plan;
+  for (int i = 0; i < 40; ++i) {
+    ASSERT_EQ(plan.mark(mark_of("z" + std::to_string(i), 100s, 50s)), MarkOutcome::marked);
+    plan.advance(1000s);
+  }
+  EXPECT_LE(plan.windows.size(), 17u);
+  EXPECT_EQ(plan.windows.back().id, 40u);
+  EXPECT_EQ(phase_of(plan, "z39"), MaintenancePhase::over);
+}
+
+TEST(Maintenance, bytes_that_are_no_plan_are_a_mishap) {
+  EXPECT_TRUE(unpack_maintenance("")->windows.empty());
+  EXPECT_FALSE(unpack_maintenance("x"));
+  MaintenancePlan plan;
+  plan.mark(mark_of("z", 100s, 50s));
+  plan.windows[0].left = -1;
+  EXPECT_FALSE(unpack_maintenance(pack_maintenance(plan)));
+  plan.windows[0].left = 1;
+  plan.windows[0].phase = static_cast<MaintenancePhase>(9);
+  EXPECT_FALSE(unpack_maintenance(pack_maintenance(plan)));
+}
+
+}  // namespace
+}  // namespace banktide
