Traffic and keys keep away from a zone under maintenance and come back gradually

Each request draws a number and is not offered endpoints of a zone whose share is not above it, unless nothing else of the service can be reached; failures that prove nothing don't count as that. Nothing that runs or queues is cut.

Ruled out: leaving the zone's endpoints out when they are built, as then they would come back all at once, and a second fault elsewhere would find none.

LocalBackend now asks an interface, BackendCaller, so that whole nodes run on virtual time with stand-ins for their backends' connections.

--- a/source/coordination/key_coordinator.hpp
+++ b/source/coordination/key_coordinator.hpp
@@ -34,6 +34,8 @@
   void on_chosen(Held const& held) { take(held); }
   /// Called with each table that this coordinator has written or read.
   std::function<void(Held const&)> on_table;
+  /// Zones whose backends are to hold no keys; may be left empty.
+  std::function<std::set<std::string>()> withheld_zones;
 
   Task<void> run() {
     while (!stopped_) {
@@ -77,6 +79,7 @@
   }
 
   Task<void> act() {
+    if (withheld_zones) planner_.withhold_zones(withheld_zones());
     std::optional<KeyTable> const plan = planner_.plan(w_.now());
     if (!plan) co_return;
     Held next;
--- a/source/data_path/endpoint_selector.cpp
+++ b/source/data_path/endpoint_selector.cpp
@@ -72,9 +72,29 @@
   return run * (1 + 0.3 * fullness + queued / slots);
 }
 
+bool EndpointSelector::withheld(Endpoint const& endpoint, double const draw) const {
+  auto const share = zone_shares_.find(endpoint.zone);
+  return share != zone_shares_.end() && draw >= share->second;
+}
+
+bool EndpointSelector::reachable(Endpoint const& endpoint, Instant const now) const {
+  auto const it = history_.find(endpoint.address);
+  return it == history_.end() || !it->second.gone || !avoided(endpoint.address, now);
+}
+
 Endpoint const* EndpointSelector::select(std::string const& service, std::set<Address> const& tried, Instant const now,
                                          std::mt19937_64& chance) {
   Endpoints const& all = of(service);
+  if (zone_shares_.empty()) return best_of(all, tried, now, chance, [](Endpoint const&) { return true; });
+  double const draw = std::uniform_real_distribution<double>(0, 1)(chance);
+  bool const others =
+      std::any_of(all.begin(), all.end(), [&](Endpoint const& e) { return !withheld(e, draw) && reachable(e, now); });
+  return best_of(all, tried, now, chance, [&](Endpoint const& e) { return !others || !withheld(e, draw); });
+}
+
+template <class Offered>
+Endpoint const* EndpointSelector::best_of(Endpoints const& all, std::set<Address> const& tried, Instant const now,
+                                          std::mt19937_64& chance, Offered const offered) const {
   double const mean = mean_run(all);
   struct Best {
     Endpoint const* endpoint = nullptr;
@@ -86,7 +106,7 @@
   std::size_t const start = all.empty() ? 0 : chance() % all.size();
   for (std::size_t i = 0; i < all.size(); ++i) {
     Endpoint const& e = all[(start + i) % all.size()];
-    if (tried.contains(e.address)) continue;
+    if (tried.contains(e.address) || !offered(e)) continue;
     if (avoided(e.address, now)) {
       last_resort.push_back(&e);
       continue;
@@ -110,6 +130,7 @@
   if (h.in_flight > 0) --h.in_flight;
   h.failures_in_row = 0;
   h.ejections = 0;
+  h.gone = false;
   h.busy_until = Instant{};
   h.others = std::max(0.0, static_cast<double>(load.running + load.waiting) - h.in_flight);
   h.others_at = now;
@@ -126,6 +147,7 @@
   EndpointHistory& h = history_[address];
   if (h.in_flight > 0) --h.in_flight;
   ++h.failures_in_row;
+  h.gone = certain;
   if (!certain && h.failures_in_row < failures_to_eject) return;
   h.failures_in_row = 0;
   h.avoid_until = now + first_ejection * (1 << std::min(h.ejections, longest_ejection_doublings));
--- a/source/data_path/endpoint_selector.hpp
+++ b/source/data_path/endpoint_selector.hpp
@@ -35,6 +35,8 @@
   std::uint32_t run_us = 0;
   std::uint32_t failures_in_row = 0;
   std::uint32_t ejections = 0;
+  /** The last failure was certain: nothing was there. */
+  bool gone = false;
   Instant avoid_until{};
   /** For how long refusals for being busy are believed. */
   Instant busy_until{};
@@ -47,8 +49,11 @@
   /** All endpoints by service, from the newest view. */
   void replace(std::map<std::string, Endpoints> endpoints);
   Endpoints const& of(std::string const& service) const;
+  /** The part of the requests that each of these zones may get: 0 none, up to 1. A zone left out may get all. */
+  void set_zone_shares(std::map<std::string, double> shares) { zone_shares_ = std::move(shares); }
 
-  /** The best endpoint whose address isn't in `tried`; nullptr when there is none. */
+  /** The best endpoint whose address isn't in `tried`; nullptr when there is none. One that its zone's share
+      withholds from this request is considered only if there is no other, tried or not, that can be reached. */
   Endpoint const* select(std::string const& service, std::set<Address> const& tried, Instant now,
                          std::mt19937_64& chance);
 
@@ -64,6 +69,11 @@
   static constexpr double crossing_penalty = 1.3;
 
  private:
+  template <class Offered>
+  Endpoint const* best_of(Endpoints const& all, std::set<Address> const& tried, Instant now, std::mt19937_64& chance,
+                          Offered offered) const;
+  bool withheld(Endpoint const& endpoint, double draw) const;
+  bool reachable(Endpoint const& endpoint, Instant now) const;
   double cost(Endpoint const& endpoint, Instant now, double mean_run_us) const;
   bool has_free_slot(Endpoint const& endpoint, Instant now) const;
   double busy_there(Endpoint const& endpoint, Instant now) const;
@@ -71,6 +81,7 @@
 
   static constexpr std::uint32_t failures_to_eject = 3;
   std::map<std::string, Endpoints> endpoints_;
+  std::map<std::string, double> zone_shares_;
   tsl::robin_map<Address, EndpointHistory> history_;
 };
 
--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -32,7 +32,7 @@
 };
 
 /** Opens connections to a backend; made anew for each life of a backend. */
-using ConnectionsFactory = std::function<std::unique_ptr<BackendConnections>(Address const&, std::size_t limit)>;
+using ConnectionsFactory = std::function<std::unique_ptr<BackendCaller>(Address const&, std::size_t limit)>;
 
 template <Surroundings W>
 class LocalBackend {
@@ -166,7 +166,7 @@
   /** One life of the backend. */
   struct Instance {
     BackendHeartbeat beat;
-    std::shared_ptr<BackendConnections> connections;
+    std::shared_ptr<BackendCaller> connections;
     BackendQueue queue;
     Instant heard{};
     std::optional<Instant> draining_since;
@@ -286,7 +286,7 @@
       co_return refuse(held ? (drained ? Refusal::no_backend : Refusal::too_late) : Refusal::key_not_held,
                        "not sendable any more", 50ms);
     }
-    std::shared_ptr<BackendConnections> const connections = instance_->connections;
+    std::shared_ptr<BackendCaller> const connections = instance_->connections;
     std::string const instance = instance_->beat.id;
     BackendCall call = call_of(forward, deadline);
     Result<HttpReply> got = co_await connections->call(std::move(call));
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -3,6 +3,7 @@
 // carries requests from clients here to backends anywhere.
 #pragma once
 
+#include "coordination/maintenance_view.hpp"
 #include "coordination/register_client.hpp"
 #include "coordination/zone_follower.hpp"
 #include "data_path/request_path.hpp"
@@ -145,6 +146,17 @@
   void take_value(Register const which, Held const& held) {
     if (which == Register::routing) take_configuration(held);
     if (which == Register::keys) take_keys(held);
+    if (which == Register::maintenance) take_maintenance(held);
+  }
+
+  void take_maintenance(Held const& held) {
+    if (maintenance_.take(held, w_.now())) follow_maintenance();
+  }
+
+  // Requests go by the zones' shares of now, which change while nothing is heard.
+  void follow_maintenance() {
+    maintenance_.log_phases(w_.now());
+    path_.selector().set_zone_shares(maintenance_.at(w_.now()).zone_shares());
   }
 
   void take_configuration(Held const& held) {
@@ -328,6 +340,7 @@
     while (true) {
       co_await sleep_for(w_, tick_period);
       local_.tick();
+      if (maintenance_.written().current()) follow_maintenance();
       if (w_.now() - counted_at_ > count_period) log_counts();
       EndpointLoad const load = local_.load();
       double const share = load.slots == 0 ? 0 : static_cast<double>(load.running + load.waiting) / load.slots;
@@ -360,6 +373,7 @@
   std::string keys_service_;
   std::shared_ptr<KeyTable const> table_;
   Held keys_held_;
+  MaintenanceView maintenance_;
   Instant confirmed_at_{};
   bool confirm_soon_ = true;
   std::uint64_t beats_taken_ = 0;  // only the answer to the last beat may wait
--- a/source/state/key_planner.cpp
+++ b/source/state/key_planner.cpp
@@ -94,11 +94,24 @@
   return found == backends_.end() ? nullptr : &found->second;
 }
 
-bool KeyPlanner::eligible(Backend const& backend, Instant const now) const {
+bool KeyPlanner::able(Backend const& backend, Instant const now) const {
   return backend.report.standing == KeyStanding::serving && backend.report.leased &&
          now - backend.heard <= settings_.eligible_for && !ended(backend.report.instance);
 }
 
+bool KeyPlanner::eligible(Backend const& backend, Instant const now) const {
+  return able(backend, now) && !vacated(backend.report.zone);
+}
+
+// None, if there is nobody elsewhere to take the service's keys.
+void KeyPlanner::find_zones_to_vacate(std::string const& service, Instant const now) {
+  bool const others = std::any_of(backends_.begin(), backends_.end(), [&](auto const& known) {
+    KeyReport const& report = known.second.report;
+    return report.service == service && !withheld_zones_.contains(report.zone) && able(known.second, now);
+  });
+  zones_to_vacate_ = others ? withheld_zones_ : std::set<std::string>{};
+}
+
 Duration KeyPlanner::silence(std::string const& instance, Instant const now) const {
   std::map<std::string, Backend>::const_iterator const found = backends_.find(instance);
   Instant const heard = found == backends_.end() ? watching_since_ : std::max(found->second.heard, watching_since_);
@@ -133,6 +146,7 @@
   for (std::pair<std::string const, ServiceState> const& known : services_) create(next, known.first, now);
   for (KeyService& service : next.services) {
     if (service.rows.empty()) continue;
+    find_zones_to_vacate(service.name, now);
     revoke_and_restore(next, service, now);
     free_rows(next, service, now);
     Takers all = takers(next, service, now);
@@ -158,6 +172,7 @@
   if (!calm && gathered < settings_.gather_limit) return;
   KeyService service;
   service.name = name;
+  find_zones_to_vacate(name, now);
   Takers all = takers(table, service, now);
   if (all.empty()) return;
   std::size_t const rows = std::min(settings_.rows_limit, settings_.rows_per_backend * all.size());
@@ -210,6 +225,7 @@
     Backend const& backend = known.second;
     KeyReport const& report = backend.report;
     if (report.node != ended_holder.node || report.service != service || ended(report.instance)) continue;
+    if (vacated(report.zone)) continue;
     bool const able = report.leased || now - backend.first_heard <= settings_.successor_patience;
     bool const here = now - backend.heard <= settings_.eligible_for;
     if (able && here && report.standing == KeyStanding::serving) return &backend;
@@ -361,14 +377,23 @@
   taker.width += width_of(service.rows[row]);
 }
 
+// A holder that ends soon lets everything go at once; one whose zone is withheld
+// has more time, and lets go a few rows at a time.
 void KeyPlanner::drain(KeyTable& table, KeyService& service, Takers& takers) {
+  std::map<std::uint16_t, std::size_t> leaving;
+  for (KeyRow const& row : service.rows) leaving[row.holder] += row.moving != 0;
   for (std::size_t i = 0; i < service.rows.size(); ++i) {
     KeyRow const& row = service.rows[i];
     if (row.holder == no_holder || row.moving != 0) continue;
     Backend const* const holder = backend_of(table.holders[row.holder].instance);
-    if (holder == nullptr || holder->report.standing != KeyStanding::draining) continue;
+    if (holder == nullptr) continue;
+    bool const ends = holder->report.standing == KeyStanding::draining;
+    bool const leaves = vacated(table.holders[row.holder].zone) && leaving[row.holder] < settings_.moving_rows_limit;
+    if (!ends && !leaves) continue;
     Taker* const taker = pick(takers, service, i, settings_.held_rows_limit);
-    if (taker != nullptr) begin_move(table, service, i, *taker);
+    if (taker == nullptr) continue;
+    begin_move(table, service, i, *taker);
+    ++leaving[row.holder];
   }
 }
 
--- a/source/state/key_planner.hpp
+++ b/source/state/key_planner.hpp
@@ -24,6 +24,8 @@
   /// To be called several times a second, also while another coordinator acts:
   /// after a gap, silence is counted anew, as this process may have been frozen.
   void tick(Instant now);
+  /// Backends in these zones are to hold no keys, as far as there are others for their service.
+  void withhold_zones(std::set<std::string> zones) { withheld_zones_ = std::move(zones); }
   /// The table to write next, one revision above the newest known.
   std::optional<KeyTable> plan(Instant now);
 
@@ -69,7 +71,10 @@
 
   Backend* backend_of(std::string const& instance);
   bool ended(std::string const& instance) const { return ended_.contains(instance); }
+  bool able(Backend const& backend, Instant now) const;
   bool eligible(Backend const& backend, Instant now) const;
+  void find_zones_to_vacate(std::string const& service, Instant now);
+  bool vacated(std::string const& zone) const { return zones_to_vacate_.contains(zone); }
   Duration silence(std::string const& instance, Instant now) const;
   bool wait_is_over(Revision revoked, Instant now) const;
   KeyRelease const* release_of(KeyTable const& table, KeyRow const& row) const;
@@ -104,6 +109,8 @@
   std::map<std::string, ServiceState> services_;
   std::map<std::string, Instant> ended_;     // and when it was last told
   std::map<Revision, Instant> revocations_;  // when this process first saw each as chosen
+  std::set<std::string> withheld_zones_;
+  std::set<std::string> zones_to_vacate_;  // of these, those that the service being planned can do without
   Instant watching_since_{};
   Instant ticked_{};
 };
--- a/source/transport/backend_connections.hpp
+++ b/source/transport/backend_connections.hpp
@@ -23,21 +23,29 @@
 
 struct BackendPool;
 
-class BackendConnections {
+/// What the node asks of its connections to one backend.
+class BackendCaller {
+ public:
+  virtual ~BackendCaller() = default;
+  virtual Task<Result<HttpReply>> call(BackendCall call) = 0;
+  virtual void close() = 0;
+};
+
+class BackendConnections : public BackendCaller {
  public:
   BackendConnections(asio::io_context& io, Address address, std::size_t connection_limit);
   /// Like `close`; running calls go on to their end.
-  ~BackendConnections();
+  ~BackendConnections() override;
   BackendConnections(BackendConnections const&) = delete;
   BackendConnections& operator=(BackendConnections const&) = delete;
 
   /// Sends the request and waits for its answer. Steps of a mishap: "request" (not writable as
   /// HTTP), "connect" (reasons "refused", "timeout", "limit" or the system's), "write", "read",
   /// "garbled" (bytes that are no answer of ours) and "deadline".
-  Task<Result<HttpReply>> call(BackendCall call);
+  Task<Result<HttpReply>> call(BackendCall call) override;
 
   /// Drops the idle connections and keeps none from now on; running calls go on.
-  void close();
+  void close() override;
 
   std::size_t idle() const;
   /// Idle, in use or being opened.
--- a/tests/data_path/endpoint_selector_test.cpp
+++ b/tests/data_path/endpoint_selector_test.cpp
@@ -88,5 +88,58 @@
   EXPECT_EQ(chosen(selector, chance), "far");
 }
 
+TEST(EndpointSelector, a_zone_without_a_share_gets_nothing_while_there_is_any_other_place) {
+  std::mt19937_64 chance(1);
+  EndpointSelector selector = with({endpoint("near", true, 8), endpoint("far", false, 1)});
+  selector.set_zone_shares({{"here", 0}});
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(chosen(selector, chance), "far");
+    selector.sent("far");
+  }
+  EXPECT_EQ(chosen(selector, chance, {"far"}), "") << "one that was tried is still there for others";
+  selector.set_zone_shares({});
+  EXPECT_EQ(chosen(selector, chance), "near");
+}
+
+TEST(EndpointSelector, a_zone_without_a_share_is_used_if_nothing_else_is_there) {
+  std::mt19937_64 chance(1);
+  EndpointSelector alone = with({endpoint("near", true, 8)});
+  alone.set_zone_shares({{"here", 0}});
+  EXPECT_EQ(chosen(alone, chance), "near");
+  EndpointSelector selector = with({endpoint("near", true, 8), endpoint("far", false, 8)});
+  selector.set_zone_shares({{"here", 0}});
+  selector.sent("far");
+  selector.failed("far", true, start);
+  EXPECT_EQ(chosen(selector, chance, {"far"}, start + 10ms), "near");
+  EXPECT_EQ(chosen(selector, chance, {}, start + 10ms), "near");
+  EXPECT_EQ(chosen(selector, chance, {}, start + 1s), "far") << "looked at again after a while";
+  selector.sent("far");
+  selector.answered("far", EndpointLoad{0, 0, 8, 50000}, start + 1s);
+  EXPECT_EQ(chosen(selector, chance, {}, start + 1s), "far");
+}
+
+// Failures that prove nothing must not send requests where machines may go dark.
+TEST(EndpointSelector, uncertain_failures_elsewhere_do_not_open_a_zone_without_a_share) {
+  std::mt19937_64 chance(1);
+  EndpointSelector selector = with({endpoint("near", true, 8), endpoint("far", false, 8)});
+  selector.set_zone_shares({{"here", 0}});
+  for (int i = 0; i < 6; ++i) {
+    selector.sent("far");
+    selector.failed("far", false, start);
+  }
+  EXPECT_EQ(chosen(selector, chance, {}, start + 10ms), "far");
+}
+
+TEST(EndpointSelector, a_zone_that_returns_gets_its_share_of_the_requests) {
+  std::mt19937_64 chance(1);
+  EndpointSelector selector = with({endpoint("near", true, 8), endpoint("far", false, 8)});
+  for (double const share : {0.1, 0.5, 0.9}) {
+    selector.set_zone_shares({{"here", share}});
+    int near = 0;
+    for (int i = 0; i < 2000; ++i) near += chosen(selector, chance) == "near";
+    EXPECT_NEAR(near, 2000 * share, 80);
+  }
+}
+
 }  // namespace
 }  // namespace banktide
--- a/tests/state/key_planner_test.cpp
+++ b/tests/state/key_planner_test.cpp
@@ -284,5 +284,94 @@
   EXPECT_EQ(fleet.plans, plans);
 }
 
+// Two zones, three backends each; whoever is to let rows go does so within a second.
+struct ZonedFleet : Fleet {
+  ZonedFleet() : Fleet(6) {
+    for (std::size_t i = 0; i < reports.size(); ++i) reports[i].zone = i < 3 ? "east" : "west";
+  }
+  void run_with_releases(Duration const d) {
+    for (Instant const end = now + d; now < end;) {
+      for (KeyReport& report : reports) report.released.clear();
+      for (KeyRow const& row : planner.table().services[0].rows) {
+        if (row.moving == 0 || row.holder == no_holder) continue;
+        for (KeyReport& report : reports)
+          if (report.instance == planner.table().holders[row.holder].instance)
+            report.released.push_back(KeyRelease{row.from, row.to, row.fence, row.moving, "token"});
+      }
+      run(100ms);
+      look();
+      run(900ms);
+      look();
+    }
+  }
+  void look() {
+    std::map<std::uint16_t, std::size_t> moving;
+    for (KeyRow const& row : planner.table().services[0].rows)
+      if (row.moving != 0) most_moving = std::max(most_moving, ++moving[row.holder]);
+  }
+  std::size_t rows_in(std::string const& zone) const {
+    std::size_t rows = 0;
+    for (KeyRow const& row : planner.table().services[0].rows) {
+      rows += row.holder != no_holder && planner.table().holders[row.holder].zone == zone;
+      rows += row.next != no_holder && planner.table().holders[row.next].zone == zone;
+    }
+    return rows;
+  }
+  std::size_t without_token() const {
+    std::size_t rows = 0;
+    for (KeyRow const& row : planner.table().services[0].rows) rows += row.fence > 1 && row.handover.empty();
+    return rows;
+  }
+  std::size_t most_moving = 0;
+};
+
+TEST(KeyPlanner, a_withheld_zone_hands_its_rows_over_a_few_at_a_time_and_gets_none) {
+  ZonedFleet fleet;
+  fleet.run(3s);
+  ASSERT_EQ(fleet.rows_in("east"), 36u);
+  fleet.planner.withhold_zones({"east"});
+  fleet.run_with_releases(20s);
+  EXPECT_EQ(fleet.rows_in("east"), 0u);
+  EXPECT_EQ(fleet.without_token(), 0u);
+  EXPECT_GT(fleet.most_moving, 0u);
+  EXPECT_LE(fleet.most_moving, KeySettings{}.moving_rows_limit);
+  // Neither a new backend there, nor the next life of an old one, nor free rows change that.
+  KeyReport& next_life = fleet.add(4);
+  next_life.zone = "east";
+  next_life.node = "n-0";
+  fleet.reports[0].ended.push_back(KeyEnd{"i-0", "ended"});
+  fleet.reports[5].ended.push_back(KeyEnd{"i-5", "ended"});
+  fleet.silent = {"i-5"};
+  fleet.run_with_releases(10s);
+  EXPECT_EQ(fleet.rows_in("east"), 0u);
+  EXPECT_EQ(fleet.rows_by_holder().count(""), 0u);
+  fleet.planner.withhold_zones({});
+  fleet.run_with_releases(20s);
+  EXPECT_GT(fleet.rows_in("east"), 10u);
+}
+
+TEST(KeyPlanner, a_withheld_zone_keeps_its_rows_if_there_is_nobody_else) {
+  ZonedFleet fleet;
+  for (KeyReport& report : fleet.reports) report.zone = "east";
+  fleet.run(3s);
+  fleet.planner.withhold_zones({"east"});
+  std::size_t const plans = fleet.plans;
+  fleet.run(10s);
+  EXPECT_EQ(fleet.plans, plans);
+  EXPECT_EQ(fleet.rows_in("east"), 72u);
+}
+
+TEST(KeyPlanner, a_move_into_a_zone_that_is_withheld_goes_elsewhere) {
+  ZonedFleet fleet;
+  fleet.run(3s);
+  fleet.reports[5].standing = KeyStanding::draining;
+  fleet.run(300ms);
+  ASSERT_GT(fleet.rows_in("east"), 36u);
+  fleet.planner.withhold_zones({"east"});
+  fleet.run(300ms);
+  for (KeyRow const& row : fleet.planner.table().services[0].rows)
+    EXPECT_TRUE(row.next == no_holder || fleet.planner.table().holders[row.next].zone == "west");
+}
+
 }  // namespace
 }  // namespace banktide
