Operators mark a zone for maintenance, look at its windows and end them

PUT, GET and DELETE under /maintenance at any registry's operator address, and the shell's maintenance command with exit codes for scripts. Refusals have names; capacity, quorum, short times and a second zone can be overridden. Repeats change nothing.

--- /dev/null
+++ b/source/programs/maintenance_interface.hpp
@@ -0,0 +1,179 @@
+// The operators' interface to maintenance windows, at `/maintenance` beside the
+// paths of the platform's adapter: a zone is marked, its windows are looked at,
+// and a window is ended. What is asked is read and judged here without waiting;
+// MaintenanceInterface has the register changed.
+#pragma once
+
+#include "coordination/maintenance_keeper.hpp"
+#include "coordination/voter_set.hpp"
+#include "protocol/http_words.hpp"
+#include "state/key_table.hpp"
+
+#include <optional>
+#include <tl/expected.hpp>
+#include <variant>
+
+namespace banktide {
+
+struct MaintenanceSettings {
+  /** How long before a window opens traffic moves, if the operator doesn't say. */
+  Duration standard_lead = 60s;
+  /** The least that the operator may say: a draining backend and a hold on keys may take this long. */
+  Duration least_lead = 12s;
+  /** Over how long traffic comes back. */
+  Duration return_time = 30s;
+};
+
+/** A window that is asked for. */
+struct MarkZone {
+  MaintenanceMark mark;
+  /** Also if the other zones have too few free slots, or the time is too short. */
+  bool force = false;
+};
+struct EndWindow {
+  std::string zone;
+};
+struct ListWindows {};
+using MaintenanceRequest = std::variant<MarkZone, EndWindow, ListWindows>;
+
+/** Whether the interface to maintenance windows answers at this target. */
+bool is_maintenance_target(std::string_view target);
+/** What is asked for, or the reply that refuses it. */
+tl::expected<MaintenanceRequest, HttpReply> read_maintenance_request(HttpRequest const& request,
+                                                                     MaintenanceSettings const& settings);
+HttpReply maintenance_error(std::uint16_t status, std::string const& name, std::string const& reason);
+
+/** Why the other zones could not carry a zone's load as it was last announced; none if they can. */
+std::optional<std::string> lack_of_capacity(std::string const& zone, std::vector<CellEntry> const& entries,
+                                            std::set<std::string> const& withheld);
+
+/** Why the stores outside a zone could not vouch for the registers, whatever else is withheld; none if they can. */
+std::optional<std::string> lack_of_quorum(std::string const& zone, VoterSet const& voters,
+                                          std::vector<RegistryEntry> const& registries,
+                                          std::set<std::string> const& withheld);
+
+/** What is still in a zone, as last announced. */
+struct ZoneRemains {
+  std::uint64_t requests = 0;
+  std::size_t backends = 0;  // that run or hold back requests
+  std::size_t rows = 0;      // of keys held there
+};
+ZoneRemains remains_in(std::string const& zone, std::vector<CellEntry> const& entries, KeyTable const& keys);
+/** Nothing is left in the window's zone; `quiet_for`: for how long no load was announced there. A node tells its
+    load now and then, so that one look may miss requests. */
+bool is_clear(MaintenanceWindow const& window, ZoneRemains const& remains, Duration quiet_for);
+Json window_json(MaintenanceWindow const& window, ZoneRemains const& remains, bool clear);
+
+/** Of `Registry` are used: held, registers, directory, vouched, zone_names and zone_entries. */
+template <Surroundings W, class Registry, class Keeper>
+class MaintenanceInterface {
+ public:
+  MaintenanceInterface(W& w, Registry& registry, Keeper& keeper, MaintenanceSettings const& settings)
+      : w_(w), registry_(registry), keeper_(keeper), settings_(settings) {}
+
+  /** Watches zones that traffic is kept away from, for as long as the process runs. */
+  Task<void> run() {
+    while (true) {
+      co_await sleep_for(w_, look_every);
+      look_at_withheld_zones();
+    }
+  }
+
+  Task<HttpReply> call(HttpRequest const request) {
+    tl::expected<MaintenanceRequest, HttpReply> asked = read_maintenance_request(request, settings_);
+    if (!asked) co_return std::move(asked.error());
+    if (MarkZone const* const mark = std::get_if<MarkZone>(&*asked)) co_return co_await mark_zone(*mark);
+    if (EndWindow const* const end = std::get_if<EndWindow>(&*asked)) co_return co_await end_window(*end);
+    co_return list();
+  }
+
+ private:
+  static constexpr Duration look_every = 500ms;
+
+  void look_at_withheld_zones() {
+    std::set<std::string> const withheld = keeper_.plan().withheld_zones();
+    std::erase_if(last_busy_, [&](auto const& known) { return !withheld.contains(known.first); });
+    for (std::string const& zone : withheld) {
+      Instant& last = last_busy_.try_emplace(zone, w_.now()).first->second;
+      if (remains(zone).requests > 0) last = w_.now();
+    }
+  }
+
+  Json described(MaintenanceWindow const& window) const {
+    ZoneRemains const left = remains(window.zone);
+    auto const busy = last_busy_.find(window.zone);
+    Duration const quiet_for = busy == last_busy_.end() ? Duration::zero() : w_.now() - busy->second;
+    return window_json(window, left, is_clear(window, left, quiet_for));
+  }
+
+  Task<HttpReply> mark_zone(MarkZone const asked) {
+    std::string const& zone = asked.mark.zone;
+    std::set<std::string> const zones = registry_.zone_names();
+    if (!zones.contains(zone)) co_return maintenance_error(404, "unknown_zone", "no registry or node is in " + zone);
+    MaintenancePlan tried = keeper_.plan();
+    bool const is_new = tried.mark(asked.mark) == MarkOutcome::marked;
+    if (is_new && !asked.force) {
+      std::set<std::string> const withheld = keeper_.plan().withheld_zones();
+      std::optional<std::string> lack = lack_of_capacity(zone, registry_.zone_entries(), withheld);
+      if (lack) co_return maintenance_error(409, "no_capacity", *lack);
+      lack = lack_of_quorum(zone, registry_.registers().set(), registry_.directory(), withheld);
+      if (lack) co_return maintenance_error(409, "no_quorum", *lack);
+    }
+    MarkOutcome outcome = MarkOutcome::marked;
+    MaintenanceEdit const edit = [&](MaintenancePlan& plan) -> Result<bool> {
+      outcome = plan.mark(asked.mark);
+      return outcome == MarkOutcome::marked;
+    };
+    Result<MaintenancePlan> const done = co_await keeper_.change(edit);
+    if (!done) co_return not_taken(done.error());
+    if (outcome == MarkOutcome::overlaps_own_zone)
+      co_return maintenance_error(409, "window_overlaps", zone + " has another window; end that one first");
+    if (outcome == MarkOutcome::overlaps_other_zone)
+      co_return maintenance_error(409, "other_zone", "another zone is under maintenance then; see allow_second");
+    co_return newest_of(*done, zone);
+  }
+
+  Task<HttpReply> end_window(EndWindow const asked) {
+    EndOutcome outcome = EndOutcome::no_window;
+    MaintenanceEdit const edit = [&](MaintenancePlan& plan) -> Result<bool> {
+      outcome = plan.end(asked.zone);
+      return outcome == EndOutcome::ended;
+    };
+    Result<MaintenancePlan> const done = co_await keeper_.change(edit);
+    if (!done) co_return not_taken(done.error());
+    if (outcome == EndOutcome::no_window) co_return maintenance_error(404, "no_window", asked.zone + " has no window");
+    co_return newest_of(*done, asked.zone);
+  }
+
+  static HttpReply not_taken(Mishap const& m) {
+    return maintenance_error(503, "not_known_to_be_taken", "send the same again: " + m.reason);
+  }
+
+  HttpReply newest_of(MaintenancePlan const& plan, std::string const& zone) const {
+    MaintenanceWindow const* const window = plan.newest(zone);
+    if (window == nullptr) return maintenance_error(404, "no_window", zone + " has no window");
+    return json_reply(200, described(*window));
+  }
+
+  ZoneRemains remains(std::string const& zone) const {
+    Held const& held = registry_.held(Register::keys);
+    Result<KeyTable> const keys = unpack_key_table(held.bytes, held.revision);
+    return remains_in(zone, registry_.zone_entries(), keys ? *keys : KeyTable{});
+  }
+
+  HttpReply list() const {
+    if (!registry_.vouched())
+      return maintenance_error(503, "not_current", "no majority of the stores has answered lately");
+    Json windows = Json::array();
+    for (MaintenanceWindow const& w : keeper_.plan().windows) windows.push_back(described(w));
+    return json_reply(200, Json{{"windows", windows}});
+  }
+
+  W& w_;
+  Registry& registry_;
+  Keeper& keeper_;
+  MaintenanceSettings const settings_;
+  std::map<std::string, Instant> last_busy_;  // of withheld zones; since they are, if never
+};
+
+}  // namespace banktide
--- a/source/programs/mesh_registry.cpp
+++ b/source/programs/mesh_registry.cpp
@@ -16,6 +16,8 @@
   s.text("control-address", "", "ip:port for operators (HTTP)");
   s.flag("counted", "this machine counts among those that may be lost");
   s.list("zones", "names of all zones");
+  s.number("maintenance-lead", 60, 1, 3600, "seconds before a maintenance window at which traffic moves, by default");
+  s.number("maintenance-return", 30, 1, 3600, "seconds over which traffic comes back after a maintenance window");
   s.need_address("control-address");
 }
 
@@ -30,6 +32,16 @@
   return r;
 }
 
+// A lead must outlast what a leaving backend and a hold on keys may take.
+MaintenanceSettings maintenance_settings(Settings const& s, TimingBounds const& bounds) {
+  constexpr Duration until_known = 2s;
+  MaintenanceSettings m;
+  m.least_lead = std::max(bounds.drain_limit, bounds.hold_limit) + until_known;
+  m.standard_lead = std::max<Duration>(std::chrono::seconds(s.number("maintenance-lead")), m.least_lead);
+  m.return_time = std::chrono::seconds(s.number("maintenance-return"));
+  return m;
+}
+
 }  // namespace
 
 int run_mesh_registry(std::vector<std::string> const& arguments, InterfaceAdapter const& adapter) {
@@ -46,7 +58,7 @@
   Result<Address> const bound = world.listen(s.text("address"));
   if (!bound) return start_failed(bound.error());
   Registry<SocketWorld> registry(world, registry_settings(s));
-  MeshRegistry<SocketWorld> mesh(world, registry, adapter, key_settings(*bounds));
+  MeshRegistry<SocketWorld> mesh(world, registry, adapter, key_settings(*bounds), maintenance_settings(s, *bounds));
   HttpServer operators(
       world.io(), [&mesh](HttpRequest q, std::shared_ptr<HttpExchange>) { return mesh.interface_call(std::move(q)); },
       {});
--- a/source/programs/mesh_registry.hpp
+++ b/source/programs/mesh_registry.hpp
@@ -1,9 +1,10 @@
 // The registry on the new data path: the operators' interface through an
-// adapter, and the coordinator of keys, around the registry that keeps the
-// register's values and its zone's feed.
+// adapter, maintenance windows, and the coordinator of keys, around the registry
+// that keeps the register's values and its zone's feed.
 #pragma once
 
 #include "coordination/key_coordinator.hpp"
+#include "programs/maintenance_interface.hpp"
 #include "programs/registry.hpp"
 #include "protocol/interface_adapter.hpp"
 
@@ -12,21 +13,30 @@
 template <Surroundings W>
 class MeshRegistry {
  public:
-  MeshRegistry(W& w, Registry<W>& registry, InterfaceAdapter const& adapter, KeySettings const& keys)
+  MeshRegistry(W& w, Registry<W>& registry, InterfaceAdapter const& adapter, KeySettings const& keys,
+               MaintenanceSettings const& maintenance = {})
       : w_(w),
         registry_(registry),
         adapter_(adapter),
-        coordinator_(w, registry.registers(), keys, [this] { return acting(); }) {
+        coordinator_(w, registry.registers(), keys, [this] { return acting(); }),
+        windows_(w, registry.registers(), [this] { return acting(); }),
+        maintenance_(w, registry, windows_, maintenance) {
+    windows_.known = [this] { return registry_.held(Register::maintenance); };
+    windows_.on_written = [this](Held const& held) { registry_.announce(Register::maintenance, held); };
+    coordinator_.withheld_zones = [this] { return windows_.plan().withheld_zones(); };
     coordinator_.on_table = [this](Held const& held) { registry_.announce(Register::keys, held); };
   }
 
   void start(Desk& desk) {
     coordinator_.attach(desk);
     spawn(w_, coordinator_.run());
+    spawn(w_, windows_.run());
+    spawn(w_, maintenance_.run());
   }
 
   /** A call of an operator. */
   Task<HttpReply> interface_call(HttpRequest q) {
+    if (is_maintenance_target(q.target)) co_return co_await maintenance_.call(std::move(q));
     tl::expected<InterfaceOperation, InterfaceReply> operation = adapter_.interpret(q);
     if (!operation) co_return http_reply(std::move(operation.error()));
     if (WriteConfigurationOperation* const write = std::get_if<WriteConfigurationOperation>(&*operation))
@@ -38,6 +48,7 @@
   }
 
  private:
+  using Windows = MaintenanceKeeper<W, RegisterClient<W>>;
   static constexpr Duration write_patience = 900ms;
   static constexpr Duration read_patience = 900ms;
 
@@ -80,6 +91,8 @@
   Registry<W>& registry_;
   InterfaceAdapter const& adapter_;
   KeyCoordinator<W, RegisterClient<W>> coordinator_;
+  Windows windows_;
+  MaintenanceInterface<W, Registry<W>, Windows> maintenance_;
 };
 
 }  // namespace banktide
--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -87,6 +87,19 @@
     for (auto const& [zone, feed] : feeds_) all.push_back(zone);
     return all;
   }
+  /// All zones that a registry or an entry is known of.
+  std::set<std::string> zone_names() const {
+    std::set<std::string> names{s_.cell};
+    for (RegistryEntry const& e : directory_.entries()) names.insert(e.cell);
+    for (auto const& [zone, entry] : view().cells) names.insert(zone);
+    return names;
+  }
+  /// What each zone offers, the own one among them.
+  std::vector<CellEntry> zone_entries() const {
+    std::vector<CellEntry> all{own_feed_->entry()};
+    for (auto const& [zone, entry] : view().cells) all.push_back(entry);
+    return all;
+  }
   /// Of the registries heard of in the last moments, this has the lowest address.
   bool first_of_live_registries() const {
     std::vector<Address> const live = directory_.live(w_.now(), heard_lately);
@@ -98,7 +111,9 @@
     Held& mine = held_.at(static_cast<std::size_t>(r));
     if (h.revision <= mine.revision) return;
     mine = h;
-    log_info("revision_known", {{"register", register_name(r)}, {"revision", std::to_string(h.revision)}});
+    // Written every few seconds of a window; its phases are logged where they are counted.
+    if (r != Register::maintenance)
+      log_info("revision_known", {{"register", register_name(r)}, {"revision", std::to_string(h.revision)}});
     for (auto const& [zone, feed] : feeds_) feed->send_value(r, mine);
   }
   /// The same, and tells the other registries.
--- a/source/programs/shell_main.cpp
+++ b/source/programs/shell_main.cpp
@@ -1,7 +1,8 @@
 // banktide-shell: questions about the fleet's state, asked of any registry's
 // operator door, one-shot or line by line, as text or JSON; and the operators'
 // streams at a prompt. Exit codes: 0 answered, 1 not answered or refused, 2 a
-// question that it doesn't know.
+// question that it doesn't know, 3 not clear (`maintenance status`).
+#include "programs/maintenance_command.hpp"
 #include "programs/process.hpp"
 #include "state/placement.hpp"
 #include "transport/http_edge.hpp"
@@ -112,6 +113,7 @@
     if (words[0] == "send") return send(words);
     if (words[0] == "put") return put(words);
     if (words[0] == "place") return place(words);
+    if (words[0] == "maintenance") return maintenance(words);
     for (Question const& q : questions)
       if (words[0] == q.name) return words.size() > 1 ? wrong(words[0] + " takes nothing more") : ask(q);
     return wrong("no such question: " + words[0] + "; try help");
@@ -124,7 +126,10 @@
         << "  decisions [service=S] [decision=stay|cross|drop] [cell=C] [after=WORD] [lines=N]   calls as they are decided\n"
            "  send FILE|-         changes, a JSON object a line, each with its verdict as it falls\n"
            "  put routing|catalogue FILE   a whole new revision\n"
-           "  place FILE          a catalogue that meets the file's constraints, with the fewest moves\n";
+           "  place FILE          a catalogue that meets the file's constraints, with the fewest moves\n"
+           "  maintenance mark ZONE --opens-in S --lasts S [--lead S] [--allow-second] [--force]\n"
+           "  maintenance status [ZONE]   windows, and what is still in their zones\n"
+           "  maintenance end ZONE        cancels a window or ends it early\n";
     return 0;
   }
 
@@ -192,6 +197,20 @@
     return r->status == 200 ? 0 : 1;
   }
 
+  int maintenance(std::vector<std::string> const& words) {
+    tl::expected<MaintenanceCommand, std::string> const command = read_maintenance_command(words);
+    if (!command) return wrong(command.error());
+    Result<HttpReply> const r = http(command->request);
+    if (!r) return failed(r.error().step, r.error().peer, r.error().reason);
+    if (r->status != 200) return failed("answer", door_, std::to_string(r->status) + " " + r->body);
+    Json const windows = windows_of(*command, *r);
+    if (json_)
+      std::cout << windows.dump(1) << "\n";
+    else
+      print_table(windows, "id zone phase left_s requests backends rows clear");
+    return maintenance_exit_code(*command, *r);
+  }
+
   static std::optional<std::string> file_bytes(std::string const& path) {
     std::ifstream in(path);
     std::stringstream all;
@@ -345,6 +364,21 @@
   return words;
 }
 
+// Flags of a command stand among the program's own; they go back to its words.
+void define_command_flags(Settings& s) {
+  for (char const* const name : {"opens-in", "lasts", "lead"}) s.text(name, "", "seconds, of maintenance mark");
+  s.flag("allow-second", "of maintenance mark: also if another zone is under maintenance then");
+  s.flag("force", "of maintenance mark: also if the other zones have too little room, or time is short");
+}
+std::vector<std::string> asked_words(Settings const& s) {
+  std::vector<std::string> words = s.list("ask");
+  for (std::string const name : {"opens-in", "lasts", "lead"})
+    if (!s.text(name).empty()) words.insert(words.end(), {"--" + name, s.text(name)});
+  for (std::string const name : {"allow-second", "force"})
+    if (s.flag(name)) words.push_back("--" + name);
+  return words;
+}
+
 int at_prompt(Shell& shell) {
   EditLine* const editor = el_init("banktide-shell", stdin, stdout, stderr);
   ::History* const history = history_init();
@@ -375,6 +409,7 @@
   s.flag("json", "answers as JSON");
   s.list("ask", "a question; without one the shell reads questions line by line");
   s.trailing("ask");
+  define_command_flags(s);
   s.need_addresses("registry", 1);
   if (std::optional<int> const code = s.read(argc, argv)) return *code;
   start_logging("OFF", "banktide-shell", "shell");
@@ -383,7 +418,7 @@
   Shell shell(process, world, s.list("registry"), s.flag("json"));
   int code = 0;
   if (!s.list("ask").empty()) {
-    code = shell.run(s.list("ask"));
+    code = shell.run(asked_words(s));
   } else if (::isatty(0)) {
     code = at_prompt(shell);
   } else {
