--- /dev/null
+++ b/tests/programs/maintenance_night_test.cpp
@@ -0,0 +1,214 @@
+// The night of a maintenance window, unwatched: a zone is marked, drained, loses
+// its power when the window opens, the registries restart in the middle, and in
+// the morning the ledger of the backends and the records of the clients are
+// compared. The same night without the mark shows that the comparison can fail.
+#include "programs/mesh_trial.hpp"
+
+namespace banktide {
+namespace {
+
+constexpr Duration opens_in = 40s;
+constexpr Duration lasts = 60s;
+constexpr Duration lead = 25s;
+constexpr Duration settle = 15s;  // for traffic and keys to be gone, from the start of the drain
+
+/** What the morning shows. */
+struct Morning {
+  std::size_t twice = 0;  // runs of what may not be repeated, beyond the first
+  std::size_t lost = 0;   // done for the client, but not in the ledger
+  std::size_t ran_though_refused = 0;
+  std::size_t unknown = 0;            // clients that live and were told neither
+  std::size_t repeatable_harmed = 0;  // failed, refused, or later than the aim
+  Duration longest_payment{};
+  Duration longest_keyed{};
+  std::size_t records = 0;
+  std::size_t runs_in_window = 0;
+  std::size_t keys_in_window = 0;  // most that the zone held
+  std::size_t fewest_keys_held = 65536;
+  std::size_t fewest_keys_in_window = 65536;
+  std::size_t outside_its_keys = 0;
+  std::string phase;
+  bool was_clear = false;
+  std::size_t runs_after = 0;
+
+  bool harm() const {
+    return twice + lost + ran_though_refused + unknown + repeatable_harmed > 0 || longest_keyed > 3s ||
+           longest_payment > 2s;
+  }
+};
+
+struct Night {
+  explicit Night(std::uint64_t const seed) : mesh(seed, {"a", "b", "c"}) {}
+
+  void look(Morning& m, bool const in_window) {
+    if (in_window) m.keys_in_window = std::max(m.keys_in_window, mesh.keys_held("a"));
+    std::size_t const held = mesh.keys_held();
+    m.fewest_keys_held = std::min(m.fewest_keys_held, held);
+    if (in_window) m.fewest_keys_in_window = std::min(m.fewest_keys_in_window, held);
+  }
+  void pass(Morning& m, Duration const d, bool const in_window = false) {
+    for (Instant const end = mesh.sim.now + d; mesh.sim.now < end;) {
+      mesh.run_for(100ms);
+      look(m, in_window);
+    }
+  }
+
+  Morning play(bool const marked, Duration const dark_for) {
+    Morning m;
+    EXPECT_TRUE(mesh.form());
+    mesh.serving = true;
+    pass(m, 10s);
+    std::string const body = R"({"opens_in_s":40,"lasts_s":60,"lead_s":25})";
+    if (marked) {
+      EXPECT_EQ(mesh.operate("b", "PUT", "/maintenance/a", body).status, 200);
+      EXPECT_EQ(mesh.operate("c", "PUT", "/maintenance/a", body).status, 200);  // marked twice
+    }
+    Instant const marked_at = mesh.sim.now;
+    pass(m, opens_in - lead + settle);
+    Instant const drained_at = mesh.sim.now;
+    pass(m, marked_at + opens_in + 1s - mesh.sim.now, true);
+    if (marked) m.was_clear = status(0).value("clear", false);
+    mesh.power_off("a");
+    Instant const dark_at = mesh.sim.now;
+    pass(m, 20s, true);
+    mesh.kill_registries();
+    pass(m, 1s, true);
+    mesh.start_registries();
+    Instant const closes_at = marked_at + opens_in + lasts;
+    if (dark_at + dark_for < closes_at) {
+      pass(m, dark_at + dark_for - mesh.sim.now, true);
+      mesh.power_on("a");
+      pass(m, closes_at - mesh.sim.now - 200ms, true);
+    } else {
+      pass(m, closes_at - mesh.sim.now - 200ms, true);
+      pass(m, dark_at + dark_for - mesh.sim.now);
+      mesh.power_on("a");
+    }
+    pass(m, 45s);
+    m.runs_in_window = mesh.runs_in("a", drained_at, closes_at - 200ms);
+    m.runs_after = mesh.runs_in("a", mesh.sim.now - 8s, mesh.sim.now);
+    if (marked) m.phase = status(0).value("phase", "");
+    mesh.serving = false;
+    mesh.run_for(5s);
+    compare(m, dark_at);
+    return m;
+  }
+
+  Json status(std::size_t const window) {
+    HttpReply const reply = mesh.operate("c", "GET", "/maintenance");
+    EXPECT_EQ(reply.status, 200);
+    Json const j = Json::parse(reply.body, nullptr, false);
+    if (!j.is_object() || j["windows"].size() <= window) return Json::object();
+    return j["windows"][window];
+  }
+
+  // Till and charge records: each run against what its client was told.
+  void compare(Morning& m, Instant const dark_at) {
+    std::map<std::string, std::size_t> by_attempt, by_request;
+    for (LedgerEntry const& e : mesh.ledger) {
+      ++by_attempt[e.request];
+      ++by_request[e.request.substr(0, e.request.find('/'))];
+    }
+    for (std::shared_ptr<ClientRecord> const& r : mesh.records) {
+      ++m.records;
+      std::size_t const runs = by_request[r->request];
+      bool const done = r->outcome == ClientOutcome::done;
+      // A client in the zone goes dark with its machine, and hears nothing any more.
+      bool const went_dark = !done && r->zone == "a" && r->begun <= dark_at && r->begun > dark_at - 5s;
+      m.lost += done && by_attempt[r->request + "/" + std::to_string(r->attempts)] == 0;
+      if (r->service == "browse") {
+        m.repeatable_harmed += !went_dark && (!done || r->attempts > 1 || r->took > MeshTrial::aim);
+        continue;
+      }
+      m.twice += runs > 1 ? runs - 1 : 0;
+      for (std::size_t n = 1; n < r->attempts; ++n)
+        m.ran_though_refused += by_attempt[r->request + "/" + std::to_string(n)] > 0;
+      m.unknown += !went_dark && !done;
+      if (!done) continue;
+      Duration& longest = r->service == "accounts" ? m.longest_keyed : m.longest_payment;
+      longest = std::max(longest, r->took);
+    }
+    for (std::shared_ptr<StandInBackend> const& b : mesh.all_backends) m.outside_its_keys += b->outside_its_keys;
+  }
+
+  MeshTrial mesh;
+};
+
+class MaintenanceNight : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(MaintenanceNight, leaves_ledger_and_clients_in_agreement_and_nobody_waits) {
+  std::uint64_t const seed = GetParam();
+  Night night(seed);
+  // Machines come back before the window closes, or after it.
+  Morning const m = night.play(true, seed % 2 == 0 ? 45s : 70s);
+  EXPECT_GT(m.records, 3000u);
+  EXPECT_EQ(m.twice, 0u);
+  EXPECT_EQ(m.lost, 0u);
+  EXPECT_EQ(m.ran_though_refused, 0u);
+  EXPECT_EQ(m.unknown, 0u);
+  EXPECT_EQ(m.repeatable_harmed, 0u);
+  EXPECT_EQ(m.outside_its_keys, 0u);
+  EXPECT_LE(as_ms(m.longest_payment), 1000);
+  EXPECT_LE(as_ms(m.longest_keyed), 3000);
+  EXPECT_TRUE(m.was_clear);
+  EXPECT_EQ(m.runs_in_window, 0u);
+  EXPECT_EQ(m.keys_in_window, 0u);
+  EXPECT_EQ(m.fewest_keys_in_window, 65536u);
+  EXPECT_GT(m.fewest_keys_held, 65536u * 2 / 3);
+  EXPECT_EQ(m.phase, "over");
+  EXPECT_GT(m.runs_after, 50u) << "traffic has not come back";
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, MaintenanceNight, testing::Values(1, 2, 3, 4));
+
+TEST(UnmarkedNight, without_the_mark_the_same_night_does_harm) {
+  Night night(1);
+  Morning const m = night.play(false, 70s);
+  EXPECT_TRUE(m.harm());
+  EXPECT_GT(m.runs_in_window, 0u);
+  EXPECT_LT(m.fewest_keys_in_window, 65536u);
+  // Even so, nothing runs twice or is lost.
+  EXPECT_EQ(m.twice, 0u);
+  EXPECT_EQ(m.lost, 0u);
+  EXPECT_EQ(m.ran_though_refused, 0u);
+}
+
+// Faults on top of a window: while any other zone is there the marked one stays
+// empty, and without any it is as if it had not been marked.
+TEST(MaintenanceFaults, a_marked_zone_is_used_again_only_if_nothing_else_is_there) {
+  MeshTrial mesh(5, {"a", "b", "c"});
+  ASSERT_TRUE(mesh.form());
+  mesh.serving = true;
+  mesh.run_for(5s);
+  ASSERT_EQ(mesh.operate("b", "PUT", "/maintenance/a", R"({"opens_in_s":30,"lasts_s":600,"lead_s":20})").status, 200);
+  mesh.run_for(40s);
+  mesh.power_off("b");
+  mesh.run_for(10s);
+  Instant const one_left = mesh.sim.now;
+  mesh.run_for(10s);
+  EXPECT_EQ(mesh.runs_in("a", one_left - 10s, mesh.sim.now), 0u);
+  EXPECT_GT(mesh.runs_in("c", one_left, mesh.sim.now), 100u);
+  mesh.power_off("c");
+  mesh.run_for(10s);
+  Instant const none_left = mesh.sim.now;
+  mesh.run_for(10s);
+  EXPECT_GT(mesh.runs_in("a", none_left, mesh.sim.now), 100u);
+}
+
+TEST(MaintenanceFaults, ended_early_traffic_comes_back_little_by_little) {
+  MeshTrial mesh(6, {"a", "b", "c"});
+  ASSERT_TRUE(mesh.form());
+  mesh.serving = true;
+  ASSERT_EQ(mesh.operate("b", "PUT", "/maintenance/a", R"({"opens_in_s":30,"lasts_s":600,"lead_s":20})").status, 200);
+  mesh.run_for(40s);
+  ASSERT_EQ(mesh.operate("c", "DELETE", "/maintenance/a").status, 200);
+  Instant const ended = mesh.sim.now;
+  mesh.run_for(25s);
+  std::size_t const first = mesh.runs_in("a", ended, ended + 3s);
+  std::size_t const last = mesh.runs_in("a", ended + 22s, ended + 25s);
+  EXPECT_GT(first, 0u);
+  EXPECT_GT(last, 2 * first);
+  EXPECT_GT(mesh.keys_held("a"), 0u);
+}
+
+}  // namespace
+}  // namespace banktide
--- /dev/null
+++ b/tests/programs/mesh_trial.hpp
@@ -0,0 +1,458 @@
+// A whole mesh on virtual time: in each zone a core machine with a store and a
+// registry, and machines with a node, a stand-in backend and clients. The
+// programs are the product's own; only the network, the disks, the connections
+// to backends and the operators' translation of bytes are made up. Each run of
+// a request on a backend goes into a ledger, and each client keeps what it was
+// told, so that the two can be compared.
+#pragma once
+
+#include "coordination/membership.hpp"
+#include "programs/mesh_node.hpp"
+#include "programs/mesh_registry.hpp"
+#include "simulation/sim_world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace banktide {
+
+/** Which services there are: requests that may be repeated, others, and others with keys. */
+inline constexpr std::array<std::string_view, 3> trial_services{"browse", "payments", "accounts"};
+
+/** One run of a request on a backend. */
+struct LedgerEntry {
+  std::string request;
+  std::string zone;
+  Instant at{};
+};
+
+/** What a client was told in the end of something that it wanted once. */
+enum class ClientOutcome : std::uint8_t { none, done, refused, unknown };
+struct ClientRecord {
+  std::string request;
+  std::string service;
+  std::string zone;
+  ClientOutcome outcome = ClientOutcome::none;
+  std::size_t attempts = 0;
+  Instant begun{};
+  Duration took{};
+};
+
+struct StandInBackend {
+  struct Row {
+    std::uint32_t from = 0;
+    std::uint32_t to = 0;
+    std::uint64_t fence = 0;
+    Instant end{};
+  };
+  std::string id, service, zone;
+  std::vector<Row> rows;
+  std::vector<HeartbeatReleasedRow> released;
+  std::uint64_t beats = 0;
+  std::uint32_t running = 0;
+  std::size_t outside_its_keys = 0;
+};
+
+class MeshTrial {
+ public:
+  static constexpr std::uint16_t store_port = 2;
+  static constexpr std::uint32_t slots = 6;
+  static constexpr Duration aim = 1s;
+  static constexpr Duration timeout = 2s;
+
+  struct Core {
+    std::string name, zone;
+    std::shared_ptr<SimProcess> registry_process, store_process;
+    std::shared_ptr<Registry<SimProcess>> registry;
+    std::shared_ptr<MeshRegistry<SimProcess>> mesh;
+    SimDisk disk;
+  };
+  struct Machine {
+    std::string name, zone, service;
+    std::shared_ptr<SimProcess> process;
+    std::shared_ptr<MeshNode<SimProcess>> node;
+    std::shared_ptr<StandInBackend> backend;
+  };
+
+  MeshTrial(std::uint64_t const seed, std::vector<std::string> zone_names) : sim(seed), net(sim), zones(zone_names) {
+    make_adapter();
+    for (std::string const& zone : zones) {
+      Core& core = cores["core-" + zone];
+      core.name = "core-" + zone;
+      core.zone = zone;
+      for (std::string_view const service : trial_services)
+        for (int i = 0; i < 2; ++i) {
+          std::string const name = std::string(service) + "-" + std::to_string(i) + "-" + zone;
+          machines[name] = Machine{name, zone, std::string(service), nullptr, nullptr, nullptr};
+        }
+    }
+    for (auto& [name, core] : cores) {
+      start_store(core, true);
+      start_registry(core);
+    }
+    for (auto& [name, machine] : machines) start_machine(machine);
+  }
+  // What was spawned last starts first, so that it ends with its process.
+  ~MeshTrial() {
+    sim.settle();
+    for (std::shared_ptr<SimProcess> const& p : processes) p->kill();
+    sim.clear();
+    sim.settle();
+  }
+  MeshTrial(MeshTrial const&) = delete;
+
+  // ---- processes
+
+  void start_store(Core& core, bool const initial) {
+    core.store_process = process(core.name, address_of(core.name, store_port));
+    core.disk.process = core.store_process.get();
+    using Voter = Acceptor<SimProcess, SimDisk>;
+    std::shared_ptr<Voter> const voter =
+        std::make_shared<Voter>(*core.store_process, core.disk, core.store_process->address);
+    EXPECT_TRUE(voter->load());
+    MembershipSettings settings;
+    settings.seeds = seeds(store_port);
+    settings.initial_start = initial;
+    std::shared_ptr<Membership<SimProcess, SimDisk>> const membership =
+        std::make_shared<Membership<SimProcess, SimDisk>>(*core.store_process, *voter, settings);
+    Desk& d = desk(*core.store_process);
+    voter->attach(d);
+    membership->attach(d);
+    spawn(*core.store_process, membership->run());
+    kept.push_back(voter);
+    kept.push_back(membership);
+  }
+
+  void start_registry(Core& core) {
+    core.registry_process = process(core.name, address_of(core.name, 1));
+    RegistrySettings settings;
+    settings.id = "registry-" + core.zone;
+    settings.cell = core.zone;
+    settings.address = core.registry_process->address;
+    settings.seeds = seeds(1);
+    settings.store_port = store_port;
+    core.registry = std::make_shared<Registry<SimProcess>>(*core.registry_process, settings);
+    MaintenanceSettings maintenance;
+    maintenance.return_time = 10s;
+    core.mesh = std::make_shared<MeshRegistry<SimProcess>>(*core.registry_process, *core.registry, adapter,
+                                                           KeySettings{}, maintenance);
+    kept.push_back(core.registry);
+    kept.push_back(core.mesh);
+    Desk& d = desk(*core.registry_process);
+    core.registry->start(d);
+    core.mesh->start(d);
+  }
+
+  void start_machine(Machine& machine) {
+    machine.process = process(machine.name, address_of(machine.name, 1));
+    MeshNodeSettings settings;
+    settings.follower.id = "node-of-" + machine.name;
+    settings.follower.zone = machine.zone;
+    settings.follower.address = machine.process->address;
+    settings.follower.gateway = true;
+    settings.follower.seeds = seeds(1);
+    settings.service = machine.service;
+    settings.store_port = store_port;
+    machine.backend = std::make_shared<StandInBackend>();
+    machine.backend->id = machine.name + "-life-" + std::to_string(runs);
+    machine.backend->service = machine.service;
+    machine.backend->zone = machine.zone;
+    all_backends.push_back(machine.backend);
+    ConnectionsFactory const factory = [this, &machine](Address const&, std::size_t) -> std::unique_ptr<BackendCaller> {
+      return std::make_unique<Caller>(*this, *machine.process, machine.backend);
+    };
+    machine.node = std::make_shared<MeshNode<SimProcess>>(*machine.process, settings, adapter, factory);
+    kept.push_back(machine.node);
+    machine.node->start(desk(*machine.process));
+    spawn(*machine.process, keep_beating(machine.process, machine.node, machine.backend));
+    for (std::string_view const service : trial_services)
+      spawn(*machine.process, keep_asking(machine.process, machine.node, machine, std::string(service)));
+  }
+
+  void power_off(std::string const& zone) {
+    for (auto const& [name, core] : cores)
+      if (core.zone == zone) {
+        net.dark.insert(name);
+        core.registry_process->kill();
+        core.store_process->kill();
+      }
+    for (auto const& [name, machine] : machines)
+      if (machine.zone == zone) {
+        net.dark.insert(name);
+        machine.process->kill();
+      }
+  }
+  void power_on(std::string const& zone) {
+    for (auto& [name, core] : cores)
+      if (core.zone == zone) {
+        net.dark.erase(name);
+        start_store(core, false);
+        start_registry(core);
+      }
+    for (auto& [name, machine] : machines)
+      if (machine.zone == zone) {
+        net.dark.erase(name);
+        start_machine(machine);
+      }
+  }
+  void kill_registries() {
+    for (auto const& [name, core] : cores) core.registry_process->kill();
+  }
+  void start_registries() {
+    for (auto& [name, core] : cores)
+      if (!net.dark.contains(name)) start_registry(core);
+  }
+
+  // ---- what happens
+
+  void run_for(Duration const d) { sim.run_until(sim.now + d); }
+  bool run_until(std::function<bool()> const& holds, Duration const most) {
+    Instant const end = sim.now + most;
+    while (!holds() && sim.now < end) run_for(50ms);
+    return holds();
+  }
+
+  /** A call of an operator at the registry of a zone; status 0 if it doesn't answer. */
+  HttpReply operate(std::string const& zone, std::string const& method, std::string const& target,
+                    std::string const& body = "") {
+    Core const& core = cores.at("core-" + zone);
+    std::shared_ptr<HttpReply> const reply = std::make_shared<HttpReply>();
+    HttpRequest const request{method, target, {}, body};
+    spawn(
+        *core.registry_process,
+        [](std::shared_ptr<MeshRegistry<SimProcess>> mesh, HttpRequest q, std::shared_ptr<HttpReply> to) -> Task<void> {
+          *to = co_await mesh->interface_call(std::move(q));
+        }(core.mesh, request, reply));
+    run_until([&] { return reply->status != 0; }, 3s);
+    return *reply;
+  }
+
+  /** Everything is up: a configuration is in force, all nodes are ready, all keys are held. */
+  bool form() {
+    bool const written = run_until([&] { return operate(zones[0], "PUT", "/configuration", "1").status == 200; }, 20s);
+    return written && run_until(
+                          [&] {
+                            for (auto const& [name, machine] : machines)
+                              if (!machine.node->ready()) return false;
+                            return keys_held() == 65536;
+                          },
+                          30s);
+  }
+
+  /** Keys held by backends that are up; in one zone, if it is named. */
+  std::size_t keys_held(std::string const& zone = "") const {
+    std::size_t keys = 0;
+    for (auto const& [name, machine] : machines) {
+      if (!machine.process->alive || (!zone.empty() && machine.zone != zone)) continue;
+      for (StandInBackend::Row const& row : machine.backend->rows)
+        if (row.end > machine.process->now()) keys += row.to - row.from + 1;
+    }
+    return keys;
+  }
+  std::size_t runs_in(std::string const& zone, Instant const from, Instant const to) const {
+    return static_cast<std::size_t>(std::count_if(ledger.begin(), ledger.end(), [&](LedgerEntry const& e) {
+      return e.zone == zone && e.at >= from && e.at < to;
+    }));
+  }
+
+  Sim sim;
+  SimNet net;
+  std::vector<std::string> const zones;
+  InterfaceAdapter adapter;
+  std::map<std::string, Core> cores;
+  std::map<std::string, Machine> machines;
+  std::vector<LedgerEntry> ledger;
+  std::vector<std::shared_ptr<ClientRecord>> records;
+  std::vector<std::shared_ptr<StandInBackend>> all_backends;
+  bool serving = false;  // clients ask
+
+ private:
+  static constexpr DataPathHeaders header_names{"attempt", "remaining", "target",     "answering", "key",
+                                                "caller",  "not-run",   "load-level", "seal"};
+  static constexpr Duration beat_every = 1500ms;
+  static constexpr Duration release_takes = 40ms;
+
+  /** The node's connections to its stand-in backend. */
+  class Caller : public BackendCaller {
+   public:
+    Caller(MeshTrial& trial, SimProcess& process, std::shared_ptr<StandInBackend> backend)
+        : trial_(trial), process_(process), backend_(std::move(backend)) {}
+    Task<Result<HttpReply>> call(BackendCall call) override {
+      std::shared_ptr<StandInBackend> const backend = backend_;
+      HttpReply reply;
+      reply.headers.push_back({call.attempt_header, call.attempt_id});
+      std::string const key = header_of(call.request, "key");
+      if (!key.empty() && !holds(*backend, static_cast<std::uint32_t>(std::stoul(key)))) {
+        ++backend->outside_its_keys;
+        reply.status = 421;
+        co_return reply;
+      }
+      trial_.ledger.push_back(LedgerEntry{call.attempt_id, backend->zone, trial_.sim.now});
+      ++backend->running;
+      co_await sleep_for(process_, std::chrono::milliseconds(15 + process_.chance()() % 30));
+      --backend->running;
+      reply.status = 200;
+      co_return reply;
+    }
+    void close() override {}
+
+   private:
+    bool holds(StandInBackend const& backend, std::uint32_t const key) const {
+      return std::any_of(backend.rows.begin(), backend.rows.end(), [&](StandInBackend::Row const& r) {
+        return r.from <= key && key <= r.to && r.end > process_.now();
+      });
+    }
+    MeshTrial& trial_;
+    SimProcess& process_;
+    std::shared_ptr<StandInBackend> const backend_;
+  };
+
+  static Address address_of(std::string const& machine, std::uint16_t const port) {
+    return machine + ":" + std::to_string(port);
+  }
+  std::vector<Address> seeds(std::uint16_t const port) const {
+    std::vector<Address> all;
+    for (std::string const& zone : zones) all.push_back(address_of("core-" + zone, port));
+    return all;
+  }
+  std::shared_ptr<SimProcess> process(std::string const& machine, Address const& address) {
+    std::shared_ptr<SimProcess> const p = std::make_shared<SimProcess>(sim, net, machine, address, ++runs);
+    processes.push_back(p);
+    net.at[address] = p;
+    net.machine_of[address] = machine;
+    return p;
+  }
+  Desk& desk(SimProcess& p) {
+    desks.push_back(std::make_unique<Desk>());
+    p.serve(*desks.back());
+    return *desks.back();
+  }
+
+  // Bytes that cross the made-up interface are numbers of what they stand for.
+  void make_adapter() {
+    adapter.headers = header_names;
+    adapter.read_configuration = [](std::string_view) -> Result<ServiceConfiguration> { return configuration(); };
+    adapter.interpret = [this](HttpRequest const& q) -> tl::expected<InterfaceOperation, InterfaceReply> {
+      if (q.target == "/beat") return InterfaceOperation(HeartbeatOperation{beats.at(std::stoul(q.body))});
+      if (q.method == "PUT") return InterfaceOperation(WriteConfigurationOperation{std::stoul(q.body), q.body});
+      return InterfaceOperation(ReadinessOperation{});
+    };
+    adapter.heartbeat_reply = [this](HeartbeatAnswer const& answer) {
+      answers.push_back(answer);
+      return InterfaceReply{200, "", std::to_string(answers.size() - 1), "", ""};
+    };
+    adapter.readiness_reply = [](bool const ready) { return InterfaceReply{ready ? 200u : 503u, "", "", "", ""}; };
+    adapter.acknowledgement_reply = [] { return InterfaceReply{}; };
+    adapter.unavailable_reply = [](std::string_view) { return InterfaceReply{503, "", "", "", ""}; };
+  }
+
+  static ServiceConfiguration configuration() {
+    ServiceConfiguration all;
+    all.version = 1;
+    for (std::string_view const name : trial_services) {
+      std::uint32_t const index = static_cast<std::uint32_t>(all.services.size());
+      ServiceDefinition service;
+      service.name = name;
+      service.keyed = name == "accounts";
+      all.services.push_back(service);
+      Route route;
+      route.name = name;
+      route.host = std::string(name) + ".test";
+      route.prefix = "/";
+      route.repeatable = name == "browse";
+      route.attempt_limit = route.repeatable ? 2 : 1;
+      route.timeout = timeout;
+      route.aim = aim;
+      route.targets = {WeightedService{index, 1}};
+      all.routes.push_back(route);
+    }
+    return all;
+  }
+
+  Task<void> keep_beating(std::shared_ptr<SimProcess> const p, std::shared_ptr<MeshNode<SimProcess>> const node,
+                          std::shared_ptr<StandInBackend> const backend) {
+    while (true) {
+      BackendHeartbeat beat;
+      beat.id = backend->id;
+      beat.service = backend->service;
+      beat.address = p->machine + ":9";
+      beat.zone = backend->zone;
+      beat.slots = slots;
+      beat.sequence = ++backend->beats;
+      std::erase_if(backend->rows, [&](StandInBackend::Row const& r) { return r.end <= p->now(); });
+      for (StandInBackend::Row const& r : backend->rows) beat.held.push_back(HeartbeatHeldRow{r.from, r.to, r.fence});
+      beat.released = backend->released;
+      beats.push_back(beat);
+      HttpRequest const request{"POST", "/beat", {}, std::to_string(beats.size() - 1)};
+      Instant const sent = p->now();
+      HttpReply const reply = co_await node->interface_call(request);
+      HeartbeatAnswer const answer = reply.body.empty() ? HeartbeatAnswer{} : answers.at(std::stoul(reply.body));
+      backend->released.clear();
+      bool const lets_go = answer.grant && take_rows(*backend, sent, *answer.grant);
+      co_await sleep_for(*p, lets_go ? release_takes : std::max<Duration>(sent + beat_every - p->now(), 1ms));
+    }
+  }
+
+  // Rows come and go whole here: what isn't granted any more is let go with a token.
+  static bool take_rows(StandInBackend& backend, Instant const sent, HeartbeatGrant const& grant) {
+    std::vector<StandInBackend::Row> rows;
+    for (HeartbeatGrantedRow const& g : grant.rows)
+      rows.push_back(StandInBackend::Row{g.from, g.to, g.fence, sent + grant.hold});
+    bool lets_go = false;
+    for (StandInBackend::Row const& old : backend.rows) {
+      bool const kept_one = std::any_of(
+          rows.begin(), rows.end(), [&](StandInBackend::Row const& r) { return r.from <= old.from && old.to <= r.to; });
+      if (kept_one) continue;
+      backend.released.push_back(HeartbeatReleasedRow{old.from, old.to, "token-of-" + backend.id});
+      lets_go = true;
+    }
+    backend.rows = std::move(rows);
+    return lets_go;
+  }
+
+  // One client of each service a machine: it wants one thing after the other. What
+  // was refused as not run it asks for again under a new name; nothing else.
+  Task<void> keep_asking(std::shared_ptr<SimProcess> const p, std::shared_ptr<MeshNode<SimProcess>> const node,
+                         Machine const& machine, std::string const service) {
+    while (true) {
+      co_await sleep_for(*p, std::chrono::milliseconds(100 + p->chance()() % 200));
+      if (!serving || !node->ready()) continue;
+      std::shared_ptr<ClientRecord> const record = std::make_shared<ClientRecord>();
+      record->request = service + "-" + std::to_string(records.size());
+      record->service = service;
+      record->zone = machine.zone;
+      record->begun = sim.now;
+      records.push_back(record);
+      std::string const key = std::to_string(p->chance()() % 65536);
+      do {
+        if (record->outcome == ClientOutcome::refused) co_await sleep_for(*p, 100ms);
+        co_await ask_once(*node, *record, key);
+      } while (record->outcome == ClientOutcome::refused);
+      record->took = sim.now - record->begun;
+    }
+  }
+
+  static Task<void> ask_once(MeshNode<SimProcess>& node, ClientRecord& record, std::string const& key) {
+    HttpRequest q;
+    q.method = "POST";
+    q.target = "/thing";
+    q.headers = {{"Host", record.service + ".test"},
+                 {"attempt", record.request + "/" + std::to_string(++record.attempts)}};
+    if (record.service == "accounts") q.headers.push_back({"key", key});
+    record.outcome = ClientOutcome::none;
+    std::shared_ptr<HttpExchange> const exchange = std::make_shared<HttpExchange>();
+    HttpReply const reply = co_await node.request(std::move(q), exchange);
+    record.outcome = reply.status == 200   ? ClientOutcome::done
+                     : reply.status == 503 ? ClientOutcome::refused
+                                           : ClientOutcome::unknown;
+  }
+
+  std::vector<std::shared_ptr<SimProcess>> processes;
+  std::vector<std::unique_ptr<Desk>> desks;
+  std::vector<BackendHeartbeat> beats;
+  std::vector<HeartbeatAnswer> answers;
+  std::uint64_t runs = 0;
+  // Objects on processes: they go before the processes that their alarms belong to.
+  std::vector<std::shared_ptr<void>> kept;
+};
+
+}  // namespace banktide
