--- a/source/programs/maintenance_command.cpp
+++ b/source/programs/maintenance_command.cpp
@@ -71,7 +71,8 @@
   Json const windows =
       command.verb == MaintenanceVerb::status ? answer.value("windows", Json::array()) : Json::array({answer});
   for (Json const& window : windows)
-    if (command.zone.empty() || window.value("zone", "") == command.zone) asked.push_back(window);
+    if (window.is_object() && (command.zone.empty() || window.value("zone", "") == command.zone))
+      asked.push_back(window);
   return asked;
 }
 
--- a/tests/programs/maintenance_command_test.cpp
+++ b/tests/programs/maintenance_command_test.cpp
@@ -77,6 +77,8 @@
   reply.status = 200;
   reply.body = "<html>";
   EXPECT_EQ(maintenance_exit_code(status, reply), exit_not_clear);
+  reply.body = R"({"windows":[7]})";
+  EXPECT_EQ(maintenance_exit_code(status, reply), exit_not_clear);
   reply.body = R"({"zone":"a","phase":"returning"})";
   EXPECT_EQ(maintenance_exit_code(end, reply), exit_good);
 }
