--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -88,6 +88,19 @@
     for (auto const& [zone, feed] : feeds_) all.push_back(zone);
     return all;
   }
+  /// All zones that a registry or an entry is known of.
+  std::set<std::string> zone_names() const {
+    std::set<std::string> names{s_.cell};
+    for (RegistryEntry const& e : directory_.entries()) names.insert(e.cell);
+    for (auto const& [zone, entry] : view().cells) names.insert(zone);
+    return names;
+  }
+  /// What each zone offers, the own one among them.
+  std::vector<CellEntry> zone_entries() const {
+    std::vector<CellEntry> all{own_feed_->entry()};
+    for (auto const& [zone, entry] : view().cells) all.push_back(entry);
+    return all;
+  }
   /// Of the registries heard of in the last moments, this has the lowest address.
   bool first_of_live_registries() const {
     std::vector<Address> const live = directory_.live(w_.now(), heard_lately);
@@ -102,7 +115,9 @@
     if (r == Register::keys) delta = make_key_delta(mine, h);
     mine = h;
     if (r == Register::keys) remember(delta);
-    log_info("revision_known", {{"register", register_name(r)}, {"revision", std::to_string(h.revision)}});
+    // Written every few seconds of a window; its phases are logged where they are counted.
+    if (r != Register::maintenance)
+      log_info("revision_known", {{"register", register_name(r)}, {"revision", std::to_string(h.revision)}});
     for (auto const& [zone, feed] : feeds_) {
       if (delta) {
         feed->send_key_delta(*delta);
@@ -491,7 +506,7 @@
   Instant const started_;
   Mishaps mishaps_;
   RegistryDirectory directory_;
-  std::array<Held, told_registers.size()> held_;
+  std::array<Held, register_count> held_;
   KeyDeltaHistory key_deltas_;  // up to the table held, if any
   Instant vouched_at_{};
   bool leaving_ = false;
