Readers no longer keep the register's voters from agreeing

A register without a ballot that a majority agrees on in the newest epoch (never written there, or rounds compete for it) was asked for again every 2 to 10 ms by each node of a keyed service, and each node's question for a fresh reading made its registry read every register anew. The stores, with 0.13 cores a machine, found no time for the rounds that would have ended it.

Ruled out: nodes whose table stays behind the version that was confirmed.

Change: the highest revision of a quorum bounds what was chosen before the question, so a confirmation needs no agreement; pauses after failures double; a lease goes on while a newer table is on its way, and a confirmed reading counts once its table is here; askers of a registry share readings.

--- a/source/coordination/key_coordinator.hpp
+++ b/source/coordination/key_coordinator.hpp
@@ -75,7 +75,11 @@
   Task<void> refresh() {
     Result<Held> const read = co_await store_.read(Register::keys, held_, w_.now() + register_patience);
     fresh_ = read.has_value();
-    if (read) take(*read);
+    if (!read) {
+      log_info("key_table_not_read", {{"reason", read.error().reason}});
+      co_return;
+    }
+    take(*read);
   }
 
   Task<void> act() {
@@ -97,6 +101,7 @@
     if (done) {
       take(*done);
     } else {
+      log_info("key_table_not_written", {{"revision", std::to_string(next.revision)}, {"reason", done.error().reason}});
       fresh_ = false;  // it may have been written all the same: read before the next plan
     }
   }
--- a/source/coordination/key_holder.cpp
+++ b/source/coordination/key_holder.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::size_t remembered_releases = 256;
 constexpr std::size_t remembered_ends = 8;
+constexpr std::size_t pending_leases_limit = 8;
 constexpr Duration wake_gap = 1s;            // no report for longer than this: the process was frozen
 constexpr float hot_row_share = 0.15F;       // of the capacity, or else of the load: such a row's cuts are told
 constexpr float parts_of_least_hot_row = 4;  // into which such a row is cut
@@ -135,9 +136,7 @@
   }
 }
 
-bool KeyHolder::leased(Instant const now) const {
-  return lease_until_ && now < *lease_until_ && table_revision_ >= confirmed_revision_;
-}
+bool KeyHolder::leased(Instant const now) const { return lease_until_ && now < *lease_until_; }
 
 // The rows of this instance, without those on the move. Beyond the bound,
 // neighbours under one fence go as one row.
@@ -233,6 +232,7 @@
   find_ended_in_table();
   match_releases();
   refresh_leaving();
+  start_pending_leases();
 }
 
 // One backend runs beside a node: an instance that the table still names here,
@@ -258,11 +258,24 @@
 }
 
 void KeyHolder::on_confirmed(Revision const revision, Instant const sent) {
-  confirmed_revision_ = std::max(confirmed_revision_, revision);
   Instant const until = sent + settings_.term;
+  if (revision <= table_revision_) return extend_lease(until);
+  if (pending_leases_.size() >= pending_leases_limit) pending_leases_.erase(pending_leases_.begin());
+  pending_leases_.push_back(PendingLease{revision, until});
+}
+
+void KeyHolder::extend_lease(Instant const until) {
   if (!lease_until_ || *lease_until_ < until) lease_until_ = until;
 }
 
+void KeyHolder::start_pending_leases() {
+  std::erase_if(pending_leases_, [this](PendingLease const& pending) {
+    if (pending.revision > table_revision_) return false;
+    extend_lease(pending.until);
+    return true;
+  });
+}
+
 void KeyHolder::on_instance_ended(std::string const& instance, std::string const& reason) {
   end_life(instance, reason);
 }
--- a/source/coordination/key_holder.hpp
+++ b/source/coordination/key_holder.hpp
@@ -66,7 +66,9 @@
 
   /// A chosen table, from whomever; older ones change nothing.
   void on_table(KeyTable const& table);
-  /// A majority confirmed that this was the newest table; the question was sent at `sent`.
+  /// A majority confirmed that no newer table was chosen when the question was sent, at `sent`.
+  /// The lease starts once a table of at least that revision is here; one that is running
+  /// goes on meanwhile, as its own reading still holds.
   void on_confirmed(Revision revision, Instant sent);
   /// The process of an instance is proved to have ended, or left in order.
   void on_instance_ended(std::string const& instance, std::string const& reason);
@@ -112,6 +114,14 @@
     std::string handover;
   };
 
+  // A confirmed reading whose table isn't here yet.
+  struct PendingLease {
+    Revision revision = 0;
+    Instant until{};
+  };
+
+  void extend_lease(Instant until);
+  void start_pending_leases();
   void begin_life(std::string const& instance);
   void end_life(std::string const& instance, std::string const& reason);
   bool awake(Instant now) const;
@@ -144,8 +154,8 @@
   std::set<std::string> ended_ids_;
 
   Revision table_revision_ = 0;
-  Revision confirmed_revision_ = 0;
   std::optional<Instant> lease_until_;
+  std::vector<PendingLease> pending_leases_;
   std::vector<Mine> mine_;
 
   Instant last_report_{};
--- a/source/coordination/register_client.hpp
+++ b/source/coordination/register_client.hpp
@@ -3,7 +3,10 @@
 // newest value that the majority holds, so changes are ordered with no log and
 // no leader; their numbers are what the caller sets. A reading is vouched for by
 // a majority that holds the same ballot; otherwise a round writes back what it
-// found. "Majority" is the quorum of coordination/voter_set.hpp, in a set of
+// found. Of a quorum that doesn't agree, the highest revision still bounds every
+// value chosen before the question: who knows a chosen value of at least that
+// revision has a current reading without any agreement, also while rounds are
+// under way. "Majority" is the quorum of coordination/voter_set.hpp, in a set of
 // voters that a voter has told, or that is fixed; newer sets are followed.
 #pragma once
 
@@ -38,7 +41,8 @@
   Instant asked{};
 };
 
-/// The same without the value.
+/// The same without the value: no greater revision was chosen before `asked`.
+/// It may itself belong to a round that is still under way.
 struct ConfirmedRevision {
   Revision revision = 0;
   Instant asked{};
@@ -99,9 +103,7 @@
     bool offered = false;
     std::string last = "no majority";
     for (std::uint64_t attempt = 0; w_.now() < deadline; ++attempt) {
-      if (attempt > 0)
-        co_await sleep_for(
-            w_, std::chrono::milliseconds(2 + w_.chance()() % (20ull << std::min<std::uint64_t>(attempt, 4))));
+      if (attempt > 0) co_await sleep_for(w_, pause_before(attempt));
       bool const known = co_await find_voters(attempt, deadline);
       if (!known) {
         last = "no voter has told the set of voters";
@@ -188,14 +190,15 @@
     co_return not_confirmed(reg);
   }
 
-  /// The same for those who get the value by other ways: it doesn't travel.
-  Task<Result<ConfirmedRevision>> confirm_revision(Register const reg, Instant const deadline) {
+  /// The same for those who get the value by other ways: it doesn't travel. `have`
+  /// is the revision of the chosen value that the caller knows.
+  Task<Result<ConfirmedRevision>> confirm_revision(Register const reg, Revision const have, Instant const deadline) {
     for (std::uint64_t attempt = 0; w_.now() < deadline; ++attempt) {
       bool const ready = co_await ready_to_ask(attempt, deadline);
       if (!ready) continue;
       Instant const asked = w_.now();
-      std::optional<Agreement> const agreed = co_await agree(reg, deadline);
-      if (agreed) co_return ConfirmedRevision{agreed->revision, asked};
+      std::optional<Reading> const reading = co_await read_revision(reg, have, deadline);
+      if (reading) co_return ConfirmedRevision{reading->agreed ? reading->agreed->revision : reading->bound, asked};
     }
     co_return not_confirmed(reg);
   }
@@ -231,6 +234,8 @@
   static constexpr Duration fetch_patience = 300ms;
   static constexpr std::size_t most_contacts = 16;
   static constexpr std::uint64_t attempts_before_asking_again = 3;
+  static constexpr std::uint64_t first_pause_ms = 20;
+  static constexpr std::uint64_t pause_doublings = 4;
 
   template <class Replies, class Field>
   static std::size_t count(Replies const& replies, Field const field) {
@@ -253,9 +258,15 @@
   }
 
   Task<bool> ready_to_ask(std::uint64_t const attempt, Instant const deadline) {
-    if (attempt > 0) co_await sleep_for(w_, std::chrono::milliseconds(2 + w_.chance()() % 8));
+    if (attempt > 0) co_await sleep_for(w_, pause_before(attempt));
     co_return co_await find_voters(attempt, deadline);
   }
+  // Pauses double: many clients that ask again at once would keep the voters too busy
+  // to complete the very round that they wait for.
+  Duration pause_before(std::uint64_t const attempt) {
+    std::uint64_t const longest = first_pause_ms << std::min(attempt, pause_doublings);
+    return std::chrono::milliseconds(2 + w_.chance()() % longest);
+  }
   tl::unexpected<Mishap> not_confirmed(Register const reg) const {
     return mishap("confirm", register_name(reg), set_known_ ? "no majority agrees" : "no voters known", Proof::not_run);
   }
@@ -267,8 +278,17 @@
     std::vector<Address> voters;
   };
 
-  // What a majority agrees on. A ballot of an older epoch is no agreement: it
-  // may have been copied here from less than a majority.
+  // What a quorum says of a register's revisions.
+  struct Reading {
+    // No greater revision was chosen before the question: each chosen value is held by
+    // one of any quorum, or was taken up by every voter as it became active in this epoch.
+    Revision bound = 0;
+    std::optional<Agreement> agreed;
+  };
+
+  // What a majority agrees on, or `known` if nothing newer can have been chosen. A
+  // ballot of an older epoch is no agreement: it may have been copied here from less
+  // than a majority.
   Task<std::optional<Held>> peek(Register const reg, Held const known, Instant const deadline) {
     if (value_is_large(reg)) co_return co_await peek_and_fetch(reg, known, deadline);
     std::uint64_t const epoch = set_.epoch;
@@ -276,8 +296,11 @@
     Peek const question{reg, known.revision, epoch};
     auto const replies =
         co_await ask_all<Peek>(w_, addresses_of(set_), question, std::min(deadline, w_.now() + round_patience),
-                               [epoch, needed](auto const& r) { return agreeing(r, epoch).second >= needed; });
+                               [epoch, needed, &known](auto const& r) {
+                                 return agreeing(r, epoch).second >= needed || none_newer(r, needed, known.revision);
+                               });
     follow_newer(replies);
+    if (none_newer(replies, needed, known.revision)) co_return known;
     auto const [at, n] = agreeing(replies, epoch);
     if (n < needed) co_return std::nullopt;
     PeekReply const& r = *replies[at].second;
@@ -287,30 +310,38 @@
   // Only one voter's answer is to carry such a value.
   static bool value_is_large(Register const reg) { return reg == Register::keys; }
 
-  Task<std::optional<Agreement>> agree(Register const reg, Instant const deadline) {
+  Task<std::optional<Reading>> read_revision(Register const reg, Revision const have, Instant const deadline) {
     std::uint64_t const epoch = set_.epoch;
     std::size_t const needed = quorum_of(set_);
     std::vector<Address> const voters = addresses_of(set_);
     Peek const question{reg, 0, epoch, false};
-    auto const replies =
-        co_await ask_all<Peek>(w_, voters, question, std::min(deadline, w_.now() + round_patience),
-                               [epoch, needed](auto const& r) { return agreeing(r, epoch).second >= needed; });
+    auto const replies = co_await ask_all<Peek>(
+        w_, voters, question, std::min(deadline, w_.now() + round_patience), [epoch, needed, have](auto const& r) {
+          return agreeing(r, epoch).second >= needed || none_newer(r, needed, have);
+        });
     follow_newer(replies);
+    if (voting(replies) < needed) co_return std::nullopt;
+    Reading reading;
+    reading.bound = newest_revision(replies);
     auto const [at, n] = agreeing(replies, epoch);
-    if (n < needed) co_return std::nullopt;
+    if (n < needed) co_return reading;
     Agreement agreed;
     agreed.accepted = replies[at].second->accepted;
     agreed.revision = replies[at].second->revision;
     for (auto const& [i, r] : replies)
       if (r && r->voting && r->accepted == agreed.accepted) agreed.voters.push_back(voters[i]);
-    co_return agreed;
+    reading.agreed = std::move(agreed);
+    co_return reading;
   }
 
   // A voter that has accepted another ballot meanwhile may hold what is never
   // chosen, so only a value under the ballot of the agreement counts.
   Task<std::optional<Held>> peek_and_fetch(Register const reg, Held const known, Instant const deadline) {
     std::uint64_t const epoch = set_.epoch;
-    std::optional<Agreement> const agreed = co_await agree(reg, deadline);
+    std::optional<Reading> const reading = co_await read_revision(reg, known.revision, deadline);
+    if (!reading) co_return std::nullopt;
+    if (reading->bound <= known.revision) co_return known;
+    std::optional<Agreement> const& agreed = reading->agreed;
     if (!agreed) co_return std::nullopt;
     if (agreed->revision <= known.revision) co_return known;
     for (Address const& voter : agreed->voters) {
@@ -321,6 +352,24 @@
     co_return std::nullopt;
   }
 
+  template <class Replies>
+  static std::size_t voting(Replies const& replies) {
+    std::size_t n = 0;
+    for (auto const& [i, r] : replies) n += r && r->voting;
+    return n;
+  }
+  template <class Replies>
+  static Revision newest_revision(Replies const& replies) {
+    Revision newest = 0;
+    for (auto const& [i, r] : replies)
+      if (r && r->voting) newest = std::max(newest, r->revision);
+    return newest;
+  }
+  template <class Replies>
+  static bool none_newer(Replies const& replies, std::size_t const needed, Revision const have) {
+    return voting(replies) >= needed && newest_revision(replies) <= have;
+  }
+
   template <class Replies>
   static std::pair<std::size_t, std::size_t> agreeing(Replies const& replies, std::uint64_t const epoch) {
     std::pair<std::size_t, std::size_t> best{0, 0};
--- a/source/coordination/zone_follower.hpp
+++ b/source/coordination/zone_follower.hpp
@@ -410,7 +410,9 @@
       bool const values = co_await catch_up_values(from);
       if (!followed && !viewed_ && !registries.others.empty() && w_.now() - started_ > 3s)
         co_await borrow_view(registries.others[w_.chance()() % registries.others.size()]);
-      co_await sleep_for(w_, followed && values ? Duration(20ms) : Duration(150ms));
+      if (values) ask_pause_ = shortest_ask_pause;
+      co_await sleep_for(w_, followed && values ? Duration(20ms) : jittered(ask_pause_));
+      if (!values) ask_pause_ = std::min(2 * ask_pause_, longest_ask_pause);
     }
   }
 
@@ -476,7 +478,12 @@
     }
   }
 
+  // Nodes that fail together don't ask again together.
+  Duration jittered(Duration const pause) { return pause * 3 / 4 + Duration(w_.chance()() % (pause.count() / 2)); }
+
   static constexpr Duration meet_patience = 500ms;
+  static constexpr Duration shortest_ask_pause = 150ms;
+  static constexpr Duration longest_ask_pause = 600ms;
   static constexpr Duration own_keys_patience = 150ms;
   static constexpr Duration other_keys_patience = 300ms;
   static constexpr Duration ask_keys_again = 25ms;
@@ -498,6 +505,7 @@
   std::array<Held, register_count> held_;
   Position at_;
   std::map<std::string, Instant> heard_;
+  Duration ask_pause_ = shortest_ask_pause;  // doubles while nobody vouches for values
   std::uint32_t cores_ = 0;
   std::uint64_t incarnation_ = 1, pulse_ = 0, pulse_epoch_ = 0;
   Instant vouched_{};
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -93,6 +93,8 @@
   static constexpr double busy_weight = 0.15;
   static constexpr Duration confirm_patience = 1s;
   static constexpr Duration first_confirm_patience = 150ms;
+  static constexpr Duration first_confirm_every = 250ms;
+  static constexpr Duration longest_confirm_pause = 1600ms;
   static constexpr Duration news_come_after = 4s;
 
   bool in_contact() const { return follower_.since_contact() < isolated_after; }
@@ -272,6 +274,7 @@
     keys_ = std::make_unique<KeyHolder>(service, s_.follower.id, s_.follower.address, s_.follower.zone, s_.keys);
     if (table_) keys_->on_table(*table_);
     local_.set_keys(keys_.get());
+    confirm_soon_ = true;
   }
 
   KeyBeat key_beat(BackendHeartbeat const& beat) const {
@@ -289,40 +292,55 @@
     return k;
   }
 
-  // Right after its start a node gets no news yet: it reads the table itself until its backend has rows.
+  // Right after its start a node gets no news yet: it looks for a table more often
+  // until its backend has rows.
   bool awaits_first_rows() const { return keys_->grants_nothing() && w_.now() - started_ < news_come_after; }
 
-  // The lease of the keys here rests on readings that a majority confirms.
+  Duration confirm_period() const { return awaits_first_rows() ? first_confirm_every : s_.keys.confirm_every; }
+
+  // The lease of the keys here rests on readings that a majority confirms. A table
+  // that comes by news needs none: the lease that is running goes on with it.
   Task<void> keep_confirming() {
     while (true) {
       co_await sleep_for(w_, tick_period);
-      if (!keys_ || (!confirm_soon_ && !awaits_first_rows() && w_.now() - confirmed_at_ < s_.keys.confirm_every))
-        continue;
+      if (!keys_) continue;
+      bool const wanted = confirm_soon_ && !keys_->leased(w_.now());
+      bool const due = w_.now() - confirmed_at_ >= confirm_period();
+      if ((!wanted && !due) || w_.now() < next_confirm_) continue;
       confirm_soon_ = false;
       registers_.learn(stores_beside(registry_addresses(), s_.store_port));
       // Until the voters are known all stores are waited for, even those that aren't up.
       Duration const patience = registers_.knows_voters() ? confirm_patience : first_confirm_patience;
-      bool const has_table = table_ && table_->revision > 0;
-      if (has_table) {
-        co_await confirm_table(w_.now() + patience);
-      } else {
-        co_await read_table(w_.now() + patience);
-      }
+      bool const confirmed = co_await confirm_table(w_.now() + patience);
+      pause_confirming(confirmed);
+    }
+  }
+
+  // Nodes that fail together don't ask again together.
+  void pause_confirming(bool const confirmed) {
+    if (confirmed) {
+      confirm_pause_ = tick_period;
+      return;
     }
+    next_confirm_ = w_.now() + confirm_pause_ / 2 + Duration(w_.chance()() % confirm_pause_.count());
+    confirm_pause_ = std::min(2 * confirm_pause_, longest_confirm_pause);
   }
 
-  // Only the version travels. If it is newer than the table here there is no lease
-  // until that has come: by news, from a registry, or at last from a store.
-  Task<void> confirm_table(Instant const deadline) {
-    Result<ConfirmedRevision> const newest = co_await registers_.confirm_revision(Register::keys, deadline);
-    if (!newest || !keys_) co_return;
+  // Only the version travels. If it is newer than the table here, this reading counts
+  // once that has come: by news, from a registry, or at last from a store.
+  Task<bool> confirm_table(Instant const deadline) {
+    Revision const have = table_ ? table_->revision : 0;
+    Result<ConfirmedRevision> const newest = co_await registers_.confirm_revision(Register::keys, have, deadline);
+    if (!newest || !keys_) co_return false;
     confirmed_at_ = newest->asked;
     keys_->on_confirmed(newest->revision, newest->asked);
     grant_alarm_.wake();
-    if (table_->revision >= newest->revision) co_return;
+    if (has_table(newest->revision)) co_return true;
     bool const here = co_await follower_.fetch_keys(newest->revision);
     if (!here) co_await read_table(w_.now() + confirm_patience);
+    co_return has_table(newest->revision);
   }
+  bool has_table(Revision const wanted) const { return wanted <= (table_ ? table_->revision : 0); }
 
   Task<void> read_table(Instant const deadline) {
     Held const known = follower_.held(Register::keys);
@@ -399,6 +417,8 @@
   std::shared_ptr<KeyTable const> table_;
   MaintenanceView maintenance_;
   Instant confirmed_at_{};
+  Instant next_confirm_{};
+  Duration confirm_pause_ = tick_period;
   bool confirm_soon_ = true;
   std::uint64_t beats_taken_ = 0;  // only the answer to the last beat may wait
   typename W::Alarm grant_alarm_;  // has one waiter: that beat
--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -8,6 +8,7 @@
 #include "coordination/lease_voter.hpp"
 #include "coordination/register_client.hpp"
 #include "coordination/registry_directory.hpp"
+#include "coordination/shared_reading.hpp"
 #include "coordination/zone_entries.hpp"
 #include "coordination/zone_feed.hpp"
 #include "programs/operator_interface.hpp"
@@ -40,6 +41,7 @@
         started_(w.now()),
         directory_(s_.seeds),
         entries_(t_),
+        reading_(w, SharedReadingSettings{t_.read_every}, [this] { return read_all(); }),
         operators_(*this) {
     directory_.set_own(RegistryEntry{s_.cell, s_.address});
     own_feed_ = make_feed(s_.cell);
@@ -59,7 +61,7 @@
     desk.on<DecisionsAsk>([this](DecisionsAsk q) { return decisions(std::move(q)); });
     desk.on<StateAsk>([this](StateAsk q) { return state(q); });
     spawn(w_, keep_meeting());
-    spawn(w_, keep_reading());
+    spawn(w_, reading_.run());
     if (!s_.voters.empty()) spawn(w_, find_floor());
     spawn(w_, keep_pulsing());
     spawn(w_, keep_watching());
@@ -71,7 +73,7 @@
   /// Its nodes had time to join it since it started.
   bool warm() const { return w_.now() - started_ >= t_.warm_up; }
   /// There is a recent reading of a majority.
-  bool vouched() const { return w_.now() - vouched_at_ < vouched_for; }
+  bool vouched() const { return reading_.newest() && w_.now() - *reading_.newest() < vouched_for; }
 
   RegistrySettings const& settings() const { return s_; }
   W& world() { return w_; }
@@ -208,6 +210,8 @@
 
  private:
   static constexpr Duration vouched_for = 600ms;
+  static constexpr Duration read_patience = 1s;
+  static constexpr Duration fresh_patience = 300ms;  // of a node that asks for a reading of its own
   static constexpr Duration heard_lately = 1500ms;
   static constexpr Duration adopt_after = 1s;  // of this registry's start
   static constexpr Duration meet_patience = 500ms;
@@ -247,7 +251,7 @@
   }
 
   Task<LayoutsReply> layouts(LayoutsAsk q) {
-    if (q.fresh || !vouched()) co_await read_all(300ms);
+    if (q.fresh || !vouched()) co_await reading_.read_anew(w_.now() + fresh_patience);
     LayoutsReply reply;
     reply.known = vouched();
     reply.revisions = revisions();
@@ -279,15 +283,14 @@
     return all;
   }
 
-  // A reading counts from when it was asked for.
-  Task<void> read_all(Duration const patience) {
-    Instant const asked = w_.now();
+  Task<bool> read_all() {
+    Instant const deadline = w_.now() + read_patience;
     bool all = true;
     for (Register const r : told_registers) {
-      bool const done = co_await read_one(r, asked + patience);
+      bool const done = co_await read_one(r, deadline);
       all = all && done;
     }
-    if (all) vouched_at_ = std::max(vouched_at_, asked);
+    co_return all;
   }
 
   Task<bool> read_one(Register const r, Instant const deadline) {
@@ -305,7 +308,8 @@
   // A table that was just written comes from the registry that wrote it, by what
   // has changed; only if it doesn't come the whole is read.
   Task<bool> confirm_keys(Instant const deadline) {
-    Result<ConfirmedRevision> const newest = co_await register_.confirm_revision(Register::keys, deadline);
+    Result<ConfirmedRevision> const newest =
+        co_await register_.confirm_revision(Register::keys, held(Register::keys).revision, deadline);
     if (!newest) co_return false;
     Instant const until = w_.now() + told_within;
     while (held(Register::keys).revision < newest->revision && w_.now() < until)
@@ -324,13 +328,6 @@
     }
   }
 
-  Task<void> keep_reading() {
-    while (true) {
-      co_await read_all(1s);
-      co_await sleep_for(w_, t_.read_every);
-    }
-  }
-
   Task<LeaseReply> lease(LeaseAsk q) { co_return lease_.ask(q); }
 
   // ---- other registries
@@ -508,11 +505,11 @@
   RegistryDirectory directory_;
   std::array<Held, register_count> held_;
   KeyDeltaHistory key_deltas_;  // up to the table held, if any
-  Instant vouched_at_{};
   bool leaving_ = false;
   std::shared_ptr<ZoneFeed<W>> own_feed_;
   std::map<std::string, std::shared_ptr<ZoneFeed<W>>> feeds_;
   ZoneEntries entries_;
+  SharedReading<W> reading_;
   OperatorInterface<W> operators_;
 };
 
--- a/tests/coordination/key_holder_test.cpp
+++ b/tests/coordination/key_holder_test.cpp
@@ -80,6 +80,35 @@
   EXPECT_TRUE(t.holder.on_beat(t.now, t.beat()).renews);
 }
 
+TEST(KeyHolder, a_running_lease_goes_on_while_newer_tables_are_confirmed_that_are_not_here_yet) {
+  HolderTrial t;
+  t.confirm();
+  Instant const first = t.now;
+  for (Revision ahead = 1; ahead <= 40; ++ahead) {
+    t.now += 100ms;
+    t.holder.on_confirmed(t.table.revision + ahead, t.now);
+    EXPECT_EQ(t.holder.on_beat(t.now, t.beat()).renews, t.now + 300ms < first + t.settings.term) << ahead;
+  }
+  t.now = first + t.settings.term;
+  EXPECT_FALSE(t.holder.leased(t.now)) << "what was confirmed without its table gives no lease";
+}
+
+TEST(KeyHolder, a_confirmed_reading_counts_from_its_question_once_its_table_is_here) {
+  HolderTrial t;
+  t.holder.on_confirmed(3, t.now);
+  t.holder.on_confirmed(5, t.now + 1s);
+  t.learn();
+  EXPECT_FALSE(t.holder.leased(t.now)) << "table 2";
+  t.learn();
+  EXPECT_TRUE(t.holder.leased(t.now)) << "table 3";
+  EXPECT_FALSE(t.holder.leased(t.now + t.settings.term));
+  t.learn();
+  EXPECT_FALSE(t.holder.leased(t.now + t.settings.term)) << "table 4";
+  t.learn();
+  EXPECT_TRUE(t.holder.leased(t.now + t.settings.term)) << "table 5";
+  EXPECT_FALSE(t.holder.leased(t.now + 1s + t.settings.term));
+}
+
 TEST(KeyHolder, leaves_out_what_is_revoked_or_moving) {
   HolderTrial t;
   t.confirm();
--- a/tests/coordination/key_table_feed_test.cpp
+++ b/tests/coordination/key_table_feed_test.cpp
@@ -240,7 +240,7 @@
   Result<ConfirmedRevision> confirm_revision(std::size_t const client, Duration const patience) {
     std::optional<Result<ConfirmedRevision>> done;
     auto const ask_for_it = [&]() -> Task<void> {
-      done = co_await registers[client]->confirm_revision(Register::keys, clients[client]->now() + patience);
+      done = co_await registers[client]->confirm_revision(Register::keys, 0, clients[client]->now() + patience);
     };
     spawn(*clients[client], ask_for_it());
     run_until([&] { return done.has_value(); }, patience + 2s);
@@ -270,6 +270,89 @@
   EXPECT_FALSE(t.confirm_revision(1, 1s));
 }
 
+// Each voter holds a value under a ballot of its own: no quorum agrees, as while
+// rounds compete.
+void hold_apart(ReadingTrial& t, Revision const first) {
+  for (std::size_t i = 0; i < t.addresses.size(); ++i) {
+    Accept alone{Register::keys, Ballot{t.acceptors[i]->set().epoch, 1000 + i, 7}, Held{}};
+    alone.held.revision = first + i;
+    alone.held.bytes = "apart";
+    std::optional<bool> accepted;
+    auto const offer = [&]() -> Task<void> {
+      Result<AcceptReply> const reply = co_await ask(*t.clients[2], t.addresses[i], alone, t.clients[2]->now() + 1s);
+      accepted = reply && reply->accepted;
+    };
+    spawn(*t.clients[2], offer());
+    ASSERT_TRUE(t.run_until([&] { return accepted.has_value(); }, 2s));
+    ASSERT_TRUE(*accepted);
+  }
+}
+
+TEST(ConfirmedRevision, of_voters_that_do_not_agree_it_is_the_highest_of_a_quorum_in_one_round_of_questions) {
+  ReadingTrial t(5);
+  ASSERT_TRUE(t.put(0, Register::keys, 7, "seven"));
+  hold_apart(t, 8);
+  std::size_t questions = 0;
+  t.net.struck = [&](SimProcess&, std::uint8_t const kind) {
+    questions += kind == Peek::kind;
+    return false;
+  };
+  Result<ConfirmedRevision> const newest = t.confirm_revision(1, 2s);
+  ASSERT_TRUE(newest);
+  EXPECT_EQ(newest->revision, 11u);
+  EXPECT_EQ(questions, 4u);
+}
+
+TEST(ConfirmedRevision, a_register_that_was_never_written_is_confirmed_as_empty_without_a_write) {
+  ReadingTrial t(6);
+  std::size_t prepares = 0;
+  t.net.struck = [&](SimProcess&, std::uint8_t const kind) {
+    prepares += kind == Prepare::kind;
+    return false;
+  };
+  Result<ConfirmedRevision> const newest = t.confirm_revision(1, 300ms);
+  ASSERT_TRUE(newest);
+  EXPECT_EQ(newest->revision, 0u);
+  EXPECT_EQ(prepares, 0u);
+}
+
+TEST(ConfirmedRevision, who_knows_the_newest_value_reads_without_a_write_while_ballots_differ) {
+  ReadingTrial t(7);
+  ASSERT_TRUE(t.put(0, Register::keys, 7, "seven"));
+  hold_apart(t, 8);
+  std::size_t prepares = 0;
+  t.net.struck = [&](SimProcess&, std::uint8_t const kind) {
+    prepares += kind == Prepare::kind;
+    return false;
+  };
+  Held known;
+  known.revision = 11;
+  known.bytes = "known";
+  std::optional<Result<Held>> read;
+  auto const read_it = [&]() -> Task<void> {
+    read = co_await t.registers[1]->read(Register::keys, known, t.clients[1]->now() + 1s);
+  };
+  spawn(*t.clients[1], read_it());
+  ASSERT_TRUE(t.run_until([&] { return read.has_value(); }, 2s));
+  ASSERT_TRUE(*read);
+  EXPECT_EQ((*read)->bytes, "known");
+  EXPECT_EQ(prepares, 0u);
+}
+
+TEST(ConfirmedRevision, clients_that_find_no_quorum_ask_less_and_less_often) {
+  ReadingTrial t(8);
+  ASSERT_TRUE(t.confirm_revision(1, 2s));
+  for (std::size_t i = 0; i < 3; ++i) t.power_off(i);
+  std::size_t questions = 0;
+  t.net.struck = [&](SimProcess&, std::uint8_t const kind) {
+    questions += kind == Peek::kind;
+    return false;
+  };
+  EXPECT_FALSE(t.confirm_revision(1, 10s));
+  EXPECT_GE(questions, 8u);
+  EXPECT_LE(questions, 70u);
+}
+
 TEST(ConfirmedRevision, one_voter_sends_the_value_to_who_has_none_and_another_if_that_one_is_gone) {
   ReadingTrial t(3);
   ASSERT_TRUE(t.put(0, Register::keys, 7, "seven"));
--- a/tests/coordination/zone_trial.hpp
+++ b/tests/coordination/zone_trial.hpp
@@ -153,9 +153,10 @@
   std::vector<Address> voters;
   std::vector<SimDisk> disks;
   std::vector<std::shared_ptr<Acceptor<SimProcess, SimDisk>>> acceptors;
+  // The processes outlive what runs on them: its alarms sign off there as they go.
+  std::vector<std::shared_ptr<SimProcess>> dead;
   std::map<std::string, Control> controls;
   std::map<std::string, Node> nodes;
-  std::vector<std::shared_ptr<SimProcess>> dead;
   std::vector<std::shared_ptr<Registry<SimProcess>>> kept;
   std::vector<std::unique_ptr<Desk>> desks;
 };
