Requests go to the better of two endpoints drawn, not to the best of all

Cause: all nodes of a zone know the same of their backends, up to 2 s old, and each took the one that looked best; the busiest backend of a service had up to 2.9 times the mean. Drawing two, abler ones more often, and taking the better is known to bear stale knowledge; a wait is also expected well before all slots look taken.

Ruled out: more frequent news of loads (bytes on links of 3.1 Mbit/s).

--- a/source/data_path/endpoint_selector.cpp
+++ b/source/data_path/endpoint_selector.cpp
@@ -15,6 +15,9 @@
 constexpr Duration outliers_found_every = 100ms;
 constexpr Duration failures_believed_for = 5s;  // then an endpoint gets another chance
 constexpr std::uint64_t one_in_so_many_probes = 24;
+constexpr double slowdown_of_full = 0.3;  // of a run, at a backend that is nearly full
+constexpr double wait_weight = 2;         // of the wait for a slot, in runs, when all look taken
+constexpr double wait_power = 6;
 
 }  // namespace
 
@@ -64,17 +67,21 @@
   return n == 0 ? 50000 : sum / static_cast<double>(n);
 }
 
-// The expected time until an answer, in microseconds: the run itself, and the
-// wait for a slot when none is free.
-double EndpointSelector::cost(Endpoint const& endpoint, Instant const now, double const mean_run_us) const {
+double EndpointSelector::run_of(Endpoint const& endpoint, double const mean_run_us) const {
   auto const it = history_.find(endpoint.address);
-  double const run = it == history_.end() || it->second.run_us == 0 ? mean_run_us : it->second.run_us;
+  return it == history_.end() || it->second.run_us == 0 ? mean_run_us : it->second.run_us;
+}
+
+// The expected time until an answer, in microseconds: the run itself, and the wait
+// for a slot. What is known of the load is a moment old, so the wait grows well before
+// all slots look taken.
+double EndpointSelector::cost(Endpoint const& endpoint, Instant const now, double const mean_run_us) const {
   double const slots = std::max<std::uint32_t>(endpoint.slots, 1);
   double const busy = busy_there(endpoint, now);
   double const queued = std::max(0.0, busy + 1 - slots);
-  // A nearly full backend is slower; among free ones the emptier is better.
   double const fullness = std::min(1.0, busy / slots);
-  return run * (1 + 0.3 * fullness + queued / slots);
+  double const wait = slowdown_of_full * fullness + wait_weight * std::pow(fullness, wait_power) + queued / slots;
+  return run_of(endpoint, mean_run_us) * (1 + wait);
 }
 
 std::uint32_t EndpointSelector::failed_percent(Endpoint const& endpoint, Instant const now) const {
@@ -126,35 +133,62 @@
       all, tried, now, chance, [&](Endpoint const& e) { return !others || !withheld(e, draw); }, shunned);
 }
 
+// Two are drawn, the abler ones more often, and the better of them is taken. To take
+// the best of all would send the requests of every node, which know the same of it, to
+// one endpoint at a time.
+Endpoint const* EndpointSelector::better_of_two(std::vector<Candidate> const& from, std::mt19937_64& chance) {
+  if (from.empty()) return nullptr;
+  Candidate const& first = from[draw(from, from.size(), chance)];
+  if (from.size() == 1) return first.endpoint;
+  std::size_t const skipped = static_cast<std::size_t>(&first - from.data());
+  Candidate const& second = from[draw(from, skipped, chance)];
+  return second.cost < first.cost ? second.endpoint : first.endpoint;
+}
+
+// One of all but the one at `skipped`, by their abilities.
+std::size_t EndpointSelector::draw(std::vector<Candidate> const& from, std::size_t const skipped,
+                                   std::mt19937_64& chance) {
+  double sum = 0;
+  for (std::size_t i = 0; i < from.size(); ++i) sum += i == skipped ? 0 : from[i].ability;
+  double left = std::uniform_real_distribution<double>(0, sum)(chance);
+  std::size_t last = 0;
+  for (std::size_t i = 0; i < from.size(); ++i) {
+    if (i == skipped) continue;
+    last = i;
+    left -= from[i].ability;
+    if (left < 0) break;
+  }
+  return last;
+}
+
 template <class Offered, class Shunned>
 Endpoint const* EndpointSelector::best_of(Endpoints const& all, std::set<Address> const& tried, Instant const now,
                                           std::mt19937_64& chance, Offered const offered, Shunned const shunned) const {
   double const mean = mean_run(all);
-  struct Best {
-    Endpoint const* endpoint = nullptr;
-    double cost = 0;
-    bool free = false;
-  };
-  Best local, remote;
+  std::vector<Candidate> free_local, free_remote;
+  std::optional<Candidate> least_full;
   std::vector<Endpoint const*> last_resort;
-  std::size_t const start = all.empty() ? 0 : chance() % all.size();
-  for (std::size_t i = 0; i < all.size(); ++i) {
-    Endpoint const& e = all[(start + i) % all.size()];
+  for (Endpoint const& e : all) {
     if (tried.contains(e.address) || !offered(e)) continue;
     if (shunned(e)) {
       last_resort.push_back(&e);
       continue;
     }
-    Best const candidate{&e, cost(e, now, mean), has_free_slot(e, now)};
-    Best& best = e.local_zone ? local : remote;
-    bool const better = best.endpoint == nullptr || (candidate.free && !best.free) ||
-                        (candidate.free == best.free && candidate.cost < best.cost);
-    if (better) best = candidate;
+    Candidate const candidate{&e, cost(e, now, mean), e.slots / run_of(e, mean)};
+    if (has_free_slot(e, now)) {
+      (e.local_zone ? free_local : free_remote).push_back(candidate);
+      continue;
+    }
+    double const penalty = e.local_zone ? 1 : crossing_penalty;
+    bool const better = !least_full || candidate.cost * penalty < least_full->cost;
+    if (better) least_full = Candidate{&e, candidate.cost * penalty, candidate.ability};
   }
-  if (local.endpoint != nullptr && (local.free || remote.endpoint == nullptr)) return local.endpoint;
-  if (remote.endpoint == nullptr) return last_resort.empty() ? nullptr : last_resort.front();
-  if (local.endpoint == nullptr) return remote.endpoint;
-  return remote.cost * crossing_penalty < local.cost ? remote.endpoint : local.endpoint;
+  if (!free_local.empty()) return better_of_two(free_local, chance);
+  Endpoint const* const remote = better_of_two(free_remote, chance);
+  if (remote != nullptr && (!least_full || cost(*remote, now, mean) * crossing_penalty < least_full->cost))
+    return remote;
+  if (least_full) return least_full->endpoint;
+  return last_resort.empty() ? nullptr : last_resort[chance() % last_resort.size()];
 }
 
 void EndpointSelector::sent(Address const& address) { ++history_[address].in_flight; }
--- a/source/data_path/endpoint_selector.hpp
+++ b/source/data_path/endpoint_selector.hpp
@@ -75,7 +75,16 @@
   static constexpr double crossing_penalty = 1.3;
 
  private:
-  /** The best of those that `offered` says may be had; those that `shunned` names are the last resort. */
+  /** An endpoint that may be had, its cost, and its ability: requests that it finishes in a microsecond. */
+  struct Candidate {
+    Endpoint const* endpoint = nullptr;
+    double cost = 0;
+    double ability = 0;
+  };
+  static Endpoint const* better_of_two(std::vector<Candidate> const& from, std::mt19937_64& chance);
+  static std::size_t draw(std::vector<Candidate> const& from, std::size_t skipped, std::mt19937_64& chance);
+  double run_of(Endpoint const& endpoint, double mean_run_us) const;
+  /** A good one of those that `offered` says may be had; those that `shunned` names are the last resort. */
   template <class Offered, class Shunned>
   Endpoint const* best_of(Endpoints const& all, std::set<Address> const& tried, Instant now, std::mt19937_64& chance,
                           Offered offered, Shunned shunned) const;
