The way to an endpoint counts in its choice, and the aim passed on is what is left

Change: answers say how long the request was at the node, so the caller knows what the way took; that is part of an endpoint's cost, forgotten by half in 1.5 s. From 100 ms a local endpoint isn't taken for being local. The aim that goes along with a request is what is left of it, less the way.

Ruled out: queues beside the backends (they refused hardly any of these), the nodes' processor time (0.019 of 0.1 cores at the most).

--- a/source/data_path/endpoint_selector.cpp
+++ b/source/data_path/endpoint_selector.cpp
@@ -15,6 +15,10 @@
 constexpr Duration outliers_found_every = 100ms;
 constexpr Duration failures_believed_for = 5s;  // then an endpoint gets another chance
 constexpr std::uint64_t one_in_so_many_probes = 24;
+constexpr Duration transfer_half_life = 1500ms;  // then a way that was slow is worth another look
+constexpr double weight_of_slower = 0.5;         // of a measurement, in the mean
+constexpr double weight_of_faster = 0.3;
+constexpr double congested_transfer_us = 100000;
 constexpr double slowdown_of_full = 0.3;  // of a run, at a backend that is nearly full
 constexpr double wait_weight = 2;         // of the wait for a slot, in runs, when all look taken
 constexpr double wait_power = 6;
@@ -55,6 +59,30 @@
   return busy_there(endpoint, now) + 1 <= endpoint.slots;
 }
 
+double EndpointSelector::transfer_us(Address const& address, Instant const now) const {
+  auto const it = history_.find(address);
+  if (it == history_.end() || it->second.transfer_at == Instant{}) return 0;
+  double const age =
+      std::chrono::duration<double>(now - it->second.transfer_at) / std::chrono::duration<double>(transfer_half_life);
+  return it->second.transfer_us * std::exp2(-std::max(0.0, age));
+}
+
+Duration EndpointSelector::expected_transfer(Address const& address, Instant const now) const {
+  return std::chrono::microseconds(static_cast<std::int64_t>(transfer_us(address, now)));
+}
+
+void EndpointSelector::transferred(Address const& address, Duration const took, Instant const now) {
+  EndpointHistory& h = history_[address];
+  double const us = std::chrono::duration<double, std::micro>(took).count();
+  double const before = transfer_us(address, now);
+  h.transfer_us = before + (us - before) * (us > before ? weight_of_slower : weight_of_faster);
+  h.transfer_at = now;
+}
+
+bool EndpointSelector::ready(Endpoint const& endpoint, Instant const now) const {
+  return has_free_slot(endpoint, now) && transfer_us(endpoint.address, now) < congested_transfer_us;
+}
+
 double EndpointSelector::mean_run(Endpoints const& endpoints) const {
   double sum = 0;
   std::size_t n = 0;
@@ -72,8 +100,8 @@
   return it == history_.end() || it->second.run_us == 0 ? mean_run_us : it->second.run_us;
 }
 
-// The expected time until an answer, in microseconds: the run itself, and the wait
-// for a slot. What is known of the load is a moment old, so the wait grows well before
+// The expected time until an answer, in microseconds: the way there and back, the run
+// itself, and the wait for a slot. What is known of the load is a moment old, so the wait grows well before
 // all slots look taken.
 double EndpointSelector::cost(Endpoint const& endpoint, Instant const now, double const mean_run_us) const {
   double const slots = std::max<std::uint32_t>(endpoint.slots, 1);
@@ -81,7 +109,7 @@
   double const queued = std::max(0.0, busy + 1 - slots);
   double const fullness = std::min(1.0, busy / slots);
   double const wait = slowdown_of_full * fullness + wait_weight * std::pow(fullness, wait_power) + queued / slots;
-  return run_of(endpoint, mean_run_us) * (1 + wait);
+  return run_of(endpoint, mean_run_us) * (1 + wait) + transfer_us(endpoint.address, now);
 }
 
 std::uint32_t EndpointSelector::failed_percent(Endpoint const& endpoint, Instant const now) const {
@@ -175,7 +203,7 @@
       continue;
     }
     Candidate const candidate{&e, cost(e, now, mean), e.slots / run_of(e, mean)};
-    if (has_free_slot(e, now)) {
+    if (ready(e, now)) {
       (e.local_zone ? free_local : free_remote).push_back(candidate);
       continue;
     }
--- a/source/data_path/endpoint_selector.hpp
+++ b/source/data_path/endpoint_selector.hpp
@@ -33,6 +33,9 @@
   double others = 0;
   Instant others_at{};
   std::uint32_t run_us = 0;
+  /** What requests and answers take on their way there and back, in microseconds, when it was last measured. */
+  double transfer_us = 0;
+  Instant transfer_at{};
   std::uint32_t failures_in_row = 0;
   std::uint32_t ejections = 0;
   /** The last failure was certain: nothing was there. */
@@ -69,6 +72,10 @@
   void busy(Address const& address, EndpointLoad const& load, Duration for_time, Instant now);
   /** The request that `sent` counted failed; `certain`: nothing is there at all. */
   void failed(Address const& address, bool certain, Instant now);
+  /** A request and its answer took so long on their way, without the time at the endpoint itself. */
+  void transferred(Address const& address, Duration took, Instant now);
+  /** What the way there and back is expected to take. */
+  Duration expected_transfer(Address const& address, Instant now) const;
   bool avoided(Address const& address, Instant now) const;
 
   /** A remote endpoint must look this much better than a local one that has no free slot. */
@@ -91,7 +98,10 @@
   bool withheld(Endpoint const& endpoint, double draw) const;
   bool reachable(Endpoint const& endpoint, Instant now) const;
   double cost(Endpoint const& endpoint, Instant now, double mean_run_us) const;
+  double transfer_us(Address const& address, Instant now) const;
   bool has_free_slot(Endpoint const& endpoint, Instant now) const;
+  /** A slot is free, and the links on the way aren't congested. */
+  bool ready(Endpoint const& endpoint, Instant now) const;
   double busy_there(Endpoint const& endpoint, Instant now) const;
   double mean_run(Endpoints const& endpoints) const;
   std::set<Address> const& outliers_of(std::string const& service, Endpoints const& endpoints, Instant now);
--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -299,7 +299,6 @@
     finished(life, forward.work_class, took, good);
     if (life == life_ && instance_ && reached_backend(got)) instance_->failures.add(w_.now(), !good);
     ForwardReply reply = got ? judge(std::move(*got), instance) : judge_failure(got.error(), instance);
-    reply.run_us = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::microseconds>(took).count());
     co_return reply;
   }
 
--- a/source/data_path/request_path.hpp
+++ b/source/data_path/request_path.hpp
@@ -95,11 +95,14 @@
   static constexpr Duration not_ready_retry = 300ms;
   static constexpr Duration key_retry = 150ms;
   static constexpr Duration answer_margin = 3ms;
+  static constexpr int late_aim_divisor = 4;
 
   /** A request on its way, with what must be known to send it again. */
   struct Attempt {
     Forward forward;
+    Instant began{};
     Instant deadline{};
+    Duration aim{};  // from `began`; zero: not stated
     std::uint32_t attempt_limit = 1;
     RequestState state;
   };
@@ -140,12 +143,13 @@
     Duration patience = route.timeout;
     std::optional<std::uint64_t> const remaining = number(header_of(request, headers_.remaining_ms));
     if (remaining) patience = std::min<Duration>(patience, std::chrono::milliseconds(*remaining));
-    attempt.deadline = w_.now() + patience;
+    attempt.began = w_.now();
+    attempt.deadline = attempt.began + patience;
+    attempt.aim = std::max<Duration>(Duration::zero(), route.aim);
     attempt.attempt_limit = std::max<std::uint32_t>(route.attempt_limit, 1);
     f.repeatable = route.repeatable;
     f.rank = route.rank;
     f.work_class = static_cast<std::uint32_t>(digest_of(route.name));
-    f.aim_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(0, as_ms(route.aim)));
     f.calling_service = s_.calling_service;
     f.request = std::move(request);
     return attempt;
@@ -178,10 +182,13 @@
     if (address == s_.own_address) {
       reply = co_await backend_.run(forward);
     } else {
+      Instant const sent = w_.now();
       Result<ForwardReply> got = co_await ask(w_, address, forward, deadline);
       if (got) {
         reply = std::move(*got);
+        selector_.transferred(address, w_.now() - sent - std::chrono::microseconds(reply.here_us), w_.now());
       } else {
+        if (got.error().proof != Proof::not_run) unanswered(address, w_.now() - sent);
         reply.outcome = got.error().proof == Proof::not_run ? Outcome::not_run : Outcome::unknown;
         reply.refusal = reply.outcome == Outcome::not_run ? Refusal::unreachable : Refusal::none;
         reply.reason = got.error().step + ": " + got.error().reason;
@@ -191,6 +198,12 @@
     co_return reply;
   }
 
+  // Without an answer the way took at least what was waited for it, as far as that tells more.
+  void unanswered(Address const& address, Duration const waited) {
+    Duration const expected = selector_.expected_transfer(address, w_.now());
+    selector_.transferred(address, std::max(waited, expected), w_.now());
+  }
+
   void learn(Address const& address, ForwardReply const& reply) {
     Instant const now = w_.now();
     if (reply.outcome == Outcome::answered)
@@ -208,6 +221,14 @@
     return attempt.forward.repeatable && reply.reply.status >= 500 && reply.reply.status != 504;
   }
 
+  // What is left of the aim when the request arrives there, if its answer is to be back
+  // in time. Once that is hopeless a part of it still says how long to wait for a slot.
+  std::uint32_t aim_left_ms(Attempt const& attempt, Address const& endpoint) const {
+    Duration const spent = w_.now() - attempt.began + selector_.expected_transfer(endpoint, w_.now());
+    Duration const left = std::max(attempt.aim - spent, attempt.aim / late_aim_divisor);
+    return static_cast<std::uint32_t>(as_ms(left));
+  }
+
   std::uint32_t remaining_ms(Attempt const& attempt) const {
     std::int64_t const left = as_ms(attempt.deadline - w_.now());
     return static_cast<std::uint32_t>(std::max<std::int64_t>(left, 0));
@@ -232,6 +253,7 @@
         if (arrivals >= attempt.attempt_limit || !budget(attempt.forward.service).extra(w_.now())) break;
         ++counts_.retried;
       }
+      attempt.forward.aim_ms = aim_left_ms(attempt, *endpoint);
       attempt.state.step(RequestPhase::forwarded);
       last = co_await send(*endpoint, attempt.forward, attempt.deadline);
       if (last.outcome == Outcome::answered && !worth_repeating(attempt, last)) break;
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -217,6 +217,13 @@
   // ---- requests from other nodes
 
   Task<ForwardReply> forwarded(Forward f) {
+    Instant const arrived = w_.now();
+    ForwardReply reply = co_await answer_forwarded(std::move(f));
+    reply.here_us = static_cast<std::uint32_t>(as_us(w_.now() - arrived));
+    co_return reply;
+  }
+
+  Task<ForwardReply> answer_forwarded(Forward f) {
     if (refusing()) {
       ForwardReply reply;
       reply.outcome = Outcome::not_run;
--- a/source/protocol/forward_messages.hpp
+++ b/source/protocol/forward_messages.hpp
@@ -44,9 +44,9 @@
   EndpointLoad load;
   /** When a refused request may be worth sending again, in milliseconds. */
   std::uint32_t retry_after_ms = 0;
-  /** Time the backend took, in microseconds, when it answered. */
-  std::uint32_t run_us = 0;
-  BANKTIDE_FIELDS(outcome, refusal, reply, reason, load, retry_after_ms, run_us)
+  /** From the request's arrival at the node that answers until this reply, in microseconds; 0: not measured. */
+  std::uint32_t here_us = 0;
+  BANKTIDE_FIELDS(outcome, refusal, reply, reason, load, retry_after_ms, here_us)
 };
 
 struct Forward {
@@ -63,6 +63,7 @@
   /** A small number that stands for the route, to tell kinds of work apart. */
   std::uint32_t work_class = 0;
   std::uint32_t remaining_ms = 0;
+  /** Within which the answer is wanted, counted from the arrival; 0: not stated. */
   std::uint32_t aim_ms = 0;
   std::string calling_service;
   std::string attempt_id;
--- a/source/transport/result.hpp
+++ b/source/transport/result.hpp
@@ -25,6 +25,7 @@
 using Duration = std::chrono::steady_clock::duration;
 using namespace std::chrono_literals;
 
+inline std::int64_t as_us(Duration const d) { return std::chrono::duration_cast<std::chrono::microseconds>(d).count(); }
 inline std::int64_t as_ms(Duration const d) { return std::chrono::duration_cast<std::chrono::milliseconds>(d).count(); }
 
 enum class Proof : std::uint8_t { not_run, unknown };
--- a/tests/data_path/endpoint_selector_test.cpp
+++ b/tests/data_path/endpoint_selector_test.cpp
@@ -169,5 +169,46 @@
   }
 }
 
+TEST(EndpointSelector, a_slow_way_to_an_endpoint_counts_like_a_long_run_and_is_forgotten) {
+  std::mt19937_64 chance(1);
+  EndpointSelector selector = with({endpoint("a", true, 8), endpoint("b", true, 8)});
+  for (int i = 0; i < 4; ++i) selector.transferred("a", 90ms, start);
+  EXPECT_GT(selector.expected_transfer("a", start), 70ms);
+  EXPECT_EQ(selector.expected_transfer("b", start), 0ms);
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(chosen(selector, chance), "b");
+  EXPECT_LT(selector.expected_transfer("a", start + 15s), 1ms);
+}
+
+TEST(EndpointSelector, a_request_crosses_when_the_ways_to_all_local_endpoints_are_congested) {
+  std::mt19937_64 chance(1);
+  EndpointSelector selector = with({endpoint("near", true, 8), endpoint("far", false, 8)});
+  selector.transferred("near", 60ms, start);
+  EXPECT_EQ(chosen(selector, chance), "near") << "slower, but not congested";
+  for (int i = 0; i < 8; ++i) selector.transferred("near", 400ms, start);
+  EXPECT_EQ(chosen(selector, chance), "far");
+  for (int i = 0; i < 8; ++i) selector.transferred("far", 800ms, start);
+  EXPECT_EQ(chosen(selector, chance), "near") << "the far one is no better";
+}
+
+// Many nodes that know the same, up to two seconds old, choose among four backends: a
+// plain model of what the feed and the answers tell.
+TEST(EndpointSelector, nodes_that_know_the_same_old_loads_do_not_all_choose_the_same_endpoint) {
+  std::mt19937_64 chance(5);
+  std::vector<EndpointSelector> nodes;
+  for (int n = 0; n < 24; ++n) {
+    EndpointSelector::Endpoints all;
+    for (std::string const name : {"a", "b", "c", "d"}) all.push_back(endpoint(name, true, 9));
+    all[0].announced_busy = 1;
+    for (std::size_t i = 1; i < 4; ++i) all[i].announced_busy = 4;
+    nodes.push_back(with(all));
+  }
+  std::map<std::string, int> requests;
+  for (int round = 0; round < 10; ++round)
+    for (EndpointSelector& node : nodes) ++requests[chosen(node, chance)];
+  EXPECT_GT(requests["a"], 60) << "the emptiest gets more than the mean";
+  EXPECT_LT(requests["a"], 160) << "and not everything";
+  for (std::string const name : {"b", "c", "d"}) EXPECT_GT(requests[name], 12) << name;
+}
+
 }  // namespace
 }  // namespace banktide
