Peers that answer no ping are not chosen while there is another

Cause: a node that lost its power was chosen for a second, until its connection was given up; requests on it have an unknown outcome.

Change: an endpoint whose node owes the answer to a ping for 100 ms is avoided; pings start after 100 ms of silence, looked at every 50 ms.

--- a/source/data_path/endpoint_selector.cpp
+++ b/source/data_path/endpoint_selector.cpp
@@ -253,6 +253,7 @@
 }
 
 bool EndpointSelector::avoided(Address const& address, Instant const now) const {
+  if (silent_ && silent_(address)) return true;
   auto const it = history_.find(address);
   return it != history_.end() && now < it->second.avoid_until;
 }
--- a/source/data_path/endpoint_selector.hpp
+++ b/source/data_path/endpoint_selector.hpp
@@ -9,6 +9,7 @@
 #include "protocol/forward_messages.hpp"
 #include "transport/surroundings.hpp"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <tsl/robin_map.h>
@@ -66,6 +67,9 @@
   Endpoint const* select(std::string const& service, std::set<Address> const& tried, Instant now,
                          std::mt19937_64& chance, bool repeatable = false);
 
+  /** Says which addresses don't answer at the moment; they are avoided. May be left unset. */
+  void set_silent(std::function<bool(Address const&)> silent) { silent_ = std::move(silent); }
+
   void sent(Address const& address);
   /** The request that `sent` counted is over; its answer told the load there. */
   void answered(Address const& address, EndpointLoad const& load, Instant now);
@@ -116,6 +120,7 @@
   static constexpr std::uint32_t failures_to_eject = 3;
   std::map<std::string, Endpoints> endpoints_;
   std::map<std::string, double> zone_shares_;
+  std::function<bool(Address const&)> silent_;
   tsl::robin_map<Address, EndpointHistory> history_;
   tsl::robin_map<std::string, Outliers> outliers_;
 };
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -35,7 +35,11 @@
         follower_(w, s_.follower, follower_events()),
         started_(w.now()),
         grant_alarm_(w),
-        report_alarm_(w) {}
+        report_alarm_(w) {
+    // Only a real network pings its peers.
+    if constexpr (requires { w.silence_of(Address{}); })
+      path_.selector().set_silent([&w](Address const& peer) { return w.silence_of(peer) > silent_after; });
+  }
 
   void start(Desk& desk) {
     desk.on<Forward>([this](Forward f) { return forwarded(std::move(f)); });
@@ -90,6 +94,7 @@
 
   Task<HttpReply> refused_leaving() { co_return path_.refusal("node is leaving", tick_period); }
   static constexpr Duration isolated_after = 1500ms;
+  static constexpr Duration silent_after = 100ms;  // a ping's answer takes a few milliseconds
   static constexpr double busy_weight = 0.15;
   static constexpr Duration confirm_patience = 1s;
   static constexpr Duration first_confirm_patience = 150ms;
--- a/source/transport/peer_connection.cpp
+++ b/source/transport/peer_connection.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr Duration connect_limit = 300ms;
-constexpr Duration ping_after = 150ms;
+constexpr Duration ping_after = 100ms;
 constexpr Duration reset_after = 900ms;
 constexpr Duration idle_wait = 30s;
 constexpr Duration idle_limit = 25s;
@@ -60,6 +60,10 @@
   }
 }
 
+Duration PeerConnection::silence() const {
+  return pinged_ && !waiting_.empty() ? world_.now() - pinged_at_ : Duration::zero();
+}
+
 Task<void> PeerConnection::keep() {
   idle_since_ = world_.now();
   while (!world_.stopping_) {
--- a/source/transport/peer_connection.hpp
+++ b/source/transport/peer_connection.hpp
@@ -24,6 +24,8 @@
   /** To be called every `watch_period` while answers are owed. */
   void watch();
   bool is_owed() const { return !waiting_.empty(); }
+  /** How long the peer has owed the answer to a ping; zero if it owes none. */
+  Duration silence() const;
   Address const& peer() const { return peer_; }
 
   /** Connects and writes while there is something to write, and ends when there was nothing for long. */
@@ -32,7 +34,7 @@
   void drop_late(Instant now) { queue_.drop_late(now); }
 
   bool kept = false;  // a task runs `keep`
-  static constexpr Duration watch_period = 100ms;
+  static constexpr Duration watch_period = 50ms;
 
  private:
   struct Waiting {
--- a/source/transport/socket_world.cpp
+++ b/source/transport/socket_world.cpp
@@ -135,6 +135,11 @@
 }
 
 // Runs only while answers are owed.
+Duration SocketWorld::silence_of(Address const& peer) const {
+  auto const found = connections_.find(peer);
+  return found == connections_.end() ? Duration::zero() : found->second->silence();
+}
+
 Task<void> SocketWorld::watch_connections() {
   bool owed = true;
   while (owed && !stopping_) {
--- a/source/transport/socket_world.hpp
+++ b/source/transport/socket_world.hpp
@@ -59,6 +59,9 @@
   /** A one-way message. It may be dropped: see `PeerLimits`. */
   void tell_raw(Address const& peer, std::uint8_t kind, SharedBytes const& payload);
 
+  /** How long the peer has owed the answer to a ping: well before its connection is given up. */
+  Duration silence_of(Address const& peer) const;
+
   /** What waits for peers or is being written to them. */
   QueueTotals const& queued() const { return *totals_; }
 
--- a/tests/data_path/endpoint_selector_test.cpp
+++ b/tests/data_path/endpoint_selector_test.cpp
@@ -190,6 +190,18 @@
   EXPECT_EQ(chosen(selector, chance), "near") << "the far one is no better";
 }
 
+TEST(EndpointSelector, who_answers_no_ping_is_avoided_while_there_is_another) {
+  std::mt19937_64 chance(1);
+  EndpointSelector selector = with({endpoint("near", true, 8), endpoint("far", false, 8)});
+  std::set<Address> silent{"near"};
+  selector.set_silent([&silent](Address const& address) { return silent.contains(address); });
+  EXPECT_TRUE(selector.avoided("near", start));
+  EXPECT_EQ(chosen(selector, chance), "far");
+  EXPECT_EQ(chosen(selector, chance, {"far"}), "near") << "better than nobody";
+  silent.clear();
+  EXPECT_EQ(chosen(selector, chance), "near");
+}
+
 // Many nodes that know the same, up to two seconds old, choose among four backends: a
 // plain model of what the feed and the answers tell.
 TEST(EndpointSelector, nodes_that_know_the_same_old_loads_do_not_all_choose_the_same_endpoint) {
--- a/tests/transport/socket_world_test.cpp
+++ b/tests/transport/socket_world_test.cpp
@@ -161,6 +161,31 @@
   over.get_future().get();
 }
 
+TEST(SocketWorld, a_peer_that_answers_no_ping_is_known_as_silent_while_it_owes_an_answer) {
+  start_pool();
+  SocketWorld w;
+  SlowPeer peer(w);
+  Duration longest{};
+  run_on_pool([&]() -> Task<void> {
+    spawn(w, peer.accept());
+    EXPECT_EQ(w.silence_of(peer.address()), Duration::zero()) << "nothing is owed";
+    std::optional<Result<Bytes>> answer;
+    auto const wait_for_it = [&]() -> Task<void> {
+      Echo const question{"a"};
+      answer = co_await w.ask_raw(peer.address(), Echo::kind, pack(question), w.now() + long_enough);
+    };
+    spawn(w, wait_for_it());
+    while (!answer && longest < 20ms) {
+      longest = std::max(longest, w.silence_of(peer.address()));
+      co_await let_others_run(w);
+    }
+    peer.close();
+    while (!answer || peer.tasks() > 0) co_await let_others_run(w);
+    co_await w.stop();
+  });
+  EXPECT_GE(longest, 20ms);
+}
+
 // Sends more than the bound to a peer that doesn't read, then lets it read.
 TEST(SocketWorld, a_peer_that_does_not_read_costs_no_more_than_its_bounds) {
   start_pool();
