Keyed requests wait a moment for a row that is on its way between two holders

Change: the node whose table names its own backend lets up to 64 requests wait for the grant, no longer than their aim allows; a caller that is told that the key isn't held waits up to 120 ms for a table that names another holder.

--- a/source/coordination/key_holder.cpp
+++ b/source/coordination/key_holder.cpp
@@ -295,6 +295,13 @@
   return row == nullptr ? std::nullopt : std::optional<std::uint32_t>(row->grant.fence);
 }
 
+bool KeyHolder::is_to_hold(std::uint16_t const key) const {
+  return !instance_.empty() && std::any_of(mine_.begin(), mine_.end(), [&](Mine const& mine) {
+    bool const stays = mine.instance == instance_ && mine.row.moving == 0 && mine.row.revoked == 0;
+    return stays && mine.row.from <= key && key <= mine.row.to;
+  });
+}
+
 void KeyHolder::count(std::uint16_t const key) {
   Serving const* const row = serving_row(key);
   if (row != nullptr) serving_[static_cast<std::size_t>(row - serving_.data())].load.count(key);
--- a/source/coordination/key_holder.hpp
+++ b/source/coordination/key_holder.hpp
@@ -76,6 +76,8 @@
   /// Whether a request on a key may be sent to the backend now: the fence of
   /// its row, if work of the expected length ends within the hold.
   std::optional<std::uint32_t> may_run(std::uint16_t key, Instant now, Duration expected) const;
+  /// Whether the newest table gives the key to this backend for good: if it may not run yet, it will soon.
+  bool is_to_hold(std::uint16_t key) const;
   /// A request on a key has come: it counts for the load of its row, run or not.
   void count(std::uint16_t key);
 
--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -98,8 +98,10 @@
     return {r};
   }
 
-  std::size_t in_flight() const { return requests_.size(); }
+  std::size_t in_flight() const { return requests_.size() + awaiting_keys_.size(); }
   void set_keys(KeyHolder* const keys) { keys_ = keys; }
+  /** An answer to a heartbeat that is about to go out grants keys. */
+  void keys_granted() { wake_awaiting_keys(); }
 
   EndpointLoad load() const {
     EndpointLoad l;
@@ -117,14 +119,15 @@
   Task<ForwardReply> run(Forward forward) {
     Instant const arrived = w_.now();
     Instant const deadline = arrived + std::chrono::milliseconds(forward.remaining_ms);
-    if (ForwardReply const refused = check(forward, arrived); refused.refusal != Refusal::none) co_return refused;
-    std::uint64_t const id = ++last_id_;
     // What would miss its aim is better refused early: another endpoint, or the
     // client's next try, may still make it.
     Duration const aim = std::chrono::milliseconds(forward.aim_ms) * s_.aim_percent / 100;
     Duration const useful = std::min<Duration>(aim, deadline - arrived);
+    if (key_is_due(forward, arrived)) co_await wait_for_key(forward, arrived + useful);
+    if (ForwardReply const refused = check(forward, w_.now()); refused.refusal != Refusal::none) co_return refused;
+    std::uint64_t const id = ++last_id_;
     QueuedRequest const queued{id, forward.rank, forward.work_class, arrived + useful};
-    Admission const admission = instance_->queue.admit(arrived, queued);
+    Admission const admission = instance_->queue.admit(w_.now(), queued);
     if (admission == Admission::refuse) co_return refuse(Refusal::busy, "queue too long", expected_wait(forward));
     std::shared_ptr<Waiter> const waiter = std::make_shared<Waiter>(w_);
     requests_[id] = waiter;
@@ -194,6 +197,7 @@
     log_info("backend_ended", {{"instance", instance_->beat.id}, {"reason", reason}});
     instance_->queue.refuse_all();
     carry_out();
+    wake_awaiting_keys();
     instance_->connections->close();
     former_.insert(instance_->beat.id);
     events_.ended(instance_->beat.service, instance_->beat.id, reason);
@@ -237,6 +241,29 @@
     return keys_->may_run(forward.key, now, expected).has_value();
   }
 
+  // The table gives the key to the backend, which learns of it by its next heartbeat.
+  bool key_is_due(Forward const& forward, Instant const now) const {
+    if (!forward.keyed || !instance_ || keys_ == nullptr || instance_->beat.service != forward.service) return false;
+    bool const stays = !instance_->draining_since && !instance_->refused;
+    return stays && !key_held(forward, now) && keys_->is_to_hold(forward.key) &&
+           awaiting_keys_.size() < most_awaiting_keys;
+  }
+
+  Task<void> wait_for_key(Forward const& forward, Instant const useful_until) {
+    Instant const until = useful_until - instance_->queue.estimate().expected(forward.work_class);
+    std::uint64_t const id = ++last_id_;
+    std::shared_ptr<Waiter> const waiter = std::make_shared<Waiter>(w_);
+    awaiting_keys_[id] = waiter;
+    std::optional<bool> const granted = co_await waiter->turn.wait(until);
+    awaiting_keys_.erase(id);
+    // The answer that grants the key reaches the backend before a request does.
+    if (granted) co_await sleep_for(w_, grant_takes);
+  }
+
+  void wake_awaiting_keys() {
+    for (auto const& [id, waiter] : awaiting_keys_) waiter->turn.give(true);
+  }
+
   ForwardReply give_up_waiting(std::uint64_t const id, std::uint64_t const life, Forward const& forward) {
     requests_.erase(id);
     if (life == life_ && instance_) instance_->queue.withdraw(id);
@@ -357,6 +384,9 @@
     return reply;
   }
 
+  static constexpr std::size_t most_awaiting_keys = 64;
+  static constexpr Duration grant_takes = 5ms;
+
   W& w_;
   LocalBackendSettings const s_;
   DataPathHeaders const& headers_;
@@ -366,6 +396,7 @@
   std::optional<Instance> instance_;
   std::set<std::string> former_;
   tsl::robin_map<std::uint64_t, std::shared_ptr<Waiter>> requests_;
+  std::map<std::uint64_t, std::shared_ptr<Waiter>> awaiting_keys_;  // in the order of their coming
   std::uint64_t last_id_ = 0;
   std::uint64_t life_ = 0;
   std::uint64_t refusals_ = 0;
--- a/source/data_path/request_path.hpp
+++ b/source/data_path/request_path.hpp
@@ -96,6 +96,8 @@
   static constexpr Duration key_retry = 150ms;
   static constexpr Duration answer_margin = 3ms;
   static constexpr int late_aim_divisor = 4;
+  static constexpr Duration key_move_patience = 120ms;
+  static constexpr Duration key_move_pause = 15ms;
 
   /** A request on its way, with what must be known to send it again. */
   struct Attempt {
@@ -269,12 +271,25 @@
         tried.insert(*endpoint);
       else if (last.outcome == Outcome::not_run && last.refusal != Refusal::key_not_held)
         break;
-      else if (last.refusal == Refusal::key_not_held)
+      else if (last.refusal == Refusal::key_not_held) {
         tried.insert(*endpoint);
+        co_await wait_for_another_holder(attempt, *endpoint);
+      }
     }
     co_return finish(attempt, std::move(last), may_have_run, retry_after_ms);
   }
 
+  // A row on its way between two holders is let go a moment before the table that names
+  // the next one is here.
+  Task<void> wait_for_another_holder(Attempt const& attempt, Address const refusing) {
+    Instant const until = std::min(w_.now() + key_move_patience, attempt.deadline);
+    while (w_.now() < until) {
+      KeyHolderRecord const* const holder = keys_ ? keys_->find(attempt.forward.service, attempt.forward.key) : nullptr;
+      if (holder != nullptr && holder->address != refusing) co_return;
+      co_await sleep_for(w_, key_move_pause);
+    }
+  }
+
   HttpReply finish(Attempt& attempt, ForwardReply last, bool const may_have_run, std::uint32_t const retry_after_ms) {
     if (last.outcome == Outcome::answered) {
       attempt.state.step(RequestPhase::answered);
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -267,6 +267,7 @@
       co_await grant_alarm_.wait(until);
     KeyBeatAnswer const grant = keys_->answer(w_.now(), beat.id, beat.sequence);
     if (!grant.renews) co_return answer;
+    local_.keys_granted();
     answer.grant.emplace();
     answer.grant->hold = grant.hold;
     for (KeyGrant const& g : grant.rows)
--- /dev/null
+++ b/tests/data_path/local_backend_test.cpp
@@ -0,0 +1,189 @@
+// One backend and its node: keyed requests wait a moment for a key that is about to be
+// granted, and for no other; what ends or drains keeps nobody waiting.
+#include "data_path/local_backend.hpp"
+
+#include <gtest/gtest.h>
+
+#include "simulation/sim_world.hpp"
+
+namespace banktide {
+namespace {
+
+constexpr DataPathHeaders header_names{"attempt", "remaining", "target",     "answering", "key",
+                                       "caller",  "not-run",   "load-level", "seal"};
+
+/** Answers everything with 200 after a while, and counts. */
+class PromptBackend : public BackendCaller {
+ public:
+  PromptBackend(SimProcess& process, std::size_t& calls) : process_(process), calls_(calls) {}
+  Task<Result<HttpReply>> call(BackendCall) override {
+    ++calls_;
+    co_await sleep_for(process_, 10ms);
+    HttpReply reply;
+    reply.status = 200;
+    co_return reply;
+  }
+  void close() override {}
+
+ private:
+  SimProcess& process_;
+  std::size_t& calls_;
+};
+
+struct LocalTrial {
+  LocalTrial() : sim(3), net(sim) {
+    process = std::make_shared<SimProcess>(sim, net, "node", "node:1", 1);
+    net.at["node:1"] = process;
+    net.machine_of["node:1"] = process->machine;
+    table.revision = 1;
+    table.add_holder(KeyHolderRecord{"i-1", "node", "node:1", "zone"});
+    table.add_holder(KeyHolderRecord{"i-2", "other", "other:1", "zone"});
+    table.services.push_back(KeyService{"accounts", {row(0, 99, 0), row(100, last_key, 1)}});
+    LocalBackendSettings settings;
+    settings.node = "node";
+    LocalBackend<SimProcess>::Events events;
+    events.record_changed = [] {};
+    events.ended = [](std::string const&, std::string const&, std::string const&) {};
+    events.connection_limit = [](std::string const&) { return std::size_t{10}; };
+    ConnectionsFactory factory = [this](Address const&, std::size_t) {
+      return std::make_unique<PromptBackend>(*process, calls);
+    };
+    backend = std::make_unique<LocalBackend<SimProcess>>(*process, settings, header_names, factory, events);
+    backend->set_keys(&holder);
+    beat();
+    holder.on_table(table);
+    holder.on_confirmed(table.revision, process->now());
+  }
+  ~LocalTrial() {
+    process->kill();
+    sim.clear();
+  }
+  LocalTrial(LocalTrial const&) = delete;
+
+  static KeyRow row(std::uint16_t const from, std::uint16_t const to, std::uint16_t const held_by) {
+    KeyRow made;
+    made.from = from;
+    made.to = to;
+    made.holder = held_by;
+    made.fence = 1;
+    return made;
+  }
+  /** A heartbeat whose answer isn't given yet. */
+  void beat(bool const leaving = false) {
+    BackendHeartbeat heartbeat;
+    heartbeat.id = "i-1";
+    heartbeat.service = "accounts";
+    heartbeat.address = "backend:1";
+    heartbeat.slots = 4;
+    heartbeat.sequence = ++beats;
+    heartbeat.leaving = leaving;
+    EXPECT_TRUE(backend->heartbeat(heartbeat));
+    KeyBeat of_keys;
+    of_keys.instance = "i-1";
+    of_keys.sequence = beats;
+    holder.take_beat(process->now(), of_keys);
+  }
+  void grant() {
+    EXPECT_TRUE(holder.answer(process->now(), "i-1", beats).renews);
+    backend->keys_granted();
+  }
+  void send(std::uint16_t const key) {
+    Forward forward;
+    forward.service = "accounts";
+    forward.keyed = true;
+    forward.key = key;
+    forward.aim_ms = 500;
+    forward.remaining_ms = 1000;
+    forward.attempt_id = "a-1";
+    spawn(*process, run(std::move(forward)));
+    run_for(1ms);
+  }
+  Task<void> run(Forward forward) {
+    Instant const began = process->now();
+    ForwardReply reply = co_await backend->run(std::move(forward));
+    took = process->now() - began;
+    replies.push_back(std::move(reply));
+  }
+  void run_for(Duration const d) { sim.run_until(sim.now + d); }
+
+  Sim sim;
+  SimNet net;
+  std::shared_ptr<SimProcess> process;
+  KeyTable table;
+  KeyHolder holder{"accounts", "node", "node:1", "zone", KeySettings{}};
+  std::size_t calls = 0;
+  std::uint64_t beats = 0;
+  std::unique_ptr<LocalBackend<SimProcess>> backend;
+  std::vector<ForwardReply> replies;
+  Duration took{};
+};
+
+TEST(LocalBackend, a_request_waits_for_a_key_that_the_table_gives_to_the_backend_and_runs_once_granted) {
+  LocalTrial t;
+  t.send(7);
+  t.run_for(200ms);
+  EXPECT_TRUE(t.replies.empty());
+  EXPECT_EQ(t.backend->in_flight(), 1u);
+  EXPECT_EQ(t.calls, 0u);
+  t.grant();
+  t.run_for(50ms);
+  ASSERT_EQ(t.replies.size(), 1u);
+  EXPECT_EQ(t.replies[0].outcome, Outcome::answered);
+  EXPECT_EQ(t.calls, 1u);
+  EXPECT_EQ(t.backend->in_flight(), 0u);
+  t.send(8);
+  t.run_for(15ms);
+  EXPECT_EQ(t.replies.size(), 2u) << "a key that is held is waited for no more";
+}
+
+TEST(LocalBackend, a_request_on_a_key_of_another_backend_is_refused_at_once) {
+  LocalTrial t;
+  t.send(100);
+  ASSERT_EQ(t.replies.size(), 1u);
+  EXPECT_EQ(t.replies[0].outcome, Outcome::not_run);
+  EXPECT_EQ(t.replies[0].refusal, Refusal::key_not_held);
+}
+
+TEST(LocalBackend, a_key_on_its_way_to_another_backend_is_not_waited_for) {
+  LocalTrial t;
+  ++t.table.revision;
+  t.table.services[0].rows[0].moving = 2;
+  t.table.services[0].rows[0].next = 1;
+  t.holder.on_table(t.table);
+  t.send(7);
+  ASSERT_EQ(t.replies.size(), 1u);
+  EXPECT_EQ(t.replies[0].refusal, Refusal::key_not_held);
+}
+
+TEST(LocalBackend, a_key_that_is_not_granted_in_time_is_refused_while_the_client_can_still_come_back) {
+  LocalTrial t;
+  t.send(7);
+  t.run_for(1s);
+  ASSERT_EQ(t.replies.size(), 1u);
+  EXPECT_EQ(t.replies[0].outcome, Outcome::not_run);
+  EXPECT_EQ(t.replies[0].refusal, Refusal::key_not_held);
+  EXPECT_GT(t.replies[0].retry_after_ms, 0u);
+  EXPECT_LE(t.took, 500ms);
+  EXPECT_EQ(t.calls, 0u);
+}
+
+TEST(LocalBackend, who_waits_for_a_key_is_refused_at_once_when_the_backend_signs_off) {
+  LocalTrial t;
+  t.send(7);
+  t.backend->leave("i-1");
+  t.run_for(20ms);
+  ASSERT_EQ(t.replies.size(), 1u);
+  EXPECT_EQ(t.replies[0].outcome, Outcome::not_run);
+  EXPECT_EQ(t.replies[0].refusal, Refusal::no_backend);
+  EXPECT_EQ(t.backend->in_flight(), 0u);
+}
+
+TEST(LocalBackend, only_so_many_requests_wait_for_keys) {
+  LocalTrial t;
+  for (int i = 0; i < 70; ++i) t.send(7);
+  EXPECT_EQ(t.backend->in_flight(), 64u);
+  EXPECT_EQ(t.replies.size(), 6u);
+}
+
+}  // namespace
+}  // namespace banktide
