A node without keys wakes twice a second to report, not fifty times

Cause: keep_reporting counted its period only from reports that were sent, and a node beside a backend without keys sends none.

--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -377,8 +377,8 @@
     while (true) {
       bool const early = keys_ && keys_->has_news();
       if (!early) co_await report_alarm_.wait(std::max(last + s_.keys.report_every, w_.now() + 20ms));
-      if (!keys_) continue;
       last = w_.now();
+      if (!keys_) continue;
       KeyReport report = keys_->report(last, static_cast<float>(busy_), backend_capacity());
       if (leaving_) report.standing = KeyStanding::draining;
       for (Address const& registry : registry_addresses()) tell(w_, registry, report);
--- a/tests/programs/hollow_fleet_test.cpp
+++ b/tests/programs/hollow_fleet_test.cpp
@@ -51,6 +51,28 @@
   EXPECT_EQ(fleet.times_to_force().all.size(), 3u * 200u);
 }
 
+// Readers that wrote back whatever they found no agreement on kept each other, and every
+// change, from a majority.
+TEST(HollowFleet, many_voters_far_apart_take_every_change_and_readers_write_nothing) {
+  for (std::size_t const voters : {5u, 7u, 9u}) {
+    HollowFleetSettings settings = three_regions(18);
+    settings.controls = voters;
+    settings.delays.between_regions = 20ms;
+    HollowFleet fleet(settings);
+    ASSERT_TRUE(fleet.form(patience)) << voters;
+    EXPECT_EQ(fleet.voters(), voters);
+    std::size_t const acknowledged = fleet.acknowledged();
+    for (int i = 0; i < 10; ++i) {
+      fleet.write_next(0);
+      fleet.run_for(1s);
+    }
+    EXPECT_EQ(fleet.acknowledged(), acknowledged + 10) << voters;
+    fleet.reset_meters();
+    fleet.run_for(10s);
+    EXPECT_EQ(find(fleet.measurements(), "store", "received_prepare_messages").highest, 0) << voters;
+  }
+}
+
 TEST(HollowFleet, a_quiet_node_hears_each_pulse_once_and_three_others_beat) {
   HollowFleet fleet(three_regions(60));
   ASSERT_TRUE(fleet.form(patience));
