A newcomer replaces a silent voter in one change that needs no voter that is gone

Cause: every change of the set of voters waited until all voters that stay vote (`Membership::all_active`), and a voter that is gone counted among them until it had been silent for 20 s. With a second one gone in that time neither could be removed and no newcomer added: the set lived on with exactly a quorum, and the next loss ended the control plane. A voter that lost its disk waited 1 s for each dark voter in each of ten rounds (12 s in all).

Ruled out: joint consensus (every round would need two quorums); a shorter wait alone (the removal still needed all others).

A newcomer takes the place of the most silent voter (three looks in a row without an answer), waits while it isn't sure, and is added only if nobody is silent. A store that is told to go has itself removed if the set bears too few losses with it gone. Silent voters without a successor are removed after 6 s if the rest bears as much. Rejoining waits for no more voters than it needs. Clients end a round as soon as a newer set is told. Stores log what their set can bear (voter_set_weak, voter_set_sound).

--- a/source/coordination/acceptor.hpp
+++ b/source/coordination/acceptor.hpp
@@ -136,23 +136,22 @@
   // others complete a round at a new ballot, whose value is then held here.
   // The register of voters tells if the set has been replaced: then this
   // voter must not vote in it, as others may have stopped already.
-  Task<void> rejoin(VoterSet const set) {
+  // Of the others no more are waited for than are needed: one that is dark would
+  // hold up each round. Returns the newer set if one of them tells it.
+  Task<std::optional<VoterSet>> rejoin(VoterSet const set) {
     std::vector<Address> const others = other_voters(set);
     std::size_t const enough = recovery_quorum_of(set);
     std::uint64_t const nonce = w_.chance()();
     VoterRecord next;
-    Found const question{};
-    auto const whose = co_await ask_all<Found>(w_, others, question, w_.now() + 1s, [](auto const&) { return false; });
-    std::map<std::uint64_t, std::size_t> foundings;
-    for (auto const& [i, r] : whose)
-      if (r && r->phase == Phase::voting && ++foundings[r->founding] >= enough) next.founding = r->founding;
-    if (next.founding == 0) co_return;
+    next.founding = co_await agreed_founding(others, enough);
+    if (next.founding == 0) co_return std::nullopt;
+    std::optional<VoterSet> newer;
     for (Register const reg : kept_registers) {
-      std::optional<Slot> const got = co_await recover(reg, set, others, enough, nonce);
-      if (!got) co_return;
+      std::optional<Slot> const got = co_await recover(reg, set, others, enough, nonce, newer);
+      if (!got) co_return newer;
       next.slots[static_cast<std::size_t>(reg)] = *got;
     }
-    if (next.slots[static_cast<std::size_t>(Register::voters)].held.revision > set.epoch) co_return;
+    if (next.slots[static_cast<std::size_t>(Register::voters)].held.revision > set.epoch) co_return std::nullopt;
     next.phase = Phase::voting;
     next.set = set;
     next.active_epoch = set.epoch;
@@ -163,6 +162,7 @@
       return true;
     });
     log_info("rejoined", {{"founding", std::to_string(next.founding)}, {"epoch", std::to_string(set.epoch)}});
+    co_return std::nullopt;
   }
 
  private:
@@ -282,14 +282,17 @@
     co_return reply;
   }
 
+  // A voter that slept through earlier changes passes over the epochs between: it
+  // never voted in them, so no value acknowledged there counts on it.
   Task<SealReply> seal(Seal q) {
     SealReply reply;
     bool const kept = co_await change([&](VoterRecord& r) {
       if (r.phase != Phase::voting) return false;
       if (r.set.epoch > q.set.epoch) reply.newer = r.set;
-      bool const from_before = r.active_epoch + 1 == q.set.epoch && r.set.epoch < q.set.epoch;
+      bool const from_before = r.set.epoch < q.set.epoch;
       if (from_before) r.set = q.set;
-      reply.sealed = r.set.epoch == q.set.epoch && r.active_epoch + 1 >= q.set.epoch;
+      reply.sealed = r.set.epoch == q.set.epoch;
+      reply.active = votes(r) && reply.sealed;
       if (reply.sealed) {
         reply.founding = r.founding;
         reply.slots = r.slots;
@@ -308,10 +311,10 @@
       VoterEntry const* const mine = entry_of(q.set, own_);
       if (r.phase == Phase::voting && r.set.epoch > q.set.epoch) reply.newer = r.set;
       reply.active = votes(r) && r.set.epoch == q.set.epoch;
-      bool const goes_on = r.phase == Phase::voting && r.active_epoch + 1 == q.set.epoch && r.set.epoch <= q.set.epoch;
+      bool const goes_on = r.phase == Phase::voting && r.active_epoch < q.set.epoch && r.set.epoch <= q.set.epoch;
       bool const added = r.phase != Phase::voting && mine != nullptr && mine->disk != 0 && mine->disk == r.disk;
       if (reply.active || mine == nullptr || !(goes_on || added)) return false;
-      for (std::size_t i = 0; i < register_count; ++i) take_up(r.slots[i], q.slots[i]);
+      for (std::size_t i = 0; i < register_count; ++i) take_newer(r.slots[i], q.slots[i]);
       r.phase = Phase::voting;
       r.founding = q.founding;
       r.set = q.set;
@@ -323,13 +326,6 @@
     co_return reply;
   }
 
-  static void take_up(Slot& mine, Slot const& told) {
-    mine.promised = std::max(mine.promised, told.promised);
-    if (told.accepted <= mine.accepted) return;
-    mine.accepted = told.accepted;
-    mine.held = told.held;
-  }
-
   Task<FoundReply> found(Found q) {
     if (q.want == Phase::prepared && record_.phase != Phase::voting && !founder() &&
         entry_of(record_.set, own_) != nullptr)
@@ -371,19 +367,48 @@
     co_await ask_all<Found>(w_, others, open, w_.now() + 2s, [](auto const&) { return false; });
   }
 
+  /// The founding that `enough` of these voters name; none: 0.
+  Task<std::uint64_t> agreed_founding(std::vector<Address> const others, std::size_t const enough) {
+    auto const most_named = [](auto const& replies) {
+      std::map<std::uint64_t, std::size_t> named;
+      std::pair<std::uint64_t, std::size_t> most{0, 0};
+      for (auto const& [i, r] : replies) {
+        if (!r || r->phase != Phase::voting) continue;
+        std::size_t const n = ++named[r->founding];
+        if (n > most.second) most = {r->founding, n};
+      }
+      return most;
+    };
+    Found const question{};
+    auto const replies =
+        co_await ask_all<Found>(w_, others, question, w_.now() + 1s,
+                                [enough, most_named](auto const& heard) { return most_named(heard).second >= enough; });
+    std::pair<std::uint64_t, std::size_t> const most = most_named(replies);
+    co_return most.second >= enough ? most.first : 0;
+  }
+
   // One register's part of `rejoin`: the round, and what it left here.
   Task<std::optional<Slot>> recover(Register const reg, VoterSet const& set, std::vector<Address> const& others,
-                                    std::size_t const enough, std::uint64_t const nonce) {
+                                    std::size_t const enough, std::uint64_t const nonce,
+                                    std::optional<VoterSet>& newer) {
     Ballot ballot{set.epoch, 1, nonce};
     for (int attempt = 0; attempt < recovery_attempts; ++attempt) {
       Prepare const asked{reg, ballot};
-      auto const got = co_await ask_all<Prepare>(w_, others, asked, w_.now() + 1s, [](auto const&) { return false; });
+      auto const got = co_await ask_all<Prepare>(w_, others, asked, w_.now() + 1s, [enough](auto const& replies) {
+        std::size_t n = 0;
+        for (auto const& [i, r] : replies) n += r && r->voting && r->promised;
+        return n >= enough || std::any_of(replies.begin(), replies.end(),
+                                          [](auto const& reply) { return reply.second && reply.second->newer; });
+      });
       std::size_t promised = 0;
       Ballot best;
       std::uint64_t top_round = ballot.round;
       Held held;
       for (auto const& [i, r] : got) {
-        if (r && r->newer) co_return std::nullopt;
+        if (r && r->newer) {
+          newer = r->newer;
+          co_return std::nullopt;
+        }
         if (!r || !r->voting) continue;
         promised += r->promised;
         top_round = std::max(top_round, r->slot.promised.round);
@@ -394,8 +419,11 @@
       }
       if (promised >= enough) {
         Accept const question{reg, ballot, held};
-        auto const taken =
-            co_await ask_all<Accept>(w_, others, question, w_.now() + 1s, [](auto const&) { return false; });
+        auto const taken = co_await ask_all<Accept>(w_, others, question, w_.now() + 1s, [enough](auto const& replies) {
+          std::size_t n = 0;
+          for (auto const& [i, r] : replies) n += r && r->accepted;
+          return n >= enough;
+        });
         std::size_t accepted = 0;
         for (auto const& [i, r] : taken) accepted += r && r->accepted;
         if (accepted >= enough) co_return Slot{ballot, ballot, held};
--- a/source/coordination/membership.hpp
+++ b/source/coordination/membership.hpp
@@ -1,25 +1,18 @@
 // A store's part in the set of voters: it founds the first set with the other
-// seeds, asks to be added, joins again after it lost its disk, and drives changes
-// of the set that others ask for or have left half done.
+// seeds, asks to be added, joins again after it lost its disk, watches the other
+// voters, and drives the changes of the set that others ask for or have left half
+// done (voter_set_change.hpp).
 //
-// A change from epoch e to e + 1:
-//   1. Every voter that stays votes in e; a change before is complete then.
-//   2. A round of the voters of e puts the new set into Register::voters. Once a
-//      set of e + 1 is there it is only ever written again: the set is decided.
-//   3. `Seal`: so many voters of e vote there no more that no quorum of e can
-//      form, and that each value acknowledged in e is with one of them.
-//   4. `Activate`: the voters of e + 1 take up the newest of what these hold, and
-//      vote in e + 1. Clients count quorums of e + 1 only among such.
-//   5. Each register is written once in e + 1, so that readings agree again.
-// Each step may be repeated by anyone, at any time: two drivers do no harm, and
-// who finds a change half done completes it. Ballots carry their epoch, so that
-// what was left behind in e never wins over what was written in e + 1.
+// A newcomer takes the place of a voter that has been silent, in one change, so
+// that a replaced machine costs the set nothing for longer than it takes to notice.
+// With nobody silent the set grows by the newcomer. A silent voter without a
+// successor is removed after a while, and one that leaves is removed as it goes, if
+// what is left bears as many losses as it should.
 #pragma once
 
 #include "coordination/acceptor.hpp"
-#include "coordination/register_client.hpp"
-
-#include <map>
+#include "coordination/voter_set_change.hpp"
+#include "coordination/voter_watch.hpp"
 
 namespace banktide {
 
@@ -28,14 +21,18 @@
   std::vector<Address> seeds;
   bool initial_start = false;  // the seeds have empty disks and found the register
   std::uint32_t losses = 1;    // how many stores may lose their disks at once
-  Duration remove_after = 20s;
+  Duration remove_after = 6s;  // of silence
 };
 
 template <Surroundings W, Disk D>
 class Membership {
  public:
   Membership(W& w, Acceptor<W, D>& acceptor, MembershipSettings settings)
-      : w_(w), acceptor_(acceptor), settings_(std::move(settings)), client_(w, StoreSeeds{settings_.seeds}) {
+      : w_(w),
+        acceptor_(acceptor),
+        settings_(std::move(settings)),
+        client_(w, StoreSeeds{settings_.seeds}),
+        change_(w, client_) {
     if (acceptor_.phase() == Phase::voting) client_.follow(acceptor_.set());
   }
 
@@ -46,14 +43,14 @@
 
   /// Runs for as long as the process.
   Task<void> run() {
-    for (std::uint64_t tick = 0;; ++tick) {
+    for (std::uint64_t tick = 0; !leaving_; ++tick) {
       bool const was = acceptor_.voting();
       if (!was)
         co_await step_towards_voting();
-      else if (acceptor_.behind() || tick % ticks_per_look == 0)
-        co_await look_at_others();
       else if (acceptor_.slot(Register::voters).held.revision > acceptor_.set().epoch)
-        co_await complete_change();
+        co_await change_.complete(acceptor_.set());
+      else if (acceptor_.behind() || tick % ticks_per_look == 0)
+        co_await keep_set_manned();
       if (acceptor_.voting() && !was) {
         log_info("voting", {{"epoch", std::to_string(acceptor_.set().epoch)},
                             {"voters", std::to_string(acceptor_.set().voters.size())}});
@@ -64,13 +61,37 @@
     }
   }
 
+  /// This store goes, perhaps for good: it has itself removed if the set bears too few
+  /// losses with a voter that is gone. It votes until then.
+  Task<void> leave(Duration const patience) {
+    leaving_ = true;
+    Instant const deadline = w_.now() + patience;
+    while (w_.now() < deadline && acceptor_.voting() && better_without_leaver(acceptor_.set())) {
+      bool const removed = co_await ask_to_be_removed(deadline);
+      if (removed) break;
+      co_await sleep_for(w_, join_interval);
+    }
+    left_ = true;
+  }
+  /// `leave` has done what it could.
+  bool left() const { return left_; }
+
+  /// By the latest look at the others.
+  VoterSetHealth const& health() const { return health_; }
+
  private:
   static constexpr Duration tick_interval = 500ms;
   static constexpr Duration join_interval = 100ms;
-  static constexpr Duration ask_patience = 1s;
+  static constexpr Duration look_patience = 400ms;
+  static constexpr Duration least_look_interval = 300ms;
+  static constexpr Duration look_holds_for = 1s;
   static constexpr Duration change_patience = 3s;
-  static constexpr std::uint64_t ticks_per_look = 8;
+  static constexpr std::uint64_t ticks_per_look = 1;
   static constexpr Duration look_interval = tick_interval * ticks_per_look;
+  // In a row: who misses so many may be replaced by a newcomer.
+  static constexpr std::uint64_t missed_looks_of_the_silent = 3;
+
+  // ---- on the way to a vote
 
   Task<void> step_towards_voting() {
     if (acceptor_.disk_name() == 0) {
@@ -90,214 +111,193 @@
       co_await ask_to_be_added(newest);
     } else if (acceptor_.phase() == Phase::voting ||
                (mine->disk != 0 && mine->disk == acceptor_.disk_name() && newest.epoch > 0)) {
-      co_await finish(newest);
+      co_await change_.finish(newest);
     } else if (newest.epoch == 0 && acceptor_.set() == newest) {
       co_await acceptor_.settle_once();
     } else {
-      co_await acceptor_.rejoin(newest);
+      std::optional<VoterSet> const newer = co_await acceptor_.rejoin(newest);
+      if (newer) client_.follow(*newer);
     }
   }
 
   // Only a set that a voter tells counts; what this store's own disk says is of
-  // no use while nobody votes.
+  // no use while nobody votes. Who told an old one is corrected by the voters asked next.
   Task<bool> find_newest() {
     if (acceptor_.phase() == Phase::voting) client_.follow(acceptor_.set());
     if (!acceptor_.last_asker().empty()) client_.learn({acceptor_.last_asker()});
-    co_return co_await client_.discover(w_.now() + ask_patience);
+    co_return co_await client_.discover(w_.now() + look_patience, true);
   }
 
   Task<void> ask_to_be_added(VoterSet const set) {
+    std::vector<Address> const active = co_await active_voters(set);
+    if (active.size() < quorum_of(set)) co_return;
     if (acceptor_.phase() == Phase::voting) {
-      // What this store holds may be needed until the set without it votes.
-      std::vector<Address> const voters = addresses_of(set);
-      std::size_t const active = co_await count_active(set, voters);
-      if (active < quorum_of(set)) co_return;
+      // What this store holds was needed until the set without it votes.
       bool const empty = co_await acceptor_.start_afresh();
       if (!empty) co_return;
     }
     AddVoter question;
     question.entry = VoterEntry{acceptor_.own(), acceptor_.disk_name()};
-    std::size_t const first = w_.chance()() % set.voters.size();
-    for (std::size_t i = 0; i < set.voters.size(); ++i) {
-      Address const peer = set.voters[(first + i) % set.voters.size()].address;
-      Result<SetReply> const reply = co_await ask<AddVoter>(w_, peer, question, w_.now() + change_patience);
-      if (!reply) continue;
-      client_.follow(reply->set);
-      if (reply->done) log_info("added", {{"epoch", std::to_string(reply->set.epoch)}, {"by", peer}});
-      co_return;
+    Address const peer = one_of(active);
+    Result<SetReply> const reply = co_await ask<AddVoter>(w_, peer, question, w_.now() + change_patience);
+    if (!reply) co_return;
+    client_.follow(reply->set);
+    if (reply->done) log_info("added", {{"epoch", std::to_string(reply->set.epoch)}, {"by", peer}});
+  }
+
+  Task<bool> ask_to_be_removed(Instant const deadline) {
+    VoterSet const set = acceptor_.set();
+    std::vector<Address> others = co_await active_voters(set);
+    std::erase(others, acceptor_.own());
+    if (others.empty()) co_return false;
+    RemoveVoter question;
+    question.address = acceptor_.own();
+    Address const peer = one_of(others);
+    Result<SetReply> const reply = co_await ask<RemoveVoter>(w_, peer, question, deadline);
+    if (reply && reply->done) log_info("removed_itself", {{"epoch", std::to_string(reply->set.epoch)}, {"by", peer}});
+    co_return reply && reply->done;
+  }
+
+  // Those of a set who vote in it, as far as they are needed for a quorum.
+  Task<std::vector<Address>> active_voters(VoterSet const set) {
+    std::vector<Address> const voters = addresses_of(set);
+    std::size_t const needed = quorum_of(set);
+    auto const votes_in_it = [&set](Result<VotersReply> const& r) { return r && r->active && r->set == set; };
+    VotersAsk const question{};
+    auto const replies =
+        co_await ask_all<VotersAsk>(w_, voters, question, w_.now() + look_patience, [&](auto const& heard) {
+          std::size_t n = 0;
+          for (auto const& [at, r] : heard) n += votes_in_it(r);
+          return n >= needed;
+        });
+    std::vector<Address> active;
+    for (auto const& [at, r] : replies) {
+      if (r && r->member) client_.follow(r->set);
+      if (votes_in_it(r)) active.push_back(voters[at]);
     }
+    co_return active;
   }
 
-  // ---- changes of the set
+  Address one_of(std::vector<Address> const& peers) { return peers[w_.chance()() % peers.size()]; }
+
+  // ---- changes that others ask for
 
   Task<SetReply> add(AddVoter q) {
-    SetReply reply;
     VoterSet const now = acceptor_.set();
-    VoterEntry const* const known = entry_of(now, q.entry.address);
-    if (acceptor_.voting() && known == nullptr) {
-      VoterSet const next = set_with(now, q.entry);
-      co_await change_set(now, next);
+    if (acceptor_.voting() && entry_of(now, q.entry.address) == nullptr) {
+      co_await look_at_others();
+      std::optional<VoterSet> const next = set_for_newcomer(now, q.entry);
+      if (next && acceptor_.set() == now) co_await change_.run(now, *next);
     }
-    if (acceptor_.phase() == Phase::voting) reply.set = acceptor_.set();
+    SetReply reply = known_set();
     VoterEntry const* const entry = entry_of(reply.set, q.entry.address);
     reply.done = entry != nullptr && *entry == q.entry;
     co_return reply;
   }
 
+  // While it isn't sure that a voter which doesn't answer is gone, there is none: the
+  // newcomer asks again in a moment. To be added beside it, the set would bear less.
+  std::optional<VoterSet> set_for_newcomer(VoterSet const& now, VoterEntry const& newcomer) const {
+    if (!last_look_over_ || w_.now() - *last_look_over_ > look_holds_for) return std::nullopt;
+    std::optional<Address> const silent = watch_.most_silent();
+    if (!silent) return set_with(now, newcomer);
+    if (watch_.missed(*silent) < missed_looks_of_the_silent) return std::nullopt;
+    return set_with_replacement(now, *silent, newcomer);
+  }
+
   Task<SetReply> remove(RemoveVoter q) {
-    SetReply reply;
     VoterSet const now = acceptor_.set();
-    bool const possible = now.voters.size() > least_voters && q.address != acceptor_.own();
-    if (acceptor_.voting() && possible && entry_of(now, q.address) != nullptr) {
-      VoterSet const next = set_without(now, q.address);
-      co_await change_set(now, next);
-    }
-    if (acceptor_.phase() == Phase::voting) reply.set = acceptor_.set();
+    bool const possible = may_shrink(now) && q.address != acceptor_.own();
+    if (acceptor_.voting() && possible && entry_of(now, q.address) != nullptr)
+      co_await change_.run(now, set_without(now, q.address));
+    SetReply reply = known_set();
     reply.done = !reply.set.voters.empty() && entry_of(reply.set, q.address) == nullptr;
     co_return reply;
   }
 
-  Task<void> change_set(VoterSet const now, VoterSet const next) {
-    if (changing_) co_return;
-    changing_ = true;
-    client_.follow(now);
-    bool const ready = co_await all_active(now, next);
-    if (ready) co_await decide(now, next);
-    changing_ = false;
-  }
-
-  // A change waits until every voter that stays votes in the present set: those
-  // of the set before may then be forgotten.
-  Task<bool> all_active(VoterSet const now, VoterSet const next) {
-    std::vector<Address> peers;
-    for (VoterEntry const& e : now.voters)
-      if (entry_of(next, e.address) != nullptr) peers.push_back(e.address);
-    std::size_t const active = co_await count_active(now, peers);
-    co_return active == peers.size();
-  }
-
-  Task<std::size_t> count_active(VoterSet const set, std::vector<Address> const peers) {
-    VotersAsk const question{};
-    auto const replies =
-        co_await ask_all<VotersAsk>(w_, peers, question, w_.now() + ask_patience, [](auto const&) { return false; });
-    std::size_t active = 0;
-    for (auto const& [i, r] : replies) active += r && r->active && r->set == set;
-    co_return active;
-  }
-
-  Task<void> decide(VoterSet const now, VoterSet const next) {
-    Result<Held> const held =
-        co_await client_.change(Register::voters, "", w_.now() + change_patience, [&](Held const& h) -> Result<Held> {
-          if (client_.set().epoch != now.epoch) return mishap("change_set", "", "the set has changed meanwhile");
-          bool const decided = h.revision > now.epoch;  // only ever written again
-          if (decided || next == now) return h;
-          Held changed;
-          changed.revision = next.epoch;
-          changed.bytes = pack(next);
-          return changed;
-        });
-    if (!held || held->revision <= now.epoch) co_return;
-    Result<VoterSet> const decided = unpack<VoterSet>(held->bytes);
-    if (decided) co_await finish(*decided);
-  }
-
-  // The voter here holds a newer set that may or may not be decided.
-  Task<void> complete_change() {
-    VoterSet const now = acceptor_.set();
-    if (changing_) co_return;
-    changing_ = true;
-    client_.follow(now);
-    co_await decide(now, now);
-    changing_ = false;
-  }
-
-  // Steps 3 to 5 for a set that is decided.
-  Task<void> finish(VoterSet const set) {
-    std::size_t const needed = recovery_quorum_of(set.before.size(), set.losses);
-    Seal const question{set};
-    auto const replies = co_await ask_all<Seal>(w_, set.before, question, w_.now() + ask_patience,
-                                                [needed](auto const& r) { return sealed(r) >= needed; });
-    for (auto const& [i, r] : replies)
-      if (r && r->newer) client_.follow(*r->newer);
-    if (sealed(replies) < needed) co_return;
-    Activate next;
-    next.set = set;
-    for (auto const& [i, r] : replies) {
-      if (!r || !r->sealed) continue;
-      next.founding = r->founding;
-      for (std::size_t k = 0; k < register_count; ++k) take_newest(next.slots[k], r->slots[k]);
-    }
-    std::vector<Address> const voters = addresses_of(set);
-    auto const started =
-        co_await ask_all<Activate>(w_, voters, next, w_.now() + ask_patience, [](auto const&) { return false; });
-    std::size_t active = 0;
-    for (auto const& [i, r] : started) active += r && r->active;
-    if (active < quorum_of(set)) co_return;
-    client_.follow(set);
-    for (Register const reg : kept_registers) {
-      Held const none{};
-      co_await client_.read(reg, none, w_.now() + ask_patience);
-    }
-  }
-
-  template <class Replies>
-  static std::size_t sealed(Replies const& replies) {
-    std::size_t n = 0;
-    for (auto const& [i, r] : replies) n += r && r->sealed;
-    return n;
-  }
-  static void take_newest(Slot& best, Slot const& told) {
-    best.promised = std::max(best.promised, told.promised);
-    if (told.accepted <= best.accepted) return;
-    best.accepted = told.accepted;
-    best.held = told.held;
+  SetReply known_set() const {
+    SetReply reply;
+    if (acceptor_.phase() == Phase::voting) reply.set = acceptor_.set();
+    return reply;
   }
 
   // ---- what a voter sees of the others
 
-  // A newer set is taken up; who has been silent too long while all the others
-  // vote is removed (change_set checks that they do).
-  Task<void> look_at_others() {
+  // A newer set is taken up; who has been silent for too long is removed.
+  Task<void> keep_set_manned() {
     VoterSet const now = acceptor_.set();
-    std::vector<Address> peers = addresses_of(now);
-    std::erase(peers, acceptor_.own());
-    VotersAsk const question{acceptor_.own()};
-    auto const replies =
-        co_await ask_all<VotersAsk>(w_, peers, question, w_.now() + ask_patience, [](auto const&) { return false; });
-    std::map<Address, std::uint64_t> silent;
-    for (Address const& a : peers) silent[a] = silent_looks_[a] + 1;
-    VoterSet newest = now;
-    for (auto const& [i, r] : replies) {
-      if (!r) continue;
-      silent[peers[i]] = 0;
-      if (r->member && r->set.epoch > newest.epoch) newest = r->set;
-    }
-    silent_looks_ = std::move(silent);
+    VoterSet const newest = co_await look_at_others();
     if (newest.epoch > now.epoch) {
       client_.follow(newest);
       if (entry_of(newest, acceptor_.own()) != nullptr)
-        co_await finish(newest);
+        co_await change_.finish(newest);
       else
         co_await ask_to_be_added(newest);
       co_return;
     }
     std::uint64_t const most = static_cast<std::uint64_t>(settings_.remove_after / look_interval);
-    for (auto const& [address, looks] : silent_looks_) {
-      if (looks < most) continue;
-      RemoveVoter gone;
-      gone.address = address;
-      SetReply const reply = co_await remove(gone);
-      if (reply.done) log_info("removed", {{"voter", gone.address}, {"epoch", std::to_string(reply.set.epoch)}});
-      break;
+    std::optional<Address> const silent = watch_.most_silent();
+    if (!silent || watch_.missed(*silent) < most || !may_shrink(now)) co_return;
+    RemoveVoter gone;
+    gone.address = *silent;
+    SetReply const reply = co_await remove(gone);
+    if (reply.done) log_info("removed", {{"voter", gone.address}, {"epoch", std::to_string(reply.set.epoch)}});
+  }
+
+  // The newest set that any of them tells.
+  Task<VoterSet> look_at_others() {
+    VoterSet newest = acceptor_.set();
+    if (last_look_ && w_.now() - *last_look_ < least_look_interval) co_return newest;
+    last_look_ = w_.now();
+    VoterSet const now = newest;
+    std::vector<Address> watched = addresses_of(now);
+    std::erase(watched, acceptor_.own());
+    std::vector<Address> peers = watched;
+    // It may be a voter of a newer set none of whose other voters is known here.
+    if (!acceptor_.last_asker().empty() && entry_of(now, acceptor_.last_asker()) == nullptr)
+      peers.push_back(acceptor_.last_asker());
+    VotersAsk const question{acceptor_.own()};
+    auto const replies =
+        co_await ask_all<VotersAsk>(w_, peers, question, w_.now() + look_patience, [](auto const&) { return false; });
+    std::vector<bool> answered(watched.size(), false);
+    std::size_t voting = acceptor_.voting() ? 1 : 0;
+    for (auto const& [at, r] : replies) {
+      if (!r) continue;
+      if (at < watched.size()) answered[at] = true;
+      if (at < watched.size()) voting += r->active && r->set == now;
+      if (r->member && r->set.epoch > newest.epoch) newest = r->set;
     }
+    watch_.note(watched, answered);
+    last_look_over_ = w_.now();
+    tell_health(health_of(now, voting));
+    co_return newest;
+  }
+
+  void tell_health(VoterSetHealth const& seen) {
+    if (seen == health_) return;
+    health_ = seen;
+    bool const weak = seen.losses_to_bear < settings_.losses;
+    std::string const epoch = std::to_string(seen.epoch);
+    std::string const voters = std::to_string(seen.voters);
+    std::string const voting = std::to_string(seen.voting);
+    std::string const losses = std::to_string(seen.losses_to_bear);
+    if (weak)
+      log_warn("voter_set_weak",
+               {{"epoch", epoch}, {"voters", voters}, {"voting", voting}, {"losses_to_bear", losses}});
+    else
+      log_info("voter_set_sound",
+               {{"epoch", epoch}, {"voters", voters}, {"voting", voting}, {"losses_to_bear", losses}});
   }
 
   W& w_;
   Acceptor<W, D>& acceptor_;
   MembershipSettings const settings_;
   RegisterClient<W> client_;
-  bool changing_ = false;
-  std::map<Address, std::uint64_t> silent_looks_;  // by voter: looks at it without an answer, in a row
+  VoterSetChange<W> change_;
+  VoterWatch watch_;
+  VoterSetHealth health_;
+  std::optional<Instant> last_look_, last_look_over_;
+  bool leaving_ = false, left_ = false;
 };
 
 }  // namespace banktide
--- a/source/coordination/register_client.hpp
+++ b/source/coordination/register_client.hpp
@@ -114,8 +114,9 @@
       Ballot const ballot{set_.epoch, ++round_, nonce_};
       Prepare const first{reg, ballot};
       auto const prepared = co_await ask_all<Prepare>(
-          w_, voters, first, std::min(deadline, w_.now() + round_patience),
-          [needed](auto const& replies) { return count(replies, &PrepareReply::promised) >= needed; });
+          w_, voters, first, std::min(deadline, w_.now() + round_patience), [needed](auto const& replies) {
+            return count(replies, &PrepareReply::promised) >= needed || newer_told(replies);
+          });
       follow_newer(prepared);
       Ballot best;
       Held held;
@@ -148,8 +149,9 @@
       offered = true;
       Accept const second{reg, ballot, held};
       auto const accepted = co_await ask_all<Accept>(
-          w_, voters, second, std::min(deadline, w_.now() + round_patience),
-          [needed](auto const& replies) { return count(replies, &AcceptReply::accepted) >= needed; });
+          w_, voters, second, std::min(deadline, w_.now() + round_patience), [needed](auto const& replies) {
+            return count(replies, &AcceptReply::accepted) >= needed || newer_told(replies);
+          });
       follow_newer(accepted);
       for (auto const& [i, r] : accepted)
         if (r) round_ = std::max(round_, r->promised.round);
@@ -244,6 +246,12 @@
     return n;
   }
 
+  // A newer set makes it useless to wait for more answers: a voter of the older one
+  // that is gone never gives any.
+  template <class Replies>
+  static bool newer_told(Replies const& replies) {
+    return std::any_of(replies.begin(), replies.end(), [](auto const& r) { return r.second && r.second->newer; });
+  }
   template <class Replies>
   void follow_newer(Replies const& replies) {
     for (auto const& [i, r] : replies)
@@ -294,11 +302,11 @@
     std::uint64_t const epoch = set_.epoch;
     std::size_t const needed = quorum_of(set_);
     Peek const question{reg, known.revision, epoch};
-    auto const replies =
-        co_await ask_all<Peek>(w_, addresses_of(set_), question, std::min(deadline, w_.now() + round_patience),
-                               [epoch, needed, &known](auto const& r) {
-                                 return agreeing(r, epoch).second >= needed || none_newer(r, needed, known.revision);
-                               });
+    auto const replies = co_await ask_all<Peek>(
+        w_, addresses_of(set_), question, std::min(deadline, w_.now() + round_patience),
+        [epoch, needed, &known](auto const& r) {
+          return agreeing(r, epoch).second >= needed || none_newer(r, needed, known.revision) || newer_told(r);
+        });
     follow_newer(replies);
     if (none_newer(replies, needed, known.revision)) co_return known;
     auto const [at, n] = agreeing(replies, epoch);
@@ -317,7 +325,7 @@
     Peek const question{reg, 0, epoch, false};
     auto const replies = co_await ask_all<Peek>(
         w_, voters, question, std::min(deadline, w_.now() + round_patience), [epoch, needed, have](auto const& r) {
-          return agreeing(r, epoch).second >= needed || none_newer(r, needed, have);
+          return agreeing(r, epoch).second >= needed || none_newer(r, needed, have) || newer_told(r);
         });
     follow_newer(replies);
     if (voting(replies) < needed) co_return std::nullopt;
--- a/source/coordination/voter_set.cpp
+++ b/source/coordination/voter_set.cpp
@@ -37,20 +37,45 @@
   return s;
 }
 
-VoterSet set_with(VoterSet const& s, VoterEntry const& added) {
+namespace {
+
+VoterSet next_epoch_of(VoterSet const& s) {
   VoterSet next = s;
   ++next.epoch;
   next.before = addresses_of(s);
+  return next;
+}
+
+void erase_voter(VoterSet& s, std::string const& address) {
+  std::erase_if(s.voters, [&](VoterEntry const& e) { return e.address == address; });
+}
+
+}  // namespace
+
+VoterSet set_with(VoterSet const& s, VoterEntry const& added) {
+  VoterSet next = next_epoch_of(s);
   next.voters.push_back(added);
   return next;
 }
 
 VoterSet set_without(VoterSet const& s, std::string const& removed) {
-  VoterSet next = s;
-  ++next.epoch;
-  next.before = addresses_of(s);
-  std::erase_if(next.voters, [&](VoterEntry const& e) { return e.address == removed; });
+  VoterSet next = next_epoch_of(s);
+  erase_voter(next, removed);
   return next;
 }
 
+VoterSet set_with_replacement(VoterSet const& s, std::string const& removed, VoterEntry const& added) {
+  VoterSet next = next_epoch_of(s);
+  erase_voter(next, removed);
+  next.voters.push_back(added);
+  return next;
+}
+
+void take_newer(Slot& mine, Slot const& told) {
+  mine.promised = std::max(mine.promised, told.promised);
+  if (told.accepted <= mine.accepted) return;
+  mine.accepted = told.accepted;
+  mine.held = told.held;
+}
+
 }  // namespace banktide
--- a/source/coordination/voter_set.hpp
+++ b/source/coordination/voter_set.hpp
@@ -43,4 +43,10 @@
 /// The next epoch with one voter less.
 VoterSet set_without(VoterSet const& s, std::string const& removed);
 
+/// The next epoch with `added` in the place of `removed`.
+VoterSet set_with_replacement(VoterSet const& s, std::string const& removed, VoterEntry const& added);
+
+/// Takes into `mine` what `told` has promised or accepted beyond it.
+void take_newer(Slot& mine, Slot const& told);
+
 }  // namespace banktide
--- a/source/programs/store_main.cpp
+++ b/source/programs/store_main.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/// How long a store that is told to go waits to be removed from the set of voters.
+constexpr Duration removal_patience = 2s;
+
 void define(Settings& s) {
   s.text("id", "", "name of this store");
   s.text("address", "", "ip:port for other processes");
@@ -88,11 +91,13 @@
     return true;
   });
   log_info("started", {{"address", *bound}});
-  process.until_told_to_go([] {}, [] { return true; },
-                           [&] {
-                             Process::reload(s, define, line.count(), line.words(),
-                                             [](std::string const&, Settings const&) { return false; });
-                           },
-                           1s);
+  auto const reload = [&] {
+    Process::reload(s, define, line.count(), line.words(), [](std::string const&, Settings const&) { return false; });
+  };
+  auto const leave = [&] {
+    if (!fixed) spawn(world, membership.leave(removal_patience));
+  };
+  process.until_told_to_go(
+      leave, [&] { return fixed || membership.left(); }, reload, removal_patience + 500ms);
   std::_Exit(0);
 }
--- a/source/protocol/register_messages.hpp
+++ b/source/protocol/register_messages.hpp
@@ -47,8 +47,8 @@
   BANKTIDE_FIELDS(address, disk)
 };
 
-// The voters of one epoch. Each change of the set adds or removes one voter and
-// makes the next epoch.
+// The voters of one epoch. Each change of the set adds, removes or replaces one
+// voter and makes the next epoch.
 struct VoterSet {
   std::uint64_t epoch = 0;
   std::uint32_t losses = 0;  // how many may lose their disks at once
@@ -176,10 +176,11 @@
 // The set has been decided: vote no more in the one before, and say what you hold.
 struct SealReply {
   bool sealed = false;
+  bool active = false;  // it votes in the new set already, so it holds all that was acknowledged before
   std::uint64_t founding = 0;
   Slots slots;
   std::optional<VoterSet> newer;
-  BANKTIDE_FIELDS(sealed, founding, slots, newer)
+  BANKTIDE_FIELDS(sealed, active, founding, slots, newer)
 };
 struct Seal {
   static constexpr std::uint8_t kind = 6;
--- a/tests/coordination/store_trial.hpp
+++ b/tests/coordination/store_trial.hpp
@@ -77,6 +77,20 @@
     return true;
   }
 
+  /// What each running store knows of the set, for the message of a check that failed.
+  std::string described() {
+    std::string out;
+    for (std::size_t i = 0; i < addresses.size(); ++i) {
+      if (!net.at.contains(addresses[i]) || !net.at[addresses[i]]->alive) continue;
+      VoterSet const& set = acceptors[i]->set();
+      out += addresses[i] + (acceptors[i]->voting() ? " votes" : " doesn't vote") + " in epoch " +
+             std::to_string(set.epoch) + " of";
+      for (VoterEntry const& e : set.voters) out += " " + e.address;
+      out += "\n";
+    }
+    return out;
+  }
+
   // Whole calls, run to their end.
   Result<Held> put(std::size_t const client, Register const reg, Revision const revision, std::string const bytes,
                    Duration const patience = 5s) {
