Only one content is ever confirmed under one version number

Cause: `write_configuration` compared numbers only: a second change under the number held was acknowledged whatever it said, so two operators who raced were both confirmed.

Ruled out: comparing with what the first voters hold before the round is complete (an operator would be refused for a content that may never be chosen); comparing with the held value alone (a change that comes again after the next one couldn't be told apart).

The answer is given by what the register holds after the round: the same content is acknowledged, at any registry and after a restart of everything; another one is refused with 409. Numbers below the one held change nothing, as before. Nodes and registries get values without these claims.

In builds broken on purpose (`confirms_any_content`, `shows_what_it_holds`) the ledger finds contradictions.

--- /dev/null
+++ b/source/programs/configuration_interface.hpp
@@ -0,0 +1,72 @@
+// The operators' configuration: writing it under a number of their choice and reading
+// the newest. Neither answers without a round of a quorum that began after the call.
+//
+// The highest number holds. A number that isn't above the one held changes nothing, and
+// is acknowledged unless other content was acknowledged under it before. The answer is
+// given by what the register holds after the round, never by what one voter held before:
+// a content that only some voters have accepted refuses nobody.
+#pragma once
+
+#include "programs/registry.hpp"
+#include "protocol/interface_adapter.hpp"
+#include "state/compressed_text.hpp"
+#include "state/version_claims.hpp"
+
+namespace banktide {
+
+template <Surroundings W>
+class ConfigurationInterface {
+ public:
+  ConfigurationInterface(W& w, Registry<W>& registry, InterfaceAdapter const& adapter)
+      : w_(w), registry_(registry), adapter_(adapter) {}
+
+  Task<HttpReply> write(WriteConfigurationOperation const operation) {
+    std::string const bytes = compress(operation.bytes);
+    auto const step = [&](Held const& now) -> Result<Held> {
+      return claim_version(now, operation.version, operation.bytes, bytes);
+    };
+    Result<Held> const done = co_await registry_.registers().change(Register::routing, "", w_.now() + patience, step);
+    if (!done) {
+      log_warn("configuration_not_taken", {{"version", std::to_string(operation.version)},
+                                           {"step", done.error().step},
+                                           {"reason", done.error().reason}});
+      co_return http_reply(adapter_.unavailable_reply(done.error().reason));
+    }
+    registry_.announce(Register::routing, *done);
+    VersionClaim const claim = find_claim(*done, operation.version, operation.bytes);
+    if (claim == VersionClaim::other_content && !broken_on_purpose("confirms_any_content")) {
+      log_warn("configuration_conflicts",
+               {{"version", std::to_string(operation.version)}, {"holds", std::to_string(done->revision)}});
+      co_return http_reply(adapter_.conflict_reply("another configuration was acknowledged under this version"));
+    }
+    log_info("configuration_taken",
+             {{"version", std::to_string(operation.version)}, {"holds", std::to_string(done->revision)}});
+    co_return http_reply(adapter_.acknowledgement_reply());
+  }
+
+  Task<HttpReply> read() {
+    Held const known = registry_.held(Register::routing);
+    Result<Held> held = known;
+    if (!broken_on_purpose("shows_what_it_holds"))
+      held = co_await registry_.registers().read(Register::routing, known, w_.now() + patience);
+    if (!held) co_return http_reply(adapter_.unavailable_reply(held.error().reason));
+    if (held->revision == 0) co_return http_reply(adapter_.unavailable_reply("no configuration was ever sent"));
+    Result<std::string> const text = decompress(held->bytes);
+    if (!text) {
+      log_warn("configuration_unreadable",
+               {{"version", std::to_string(held->revision)}, {"reason", text.error().reason}});
+      co_return http_reply(adapter_.unavailable_reply(text.error().reason));
+    }
+    co_return http_reply(adapter_.configuration_reply(*text));
+  }
+
+ private:
+  // Callers go on to another registry after a second of silence.
+  static constexpr Duration patience = 900ms;
+
+  W& w_;
+  Registry<W>& registry_;
+  InterfaceAdapter const& adapter_;
+};
+
+}  // namespace banktide
--- a/source/programs/hollow_fleet_interface.cpp
+++ b/source/programs/hollow_fleet_interface.cpp
@@ -15,6 +15,12 @@
   return reply;
 }
 
+InterfaceReply refusal(unsigned const status, std::string_view const reason) {
+  InterfaceReply reply = reply_with(std::string(reason));
+  reply.status = status;
+  return reply;
+}
+
 std::string grant_text(HeartbeatGrant const& grant) {
   std::ostringstream out;
   out << grant.hold.count() << "\n";
@@ -80,11 +86,8 @@
     return reply_with(answer.grant ? grant_text(*answer.grant) : "");
   };
   adapter_.configuration_reply = [](std::string bytes) { return reply_with(std::move(bytes)); };
-  adapter_.unavailable_reply = [](std::string_view const reason) {
-    InterfaceReply reply = reply_with(std::string(reason));
-    reply.status = 503;
-    return reply;
-  };
+  adapter_.unavailable_reply = [](std::string_view const reason) { return refusal(503, reason); };
+  adapter_.conflict_reply = [](std::string_view const reason) { return refusal(409, reason); };
   adapter_.read_bounds = [](std::vector<std::string> const&) -> Result<TimingBounds> { return TimingBounds{}; };
 }
 
--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -116,6 +116,7 @@
     std::optional<KeyDelta> delta;
     if (r == Register::keys) delta = make_key_delta(mine, h);
     mine = h;
+    mine.requests.clear();  // only changes need them, which take them from the voters
     if (r == Register::keys) remember(delta);
     // Written every few seconds of a window; its phases are logged where they are counted.
     if (r != Register::maintenance)
@@ -241,8 +242,6 @@
   }
 
   void remember(std::optional<KeyDelta> const& delta) {
-    // Nodes need nothing of the requests that made the table.
-    held_[static_cast<std::size_t>(Register::keys)].requests.clear();
     if (delta) {
       key_deltas_.add(*delta);
     } else {
--- a/source/protocol/interface_adapter.hpp
+++ b/source/protocol/interface_adapter.hpp
@@ -25,6 +25,8 @@
   std::function<InterfaceReply(HeartbeatAnswer const&)> heartbeat_reply;
   std::function<InterfaceReply(std::string bytes)> configuration_reply;
   std::function<InterfaceReply(std::string_view reason)> unavailable_reply;
+  /// Refuses a change for good, since another one was acknowledged in its place.
+  std::function<InterfaceReply(std::string_view reason)> conflict_reply;
   std::function<Result<TimingBounds>(std::vector<std::string> const&)> read_bounds;
 };
 
--- /dev/null
+++ b/source/state/version_claims.cpp
@@ -0,0 +1,50 @@
+// Claims are pairs of a digest and a version.
+#include "state/version_claims.hpp"
+
+#include "protocol/digest.hpp"
+
+#include <algorithm>
+
+namespace banktide {
+
+namespace {
+
+// Stands for a value that was written before claims were kept.
+constexpr char const* unknown_content = "";
+
+// The digest's eight bytes, as there are many claims.
+std::string claim_of(std::string_view const content) {
+  std::uint64_t digest = digest_of(content);
+  std::string claim;
+  for (std::size_t i = 0; i < sizeof digest; ++i, digest >>= 8) claim.push_back(static_cast<char>(digest & 0xff));
+  return claim;
+}
+
+void add(Held& held, std::string claim, Revision const version) {
+  held.requests.emplace_back(std::move(claim), version);
+  if (held.requests.size() > remembered_claims) held.requests.erase(held.requests.begin());
+}
+
+}  // namespace
+
+VersionClaim find_claim(Held const& held, Revision const version, std::string_view const content) {
+  auto const claimed = std::find_if(held.requests.begin(), held.requests.end(),
+                                    [version](auto const& claim) { return claim.second == version; });
+  if (claimed == held.requests.end()) return VersionClaim::free;
+  return claimed->first == claim_of(content) ? VersionClaim::same_content : VersionClaim::other_content;
+}
+
+Held claim_version(Held const& now, Revision const version, std::string_view const content, std::string const& bytes) {
+  Held next = now;
+  if (find_claim(now, version, content) == VersionClaim::free) {
+    bool const held_without_claim = now.revision == version && now.bytes != bytes;
+    add(next, held_without_claim ? unknown_content : claim_of(content), version);
+  }
+  if (now.revision >= version) return next;
+  next.revision = version;
+  next.bytes = bytes;
+  next.digest = digest_of(bytes);
+  return next;
+}
+
+}  // namespace banktide
--- a/tests/platform/platform_interface_test.cpp
+++ b/tests/platform/platform_interface_test.cpp
@@ -76,6 +76,7 @@
   EXPECT_EQ(readiness_reply(false).status, 503u);
   EXPECT_EQ(acknowledgement_reply().status, 200u);
   EXPECT_EQ(unavailable_reply("no quorum").status, 503u);
+  EXPECT_EQ(conflict_reply("taken").status, 409u);
   EXPECT_TRUE(nlohmann::json::parse(invalid_reply("bad \xff byte \"").body).is_object());
   InterfaceReply const redirect = redirect_reply("10.9.0.1:81", "/api/configuration");
   EXPECT_EQ(redirect.status, 307u);
--- /dev/null
+++ b/tests/programs/control_trial_test.cpp
@@ -0,0 +1,356 @@
+// What operators are told by a control plane under its worst days: each of these
+// happened to somebody, or is made of what may meet.
+#include "tests/programs/control_trial.hpp"
+
+#include "protocol/archive.hpp"
+
+namespace banktide {
+namespace {
+
+constexpr std::size_t cores = 4;
+constexpr std::uint32_t losses = 1;
+
+Order order(Revision const version, std::string const& text = "") {
+  return Order{version, std::to_string(version) + ":" + text};
+}
+
+bool formed(ControlTrial& t) {
+  return t.stores.run_until([&] { return t.stores.all_vote(cores); }, 20s);
+}
+
+template <class T>
+Task<void> finish(Task<T> task, std::optional<T>& result) {
+  result = co_await std::move(task);
+}
+
+// Runs one call of an operator to its end.
+template <class T>
+T finished(ControlTrial& t, Task<T> task) {
+  std::optional<T> result;
+  spawn(t.client(), finish<T>(std::move(task), result));
+  t.stores.run_until([&] { return result.has_value(); }, 5s);
+  return result.value_or(T{});
+}
+
+bool decided(std::uint16_t const status) { return status != 0 && status != 503; }
+
+Task<void> send_until_decided(ControlTrial& t, Order const change, std::size_t const registry, std::uint16_t& status) {
+  while (!decided(status)) {
+    HttpReply const reply = co_await t.send(registry, change);
+    status = reply.status;
+  }
+}
+
+std::uint16_t sent(ControlTrial& t, std::size_t const registry, Order const& change) {
+  return finished(t, t.send(registry, change)).status;
+}
+
+void cut_off(ControlTrial& t, std::vector<std::size_t> const& these) {
+  for (std::size_t const a : these)
+    for (std::size_t b = 0; b < cores; ++b) {
+      if (std::find(these.begin(), these.end(), b) != these.end()) continue;
+      t.stores.sim.cut(ControlTrial::machine(a), ControlTrial::machine(b));
+      t.stores.sim.cut(ControlTrial::machine(b), ControlTrial::machine(a));
+    }
+}
+
+TEST(ControlTrial, of_two_operators_with_one_number_exactly_one_is_confirmed) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    ControlTrial t(seed, cores, losses, 0);
+    ASSERT_TRUE(formed(t));
+    for (Revision version = 5; version < 15; ++version) {
+      std::array<std::uint16_t, 2> statuses{};
+      for (std::size_t operator_ = 0; operator_ < 2; ++operator_) {
+        Order const change = order(version, operator_ == 0 ? "one" : "other");
+        spawn(t.client(), send_until_decided(t, change, operator_ + 1, statuses[operator_]));
+      }
+      ASSERT_TRUE(t.stores.run_until([&] { return decided(statuses[0]) && decided(statuses[1]); }, 10s));
+      std::sort(statuses.begin(), statuses.end());
+      EXPECT_EQ(statuses[0], 200u) << "seed " << seed << " version " << version;
+      EXPECT_EQ(statuses[1], 409u) << "seed " << seed << " version " << version;
+    }
+  }
+}
+
+TEST(ControlTrial, a_change_is_acknowledged_again_later_anywhere_and_after_everything_restarted) {
+  ControlTrial t(2, cores, losses, 0);
+  ASSERT_TRUE(formed(t));
+  for (Revision version = 10; version <= 30; version += 10) ASSERT_EQ(sent(t, 0, order(version, "first")), 200u);
+  for (std::size_t i = 0; i < cores; ++i) t.power_off(i);
+  for (std::size_t i = 0; i < cores; ++i) t.start(i, false);
+  ASSERT_TRUE(formed(t));
+  t.stores.run_for(3s);
+  for (std::size_t registry = 0; registry < cores; ++registry)
+    for (Revision version = 10; version <= 30; version += 10) {
+      EXPECT_EQ(sent(t, registry, order(version, "first")), 200u);
+      EXPECT_EQ(sent(t, registry, order(version, "second")), 409u);
+    }
+  EXPECT_EQ(finished(t, t.read(1)).body, "30:first");
+}
+
+TEST(ControlTrial, who_is_cut_off_shows_and_confirms_nothing_and_says_so_in_time) {
+  for (std::size_t const alone : {0u, 3u}) {
+    ControlTrial t(3 + alone, cores, losses, 0);
+    ASSERT_TRUE(formed(t));
+    ASSERT_EQ(sent(t, alone, order(10)), 200u);
+    cut_off(t, {alone});
+    std::size_t const other = (alone + 1) % cores;
+    Instant const end = t.stores.sim.now + 20s;
+    for (Revision version = 11; t.stores.sim.now < end; ++version) {
+      ASSERT_EQ(sent(t, other, order(version)), 200u);
+      Instant const asked = t.stores.sim.now;
+      EXPECT_EQ(finished(t, t.read(alone)).status, 503u);
+      EXPECT_EQ(sent(t, alone, order(version + 1000)), 503u);
+      EXPECT_LT(t.stores.sim.now - asked, 2s);
+    }
+    // Just healed, a reading begun before the cut ended may still be under way.
+    t.stores.sim.heal();
+    Revision const newest = 5000;
+    ASSERT_EQ(sent(t, other, order(newest)), 200u);
+    HttpReply const seen = finished(t, t.read(alone));
+    EXPECT_TRUE(seen.status == 503 || seen.body == order(newest).content) << seen.body;
+  }
+}
+
+TEST(ControlTrial, of_two_halves_neither_confirms_or_shows_anything_and_both_go_on_when_healed) {
+  ControlTrial t(9, cores, losses, 0);
+  ASSERT_TRUE(formed(t));
+  ASSERT_EQ(sent(t, 0, order(10)), 200u);
+  for (Revision round = 1; round <= 3; ++round) {
+    cut_off(t, {0, 1});
+    t.stores.run_for(2s);
+    for (std::size_t registry = 0; registry < cores; ++registry) {
+      EXPECT_EQ(sent(t, registry, order(10 * round + registry + 1, "half")), 503u);
+      EXPECT_EQ(finished(t, t.read(registry)).status, 503u);
+    }
+    t.stores.sim.heal();
+    t.stores.run_for(2s);
+    for (std::size_t registry = 0; registry < cores; ++registry)
+      EXPECT_EQ(sent(t, registry, order(10 * round + 10, "whole")), 200u);
+  }
+}
+
+// Two operators who write and read all the while, at any registry, and everything
+// that may befall the core: what they are told never contradicts itself.
+class WorstDay {
+ public:
+  explicit WorstDay(std::uint64_t const seed) : t(seed, cores, losses, spares), next_spare_(cores) {
+    for (std::size_t i = 0; i < cores; ++i) members_.push_back(i);
+  }
+
+  void run() {
+    for (int operator_ = 0; operator_ < 2; ++operator_) spawn(t.client(), keep_ordering());
+    for (int reader = 0; reader < 3; ++reader) spawn(t.client(), keep_reading());
+    t.stores.sim.after(300ms, [this] { strike(); });
+    t.stores.run_for(40s);
+    over_ = true;
+    t.stores.sim.heal();
+    for (std::size_t const i : members_) mend(i);
+  }
+
+  /// All members vote again, and each registry shows the newest that was confirmed.
+  void expect_recovery(std::uint64_t const seed) {
+    ASSERT_TRUE(t.stores.run_until([&] { return all_vote(); }, 15s)) << "seed " << seed << "\n" << t.stores.described();
+    t.stores.run_for(2s);
+    for (std::size_t const i : members_) {
+      HttpReply const seen = finished(t, t.read(i));
+      ASSERT_EQ(seen.status, 200u) << "seed " << seed;
+      EXPECT_GE(std::stoull(seen.body), t.ledger.newest()) << "seed " << seed;
+    }
+  }
+
+  ControlTrial t;
+
+ private:
+  static constexpr std::size_t spares = 3;
+
+  Task<void> keep_ordering() {
+    while (!over_) {
+      Revision const version = ++version_ / 2 + 1;  // each number twice
+      Order const mine = order(version, std::to_string(t.stores.sim.chance() % 1000));
+      co_await t.place(mine, true);
+      placed_.push_back(mine);
+      if (t.stores.sim.chance() % 4 == 0) {
+        Order const again = placed_[t.stores.sim.chance() % placed_.size()];
+        co_await t.place(again, true);
+      }
+    }
+  }
+  Task<void> keep_reading() {
+    while (!over_) {
+      std::size_t const at = t.any_registry();
+      co_await t.look(at);
+      co_await sleep_for(t.client(), std::chrono::milliseconds(10 + t.stores.sim.chance() % 100));
+    }
+  }
+
+  void strike() {
+    if (over_) return;
+    std::size_t const i = members_[t.stores.sim.chance() % members_.size()];
+    Duration const a_while = std::chrono::milliseconds(100 + t.stores.sim.chance() % 3000);
+    strike_one(i, a_while);
+    t.stores.sim.after(std::chrono::milliseconds(500 + t.stores.sim.chance() % 2500), [this] { strike(); });
+  }
+
+  void strike_one(std::size_t const i, Duration const a_while) {
+    switch (t.stores.sim.chance() % 9) {
+      case 0:
+        return lose_power({i}, a_while);
+      case 1:
+        return lose_disk(i, a_while);
+      case 2:
+        cut(i, true, true);
+        return heal_after(a_while);
+      case 3: {
+        bool const inwards = t.stores.sim.chance() % 2 == 0;
+        cut(i, inwards, !inwards);
+        return heal_after(a_while);
+      }
+      case 4:
+        for (std::size_t const m : members_)
+          if (t.stores.sim.chance() % 2 == 0) cut(m, true, true);
+        return heal_after(a_while);
+      case 5:
+        if (!t.up(i) || t.frozen(i)) return;
+        t.freeze(i);
+        return t.stores.sim.after(a_while, [this, i] {
+          if (t.frozen(i)) t.thaw(i);
+        });
+      case 6:
+        t.stores.disks[i].stalled_until = t.stores.sim.now + a_while;
+        return;
+      case 7:
+        return lose_power(members_, a_while / 4);
+      default:
+        return replace(i);
+    }
+  }
+
+  void cut(std::size_t const i, bool const inwards, bool const outwards) {
+    for (std::size_t const m : members_) {
+      if (m == i) continue;
+      if (outwards) t.stores.sim.cut(ControlTrial::machine(i), ControlTrial::machine(m));
+      if (inwards) t.stores.sim.cut(ControlTrial::machine(m), ControlTrial::machine(i));
+    }
+  }
+  void heal_after(Duration const d) {
+    t.stores.sim.after(d, [this] { t.stores.sim.heal(); });
+  }
+  void lose_power(std::vector<std::size_t> const these, Duration const for_how_long) {
+    for (std::size_t const i : these) t.power_off(i);
+    t.stores.sim.after(for_how_long, [this, these] {
+      for (std::size_t const i : these)
+        if (std::find(members_.begin(), members_.end(), i) != members_.end()) mend(i);
+    });
+  }
+  // No second disk is lost before the first loss has been made good.
+  void lose_disk(std::size_t const i, Duration const for_how_long) {
+    if (disk_lost_ || !all_vote()) return;
+    disk_lost_ = true;
+    t.power_off(i);
+    t.stores.wipe(i);
+    t.stores.sim.after(for_how_long, [this, i] { mend(i); });
+    await_repair();
+  }
+  void replace(std::size_t const i) {
+    if (disk_lost_ || next_spare_ == cores + spares || !all_vote()) return;
+    disk_lost_ = true;
+    t.power_off(i);
+    std::erase(members_, i);
+    t.stores.sim.after(1s, [this] {
+      members_.push_back(next_spare_);
+      mend(next_spare_++);
+      await_repair();
+    });
+  }
+  void await_repair() {
+    t.stores.sim.after(500ms, [this] {
+      if (all_vote())
+        disk_lost_ = false;
+      else
+        await_repair();
+    });
+  }
+  void mend(std::size_t const i) {
+    if (!t.up(i)) t.start(i, false);
+    if (t.frozen(i)) t.thaw(i);
+  }
+  bool all_vote() {
+    return std::all_of(members_.begin(), members_.end(), [this](std::size_t const i) {
+      return t.up(i) && !t.frozen(i) && t.stores.acceptors[i]->voting() &&
+             entry_of(t.stores.acceptors[i]->set(), t.stores.addresses[i]) != nullptr;
+    });
+  }
+
+  std::vector<std::size_t> members_;
+  std::size_t next_spare_;
+  std::vector<Order> placed_;
+  Revision version_ = 0;
+  bool disk_lost_ = false, over_ = false;
+};
+
+class WorstDays : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(WorstDays, operators_are_told_one_story) {
+  WorstDay day(GetParam());
+  ASSERT_TRUE(formed(day.t));
+  day.run();
+  day.expect_recovery(GetParam());
+  EXPECT_EQ(day.t.ledger.contradictions, std::vector<std::string>{});
+  EXPECT_GT(day.t.ledger.acknowledgements, 10u);
+  EXPECT_GT(day.t.ledger.readings, 50u);
+  EXPECT_LE(day.t.longest_answer, 1s);
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, WorstDays, testing::Range<std::uint64_t>(1, 41));
+
+// The ledger finds what it is there to find, in builds broken on purpose.
+class BrokenControl : public testing::TestWithParam<char const*> {};
+
+TEST_P(BrokenControl, is_found_out) {
+  std::size_t contradictions = 0;
+  for (std::uint64_t seed = 1; seed <= 20 && contradictions == 0; ++seed) {
+    WorstDay day(seed);
+    ASSERT_TRUE(formed(day.t));
+    mutant_name = GetParam();
+    day.run();
+    mutant_name.clear();
+    contradictions += day.t.ledger.contradictions.size();
+  }
+  EXPECT_GT(contradictions, 0u);
+}
+INSTANTIATE_TEST_SUITE_P(Builds, BrokenControl, testing::Values("confirms_any_content", "shows_what_it_holds"));
+
+TEST(ControlTrial, after_a_thousand_changes_each_member_that_restarts_is_up_to_date_in_time_and_holds_little) {
+  ControlTrial t(21, cores, losses, 0);
+  ASSERT_TRUE(formed(t));
+  std::size_t most_bytes = 0;
+  Duration slowest{};
+  Revision version = 0;
+  for (std::size_t member = 0; member < cores; ++member) {
+    for (std::size_t n = 0; n < 250; ++n) {
+      if (n == 125) t.power_off(member);
+      ASSERT_EQ(sent(t, (member + 1) % cores, order(++version, std::string(200, 'x'))), 200u);
+    }
+    Instant const started = t.stores.sim.now;
+    t.start(member, false);
+    ASSERT_TRUE(t.stores.run_until(
+        [&] {
+          return t.stores.acceptors[member]->voting() &&
+                 finished(t, t.read(member)).body == order(version, std::string(200, 'x')).content;
+        },
+        4s))
+        << "member " << member;
+    slowest = std::max<Duration>(slowest, t.stores.sim.now - started);
+    // It is whole again when it votes on the newest value.
+    ASSERT_EQ(sent(t, member, order(++version)), 200u);
+    t.stores.run_for(1s);
+    most_bytes = std::max(most_bytes, pack(t.stores.disks[member].durable).size());
+  }
+  EXPECT_LE(slowest, 4s);
+  EXPECT_LT(most_bytes, 24 * remembered_claims + 3000u);
+  RecordProperty("slowest_ms", static_cast<int>(as_ms(slowest)));
+  RecordProperty("most_bytes", static_cast<int>(most_bytes));
+}
+
+}  // namespace
+}  // namespace banktide
--- a/tests/programs/mesh_trial.hpp
+++ b/tests/programs/mesh_trial.hpp
@@ -343,6 +343,7 @@
     adapter.readiness_reply = [](bool const ready) { return InterfaceReply{ready ? 200u : 503u, "", "", "", ""}; };
     adapter.acknowledgement_reply = [] { return InterfaceReply{}; };
     adapter.unavailable_reply = [](std::string_view) { return InterfaceReply{503, "", "", "", ""}; };
+    adapter.conflict_reply = [](std::string_view) { return InterfaceReply{409, "", "", "", ""}; };
   }
 
   static ServiceConfiguration configuration() {
--- /dev/null
+++ b/tests/state/version_claims_test.cpp
@@ -0,0 +1,69 @@
+// Which content was acknowledged under which version number, against a plain map.
+#include "state/version_claims.hpp"
+
+#include "protocol/digest.hpp"
+
+#include <gtest/gtest.h>
+#include <map>
+#include <random>
+
+namespace banktide {
+namespace {
+
+TEST(VersionClaims, a_number_has_one_content_whether_it_is_held_or_passed_over) {
+  Held held;
+  held = claim_version(held, 7, "first", "kept first");
+  EXPECT_EQ(held.revision, 7u);
+  EXPECT_EQ(held.bytes, "kept first");
+  EXPECT_EQ(find_claim(held, 7, "first"), VersionClaim::same_content);
+  EXPECT_EQ(find_claim(held, 7, "second"), VersionClaim::other_content);
+  EXPECT_EQ(find_claim(held, 8, "first"), VersionClaim::free);
+
+  Held const refused = claim_version(held, 7, "second", "kept second");
+  EXPECT_EQ(refused, held);
+
+  Held const passed_over = claim_version(held, 5, "late", "kept late");
+  EXPECT_EQ(passed_over.revision, 7u);
+  EXPECT_EQ(passed_over.bytes, "kept first");
+  EXPECT_EQ(find_claim(passed_over, 5, "late"), VersionClaim::same_content);
+  EXPECT_EQ(find_claim(passed_over, 5, "other"), VersionClaim::other_content);
+}
+
+TEST(VersionClaims, a_value_from_before_there_were_claims_keeps_its_number) {
+  Held held;
+  held.revision = 7;
+  held.bytes = "kept first";
+  held.digest = digest_of(held.bytes);
+  Held const again = claim_version(held, 7, "first", "kept first");
+  EXPECT_EQ(find_claim(again, 7, "first"), VersionClaim::same_content);
+  Held const other = claim_version(held, 7, "second", "kept second");
+  EXPECT_EQ(other.bytes, "kept first");
+  EXPECT_EQ(find_claim(other, 7, "second"), VersionClaim::other_content);
+}
+
+TEST(VersionClaims, agrees_with_a_map_and_forgets_only_the_oldest) {
+  std::mt19937_64 chance(5);
+  Held held;
+  std::map<Revision, std::string> first;
+  std::vector<Revision> order;
+  for (int n = 0; n < 2000; ++n) {
+    Revision const version = 1 + chance() % (10 + static_cast<std::uint64_t>(n));
+    std::string const content = "content " + std::to_string(chance() % 3);
+    held = claim_version(held, version, content, "kept " + content);
+    bool const remembered = std::find(order.begin(), order.end(), version) != order.end();
+    if (!remembered) {
+      first[version] = content;
+      order.push_back(version);
+      if (order.size() > remembered_claims) order.erase(order.begin());
+    }
+    ASSERT_EQ(held.requests.size(), order.size());
+    for (Revision const known : order) {
+      ASSERT_EQ(find_claim(held, known, first[known]), VersionClaim::same_content);
+      ASSERT_EQ(find_claim(held, known, "none of them"), VersionClaim::other_content);
+    }
+  }
+  EXPECT_EQ(order.size(), remembered_claims);
+}
+
+}  // namespace
+}  // namespace banktide
