--- /dev/null
+++ b/tests/data_path/request_path_model_test.cpp
@@ -0,0 +1,209 @@
+// Requests among nodes that answer by lot, late or not at all, while connections are
+// reset and processes freeze, die and start again. Each node keeps what it ran: a client
+// gets the answer to its own request, and what may not be repeated runs once at most.
+#include "data_path/request_path.hpp"
+
+#include <gtest/gtest.h>
+
+#include "simulation/sim_world.hpp"
+
+namespace banktide {
+namespace {
+
+constexpr DataPathHeaders header_names{"attempt", "remaining", "target",     "answering", "key",
+                                       "caller",  "not-run",   "load-level", "seal"};
+
+struct Runs {
+  std::map<std::string, unsigned> by_id;
+  std::uint64_t unknown = 0, refused = 0, answered = 0;
+};
+
+/// A node beside a backend, which refuses, runs, or runs and never tells.
+struct FickleNode {
+  std::shared_ptr<SimProcess> process;
+  Runs* runs = nullptr;
+  Desk desk;
+
+  Task<ForwardReply> run(Forward const forward) {
+    std::uint64_t const lot = process->chance()() % 10;
+    ForwardReply reply;
+    reply.load.slots = 4;
+    if (lot < 6) {
+      reply.outcome = Outcome::not_run;
+      reply.refusal = lot % 2 == 0 ? Refusal::busy : Refusal::no_backend;
+      reply.retry_after_ms = 10;
+      co_return reply;
+    }
+    ++runs->by_id[forward.attempt_id];
+    co_await sleep_for(*process, std::chrono::milliseconds(process->chance()() % 300));
+    if (lot == 6) co_return reply;  // nobody knows
+    reply.outcome = Outcome::answered;
+    reply.reply.status = lot == 7 ? 500 : 200;
+    reply.reply.body = forward.attempt_id;
+    co_return reply;
+  }
+};
+
+class FickleFleet {
+ public:
+  explicit FickleFleet(std::uint64_t const seed) : sim_(seed), net_(sim_) {
+    sim_.weather = true;
+    own_.runs = &runs;
+    own_.process = start("own");
+    ServiceConfiguration configuration;
+    configuration.services = {{"orders", "/health", 0, false, 0s}};
+    configuration.routes = {route("once", false), route("often", true)};
+    RequestPathSettings settings;
+    settings.own_address = "own:1";
+    settings.zone = "zone-1";
+    path_ = std::make_unique<RequestPath<SimProcess, FickleNode>>(*own_.process, settings, header_names, own_);
+    path_->set_router(std::make_shared<Router>(configuration));
+    std::vector<Endpoint> endpoints;
+    for (std::string const name : {"n-1", "n-2", "n-3", "n-4"}) {
+      nodes_[name].runs = &runs;
+      restart(name);
+      Endpoint endpoint;
+      endpoint.node = name;
+      endpoint.address = name + ":1";
+      endpoint.zone = "zone-1";
+      endpoint.local_zone = true;
+      endpoint.slots = 4;
+      endpoints.push_back(endpoint);
+    }
+    path_->selector().replace({{"orders", endpoints}});
+  }
+  ~FickleFleet() {
+    for (std::shared_ptr<SimProcess> const& process : all_) process->kill();
+    sim_.clear();
+  }
+  FickleFleet(FickleFleet const&) = delete;
+
+  void play(unsigned const requests) {
+    strike();
+    for (unsigned n = 0; n < requests; ++n) {
+      bool const repeatable = n % 2 == 0;
+      spawn(*own_.process, ask_one("r-" + std::to_string(n), repeatable));
+      sim_.run_until(sim_.now + std::chrono::milliseconds(sim_.chance() % 40));
+    }
+    over_ = true;
+    sim_.run_until(sim_.now + 10s);
+    EXPECT_EQ(ended_, requests);
+  }
+
+  Runs runs;
+
+ private:
+  static Route route(std::string const& host, bool const repeatable) {
+    Route r;
+    r.name = host;
+    r.host = host + ".test";
+    r.prefix = "/";
+    r.timeout = 2s;
+    r.aim = 1s;
+    r.attempt_limit = 3;
+    r.repeatable = repeatable;
+    r.targets = {WeightedService{0, 1}};
+    return r;
+  }
+
+  std::shared_ptr<SimProcess> start(std::string const& name) {
+    std::shared_ptr<SimProcess> process = std::make_shared<SimProcess>(sim_, net_, name, name + ":1", ++lives_);
+    net_.at[name + ":1"] = process;
+    net_.machine_of[name + ":1"] = name;
+    all_.push_back(process);
+    return process;
+  }
+  void restart(std::string const& name) {
+    FickleNode& node = nodes_[name];
+    if (node.process) node.process->kill();
+    node.process = start(name);
+    node.desk.on<Forward>([&node](Forward f) { return node.run(std::move(f)); });
+    node.process->serve(node.desk);
+  }
+
+  void strike() {
+    if (over_) return;
+    std::string const name = "n-" + std::to_string(1 + sim_.chance() % 4);
+    Duration const a_while = std::chrono::milliseconds(20 + sim_.chance() % 1500);
+    std::uint64_t const lot = sim_.chance() % 4;
+    if (lot == 0) {
+      restart(name);
+    } else if (lot == 1) {
+      freeze_for(nodes_[name].process, a_while);
+    } else if (lot == 2) {
+      freeze_for(own_.process, a_while / 3);
+    } else {
+      sim_.cut("own", name);
+      sim_.after(a_while, [this] { sim_.heal(); });
+    }
+    sim_.after(std::chrono::milliseconds(50 + sim_.chance() % 300), [this] { strike(); });
+  }
+  void freeze_for(std::shared_ptr<SimProcess> const& process, Duration const a_while) {
+    if (process->frozen) return;
+    process->freeze();
+    sim_.after(a_while, [process] {
+      if (process->alive) process->thaw();
+    });
+  }
+
+  Task<void> ask_one(std::string const id, bool const repeatable) {
+    HttpRequest question;
+    question.method = "GET";
+    question.target = "/thing";
+    question.headers = {{"Host", repeatable ? "often.test" : "once.test"}, {"attempt", id}};
+    std::shared_ptr<HttpExchange> const exchange = std::make_shared<HttpExchange>();
+    HttpReply const reply = co_await path_->handle(std::move(question), exchange);
+    ++ended_;
+    judge(id, repeatable, reply);
+  }
+
+  void judge(std::string const& id, bool const repeatable, HttpReply const& reply) {
+    bool const promises_no_run = reply.status == 503 || reply.status == 429;
+    if (reply.status == 200) {
+      ++runs.answered;
+      EXPECT_EQ(reply.body, id);
+    } else if (promises_no_run) {
+      ++runs.refused;
+      if (!repeatable) refused_.push_back(id);
+    } else {
+      ++runs.unknown;
+    }
+  }
+
+ public:
+  /// Once all is over, as a run may come late.
+  void expect_every_promise_kept() {
+    for (auto const& [id, count] : runs.by_id) {
+      bool const repeatable = std::stoul(id.substr(2)) % 2 == 0;
+      EXPECT_LE(count, repeatable ? 3u : 1u) << id;
+    }
+    for (std::string const& id : refused_) EXPECT_FALSE(runs.by_id.contains(id)) << id << " was refused as not run";
+  }
+
+ private:
+  Sim sim_;
+  SimNet net_;
+  FickleNode own_;
+  std::map<std::string, FickleNode> nodes_;
+  std::vector<std::shared_ptr<SimProcess>> all_;
+  std::unique_ptr<RequestPath<SimProcess, FickleNode>> path_;
+  std::vector<std::string> refused_;
+  std::uint64_t lives_ = 0;
+  unsigned ended_ = 0;
+  bool over_ = false;
+};
+
+class FickleFleets : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(FickleFleets, clients_get_their_own_answers_and_nothing_unrepeatable_runs_twice) {
+  FickleFleet fleet(GetParam());
+  fleet.play(400);
+  fleet.expect_every_promise_kept();
+  EXPECT_GT(fleet.runs.answered, 50u);
+  EXPECT_GT(fleet.runs.refused, 5u);
+  EXPECT_GT(fleet.runs.unknown, 20u);
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, FickleFleets, testing::Range<std::uint64_t>(1, 31));
+
+}  // namespace
+}  // namespace banktide
