Operators are told who votes and how many losses the voters can still bear

GET /control/status at any registry asks the voters themselves: epoch, quorum, who votes, losses_to_bear against losses_wanted, the version held and the age of the latest quorum reading; 'banktide-shell voters' shows it. Test: ControlTrial.operators_are_told_who_votes_and_what_can_still_be_borne.

--- /dev/null
+++ b/source/programs/control_status.hpp
@@ -0,0 +1,81 @@
+// What operators look at when the control plane is in trouble: who votes, how many
+// losses the set of voters can still bear, and how old this registry's knowledge is.
+// It is asked of the voters themselves at each call, so it also tells of a minority.
+#pragma once
+
+#include "coordination/voter_watch.hpp"
+#include "programs/registry.hpp"
+
+namespace banktide {
+
+inline constexpr std::string_view control_status_path = "/control/status";
+
+inline bool is_control_status_target(std::string_view const target) {
+  return target.substr(0, target.find('?')) == control_status_path;
+}
+
+template <Surroundings W>
+class ControlStatus {
+ public:
+  ControlStatus(W& w, Registry<W>& registry) : w_(w), registry_(registry) {}
+
+  /// Answers `GET /control/status` with a JSON object.
+  Task<HttpReply> call(HttpRequest const question) {
+    HttpReply reply;
+    if (question.method != "GET") {
+      reply.status = 405;
+      reply.headers.push_back({"Allow", "GET"});
+      co_return reply;
+    }
+    Json const status = co_await collect();
+    reply.status = 200;
+    reply.headers.push_back({"Content-Type", "application/json"});
+    reply.body = status.dump();
+    co_return reply;
+  }
+
+ private:
+  static constexpr Duration voter_patience = 400ms;
+
+  Task<Json> collect() {
+    RegisterClient<W>& registers = registry_.registers();
+    co_await registers.discover(w_.now() + voter_patience, true);
+    VoterSet const set = registers.set();
+    std::vector<Address> const voters = addresses_of(set);
+    VotersAsk const question{};
+    auto const replies =
+        co_await ask_all<VotersAsk>(w_, voters, question, w_.now() + voter_patience, [](auto const&) { return false; });
+    std::vector<std::string> conditions(voters.size(), "silent");
+    std::size_t voting = 0;
+    for (auto const& [at, reply] : replies) {
+      if (!reply) continue;
+      bool const votes = reply->active && reply->set == set;
+      conditions[at] = votes ? "votes" : "doesn't vote";
+      voting += votes;
+    }
+    co_return described(set, conditions, voting);
+  }
+
+  Json described(VoterSet const& set, std::vector<std::string> const& conditions, std::size_t const voting) const {
+    VoterSetHealth const health = health_of(set, voting);
+    Json status = {{"registry", registry_.settings().id},
+                   {"epoch", health.epoch},
+                   {"quorum", quorum_of(set)},
+                   {"voting", health.voting},
+                   {"losses_to_bear", health.losses_to_bear},
+                   {"losses_wanted", set.losses},
+                   {"vouched", registry_.vouched()},
+                   {"configuration", registry_.held(Register::routing).revision},
+                   {"key_table", registry_.held(Register::keys).revision},
+                   {"voters", Json::array()}};
+    if (std::optional<Duration> const age = registry_.reading_age()) status["reading_age_ms"] = as_ms(*age);
+    for (std::size_t i = 0; i < set.voters.size(); ++i)
+      status["voters"].push_back({{"address", set.voters[i].address}, {"condition", conditions[i]}});
+    return status;
+  }
+
+  W& w_;
+  Registry<W>& registry_;
+};
+
+}  // namespace banktide
--- a/source/programs/mesh_registry.hpp
+++ b/source/programs/mesh_registry.hpp
@@ -5,6 +5,7 @@
 
 #include "coordination/key_coordinator.hpp"
 #include "programs/configuration_interface.hpp"
+#include "programs/control_status.hpp"
 #include "programs/maintenance_interface.hpp"
 
 namespace banktide {
@@ -18,6 +19,7 @@
         registry_(registry),
         adapter_(adapter),
         configuration_(w, registry, adapter),
+        status_(w, registry),
         coordinator_(w, registry.registers(), keys, [this] { return acting(); }),
         windows_(w, registry.registers(), [this] { return acting(); }),
         maintenance_(w, registry, windows_, maintenance) {
@@ -36,6 +38,7 @@
 
   /** A call of an operator. */
   Task<HttpReply> interface_call(HttpRequest q) {
+    if (is_control_status_target(q.target)) co_return co_await status_.call(std::move(q));
     if (is_maintenance_target(q.target)) co_return co_await maintenance_.call(std::move(q));
     tl::expected<InterfaceOperation, InterfaceReply> operation = adapter_.interpret(q);
     if (!operation) co_return http_reply(std::move(operation.error()));
@@ -56,6 +59,7 @@
   Registry<W>& registry_;
   InterfaceAdapter const& adapter_;
   ConfigurationInterface<W> configuration_;
+  ControlStatus<W> status_;
   KeyCoordinator<W, RegisterClient<W>> coordinator_;
   Windows windows_;
   MaintenanceInterface<W, Registry<W>, Windows> maintenance_;
--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -74,6 +74,11 @@
   bool warm() const { return w_.now() - started_ >= t_.warm_up; }
   /// There is a recent reading of a majority.
   bool vouched() const { return reading_.newest() && w_.now() - *reading_.newest() < vouched_for; }
+  /// How long ago the question of the latest reading was asked; none: there was no reading.
+  std::optional<Duration> reading_age() const {
+    if (!reading_.newest()) return std::nullopt;
+    return w_.now() - *reading_.newest();
+  }
 
   RegistrySettings const& settings() const { return s_; }
   W& world() { return w_; }
--- a/source/programs/shell_main.cpp
+++ b/source/programs/shell_main.cpp
@@ -37,6 +37,8 @@
      "every slice's lease"},
     {"budget", "/nodes", "budget", "cell node firsts extras extra_tries taken in_flight",
      "calls, and the extra tries of the last 10 s"},
+    {"voters", "/control/status", "voters", "address condition",
+     "the voters of the register; --json adds how many losses they can still bear"},
     {"moves", "/moves", "slices", "service slices should by cell node state in_flight waits_for",
      "where each slice is, and what a move waits for"},
     {"ways", "/routing", "ways", "prefix service", "ways of the newest routing revision"},
--- a/tests/programs/control_trial.hpp
+++ b/tests/programs/control_trial.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "programs/configuration_interface.hpp"
+#include "programs/control_status.hpp"
 #include "tests/coordination/store_trial.hpp"
 
 #include <map>
@@ -89,6 +90,7 @@
     settings.store_port = 1;
     core.registry = std::make_shared<Registry<SimProcess>>(*core.process, settings);
     core.interface = std::make_shared<ConfigurationInterface<SimProcess>>(*core.process, *core.registry, adapter_);
+    core.status = std::make_shared<ControlStatus<SimProcess>>(*core.process, *core.registry);
     core.desk = std::make_shared<Desk>();
     core.process->serve(*core.desk);
     core.registry->start(*core.desk);
@@ -128,6 +130,17 @@
     co_return co_await call(registry, read_newest);
   }
 
+  /// What that registry tells operators of the control plane.
+  Task<HttpReply> status(std::size_t const registry) {
+    auto const ask_status = [](Core const& core) {
+      HttpRequest question;
+      question.method = "GET";
+      question.target = control_status_path;
+      return core.status->call(std::move(question));
+    };
+    co_return co_await call(registry, ask_status);
+  }
+
   /// Sends an order until it is taken or refused, to any registry; answers get lost.
   Task<void> place(Order const order, bool const answers_get_lost) {
     for (int attempt = 0; attempt < 40 && !over; ++attempt) {
@@ -170,6 +183,7 @@
     std::shared_ptr<SimProcess> process;
     std::shared_ptr<Registry<SimProcess>> registry;
     std::shared_ptr<ConfigurationInterface<SimProcess>> interface;
+    std::shared_ptr<ControlStatus<SimProcess>> status;
     std::shared_ptr<Desk> desk;
   };
   static constexpr Duration patience = 1s;
--- a/tests/programs/control_trial_test.cpp
+++ b/tests/programs/control_trial_test.cpp
@@ -130,6 +130,26 @@
   }
 }
 
+TEST(ControlTrial, operators_are_told_who_votes_and_what_can_still_be_borne) {
+  ControlTrial t(10, cores, losses, 0);
+  ASSERT_TRUE(formed(t));
+  ASSERT_EQ(sent(t, 0, order(10)), 200u);
+  t.stores.run_for(1s);
+  Json const sound = Json::parse(finished(t, t.status(1)).body);
+  EXPECT_EQ(sound["voting"], 4);
+  EXPECT_EQ(sound["losses_to_bear"], 1);
+  EXPECT_EQ(sound["configuration"], 10);
+  EXPECT_TRUE(sound["vouched"]);
+  t.power_off(2);
+  Json const weak = Json::parse(finished(t, t.status(1)).body);
+  EXPECT_EQ(weak["voting"], 3);
+  EXPECT_EQ(weak["losses_to_bear"], 0);
+  EXPECT_EQ(weak["losses_wanted"], 1);
+  std::size_t silent = 0;
+  for (Json const& voter : weak["voters"]) silent += voter["condition"] == "silent";
+  EXPECT_EQ(silent, 1u);
+}
+
 // Two operators who write and read all the while, at any registry, and everything
 // that may befall the core: what they are told never contradicts itself.
 class WorstDay {
