--- a/source/coordination/acceptor.hpp
+++ b/source/coordination/acceptor.hpp
@@ -43,20 +43,20 @@
 
   Result<bool> load() {
     Result<VoterRecord> r = disk_.load();
-    if (!r) return tl::unexpected<Mishap>(r.error());
+    if (!r) return tl::unexpected<Error>(r.error());
     record_ = std::move(*r);
     if (!fixed_.empty()) record_.set = first_set(fixed_, 0);
     return true;
   }
 
-  void attach(Desk& desk) {
-    desk.on<Prepare>([this](Prepare q) { return prepare(std::move(q)); });
-    desk.on<Accept>([this](Accept q) { return accept(std::move(q)); });
-    desk.on<Peek>([this](Peek q) { return peek(std::move(q)); });
-    desk.on<Found>([this](Found q) { return found(q); });
-    desk.on<VotersAsk>([this](VotersAsk q) { return voters(std::move(q)); });
-    desk.on<Seal>([this](Seal q) { return seal(std::move(q)); });
-    desk.on<Activate>([this](Activate q) { return activate(std::move(q)); });
+  void attach(Dispatcher& dispatcher) {
+    dispatcher.on<Prepare>([this](Prepare q) { return prepare(std::move(q)); });
+    dispatcher.on<Accept>([this](Accept q) { return accept(std::move(q)); });
+    dispatcher.on<Peek>([this](Peek q) { return peek(std::move(q)); });
+    dispatcher.on<Found>([this](Found q) { return found(q); });
+    dispatcher.on<VotersAsk>([this](VotersAsk q) { return voters(std::move(q)); });
+    dispatcher.on<Seal>([this](Seal q) { return seal(std::move(q)); });
+    dispatcher.on<Activate>([this](Activate q) { return activate(std::move(q)); });
   }
 
   Phase phase() const { return record_.phase; }
@@ -185,16 +185,16 @@
       if (good)
         record_ = std::move(next);
       else
-        disk_mishap(kept.error());
+        disk_error(kept.error());
     }
     turn_.leave();
     co_return good;
   }
 
-  void disk_mishap(Mishap const& m) {
+  void disk_error(Error const& m) {
     if (last_mishap_ && w_.now() - *last_mishap_ < log_interval) return;
     last_mishap_ = w_.now();
-    log_warn("disk_mishap", {{"step", m.step}, {"reason", m.reason}});
+    log_warn("disk_error", {{"step", m.step}, {"reason", m.reason}});
   }
 
   std::vector<Address> other_voters(VoterSet const& set) const {
--- a/source/coordination/backend_side.hpp
+++ b/source/coordination/backend_side.hpp
@@ -22,8 +22,8 @@
  public:
   BackendSide(NodeState<W>& n, B& edge) : n_(n), w_(n.w), s_(n.s), edge_(edge), leases_(n.w), tick_(n.w.now()) {}
 
-  void start(Desk& desk) {
-    desk.on<Drain>([this](Drain q) { return drain(std::move(q)); });
+  void start(Dispatcher& dispatcher) {
+    dispatcher.on<Drain>([this](Drain q) { return drain(std::move(q)); });
     spawn(w_, keep_leases());
     spawn(w_, keep_probing());
     spawn(w_, keep_expiring());
@@ -43,7 +43,7 @@
   HttpReply beat(std::string const& body) {
     notice_freeze();
     Result<Json> j = parse_json(body, 4096);
-    Result<bool> const fits = j ? check_schema(*j, beat_schema) : Result<bool>(tl::unexpected<Mishap>(j.error()));
+    Result<bool> const fits = j ? check_schema(*j, beat_schema) : Result<bool>(tl::unexpected<Error>(j.error()));
     if (!fits) {
       n_.note("bad_beat", fits.error());
       return json_reply(fits.error().step == "parse_json" || fits.error().step == "check_size" ? 400 : 422,
--- a/source/coordination/caller_side.hpp
+++ b/source/coordination/caller_side.hpp
@@ -24,8 +24,8 @@
   CallerSide(NodeState<W>& n, BackendSide<W, B>& beside)
       : n_(n), w_(n.w), s_(n.s), beside_(beside), journal_(n.s.id, n.life, n.s.decisions_kept) {}
 
-  void start(Desk& desk) {
-    desk.on<DecisionsAsk>([this](DecisionsAsk q) -> Task<DecisionsReply> { co_return journal_.since(q); });
+  void start(Dispatcher& dispatcher) {
+    dispatcher.on<DecisionsAsk>([this](DecisionsAsk q) -> Task<DecisionsReply> { co_return journal_.since(q); });
   }
 
   std::size_t in_flight() const { return calls_in_flight_; }
@@ -41,12 +41,12 @@
     std::shared_ptr<Rules const> const rules = n_.rules;
     if (!n_.ready())
       co_return dropped(chart, id, *rules, "", 503,
-                        Mishap{"admit", s_.id, n_.leaving ? "node is leaving" : "node is not ready", Proof::not_run});
+                        Error{"admit", s_.id, n_.leaving ? "node is leaving" : "node is not ready", Proof::not_run});
     if (calls_in_flight_ >= 4096)
-      co_return dropped(chart, id, *rules, "", 503, Mishap{"admit", s_.id, "backlog full", Proof::not_run});
+      co_return dropped(chart, id, *rules, "", 503, Error{"admit", s_.id, "backlog full", Proof::not_run});
     Index const s = rules->layout.way_of(q.target);
     if (s == no_index)
-      co_return dropped(chart, id, *rules, "", 404, Mishap{"find_way", s_.id, "no way for this path", Proof::not_run});
+      co_return dropped(chart, id, *rules, "", 404, Error{"find_way", s_.id, "no way for this path", Proof::not_run});
     Service const& service = rules->layout.services[s];
     Carry carry;
     carry.service = service.name;
@@ -55,7 +55,7 @@
       std::string const key = header_of(q, service.key_header);
       if (key.empty())
         co_return dropped(chart, id, *rules, service.name, 400,
-                          Mishap{"find_key", s_.id, "no key in header " + service.key_header, Proof::not_run});
+                          Error{"find_key", s_.id, "no key in header " + service.key_header, Proof::not_run});
       carry.keyed = true;
       carry.slice = service.slice_of(key);
     }
@@ -64,14 +64,14 @@
     if (!asked.empty()) {
       if (asked.size() > 5 || asked.find_first_not_of("0123456789") != std::string::npos || std::stoul(asked) < 1)
         co_return dropped(chart, id, *rules, service.name, 400,
-                          Mishap{"find_deadline", s_.id, "banktide-timeout-ms must be 1..99999", Proof::not_run});
+                          Error{"find_deadline", s_.id, "banktide-timeout-ms must be 1..99999", Proof::not_run});
       patience = std::min<Duration>(patience, std::chrono::milliseconds(std::stoul(asked)));
     }
     Choice const choice = n_.choose(*rules, s, carry.slice);
     if (broken_on_purpose("drops_all"))
-      co_return dropped(chart, id, *rules, service.name, 503, Mishap{"decide", s_.id, "", Proof::not_run});
+      co_return dropped(chart, id, *rules, service.name, 503, Error{"decide", s_.id, "", Proof::not_run});
     if (!choice.dropped.empty())
-      co_return dropped(chart, id, *rules, service.name, 503, Mishap{"decide", s_.id, choice.dropped, Proof::not_run},
+      co_return dropped(chart, id, *rules, service.name, 503, Error{"decide", s_.id, choice.dropped, Proof::not_run},
                         &carry);
     bool const repeatable = service.may_repeat(q.method);
     carry.request = std::move(q);
@@ -175,7 +175,7 @@
 
  private:
   HttpReply dropped(CallChart& chart, std::uint64_t const id, Rules const& rules, std::string const& service,
-                    std::uint16_t const status, Mishap const& m, Carry const* const c = nullptr) {
+                    std::uint16_t const status, Error const& m, Carry const* const c = nullptr) {
     chart.step(CallState::dropped);
     bool const unknown = m.proof == Proof::unknown;
     record(id, chart, "drop", service, m, rules, c);
@@ -189,7 +189,7 @@
   }
 
   void record(std::uint64_t const id, CallChart const& chart, char const* const decision, std::string const& service,
-              Mishap const& m, Rules const& rules, Carry const* const c = nullptr, std::string const& cell = "") {
+              Error const& m, Rules const& rules, Carry const* const c = nullptr, std::string const& cell = "") {
     CallEvent e;
     e.at_ms = as_ms(w_.now() - n_.started);
     e.call = id;
@@ -210,14 +210,14 @@
   Task<HttpReply> tries(CallChart& chart, std::uint64_t const id, Rules const& rules, Choice const& choice, Carry carry,
                         bool const repeatable, Instant const deadline) {
     std::set<std::string> tried;
-    Mishap last{"pick", s_.cell, "no usable backend", Proof::not_run};
+    Error last{"pick", s_.cell, "no usable backend", Proof::not_run};
     bool maybe_ran = false;
     for (int n = 0; n < 4; ++n) {
       chart.step(CallState::picking);
       std::optional<Target> const t = pick_target(carry.service, carry.keyed, carry.slice, choice, tried, true);
       std::int64_t const left = as_ms(deadline - w_.now());
       if (!t || left <= 0) {
-        if (t) last = Mishap{"pick", s_.cell, "deadline", Proof::not_run};
+        if (t) last = Error{"pick", s_.cell, "deadline", Proof::not_run};
         break;
       }
       if (n == 0 || broken_on_purpose("no_budget")) {
@@ -234,26 +234,26 @@
       carry.budget_ms = static_cast<std::uint32_t>(left);
       chart.step(CallState::carrying);
       record(id, chart, carry.crossed ? "cross" : "stay", carry.service,
-             Mishap{"carry", t->node,
-                    n > 0            ? "after a failed try"
-                    : choice.home    ? "home of the slice"
-                    : choice.settled ? "catalogue"
-                    : carry.crossed  ? "no usable backend here"
-                                     : "local first",
-                    Proof::unknown},
+             Error{"carry", t->node,
+                   n > 0            ? "after a failed try"
+                   : choice.home    ? "home of the slice"
+                   : choice.settled ? "catalogue"
+                   : carry.crossed  ? "no usable backend here"
+                                    : "local first",
+                   Proof::unknown},
              rules, &carry, t->cell);
       CarryReply r = co_await carry_to(*t, carry, deadline);
       chart.step(CallState::waiting);
       if (r.outcome == Outcome::answered && !(broken_on_purpose("no_budget") && repeatable && n == 0)) {
         chart.step(CallState::answered);
         record(id, chart, carry.crossed ? "cross" : "stay", carry.service,
-               Mishap{"answer", t->node, std::to_string(r.reply.status), Proof::unknown}, rules, &carry, t->cell);
+               Error{"answer", t->node, std::to_string(r.reply.status), Proof::unknown}, rules, &carry, t->cell);
         r.reply.headers.push_back({"banktide-outcome", "answered"});
         if (broken_on_purpose("swaps_answers") && w_.chance()() % 50 == 0) std::swap(r.reply.body, swapped_);
         co_return std::move(r.reply);
       }
-      last = Mishap{r.step, r.peer.empty() ? t->node : r.peer, r.reason,
-                    r.outcome == Outcome::not_run ? Proof::not_run : Proof::unknown};
+      last = Error{r.step, r.peer.empty() ? t->node : r.peer, r.reason,
+                   r.outcome == Outcome::not_run ? Proof::not_run : Proof::unknown};
       n_.note("carry", last);
       if (r.outcome == Outcome::unknown) {
         maybe_ran = true;
--- a/source/coordination/carried_side.hpp
+++ b/source/coordination/carried_side.hpp
@@ -14,9 +14,9 @@
   CarriedSide(NodeState<W>& n, BackendSide<W, B>& beside, CallerSide<W, B>& out)
       : n_(n), w_(n.w), s_(n.s), beside_(beside), out_(out) {}
 
-  void start(Desk& desk) {
-    desk.on<Carry>([this](Carry q) { return carried(std::move(q)); });
-    desk.on<ClockAsk>([this](ClockAsk) -> Task<ClockReply> { co_return ClockReply{n_.holder, clock_us()}; });
+  void start(Dispatcher& dispatcher) {
+    dispatcher.on<Carry>([this](Carry q) { return carried(std::move(q)); });
+    dispatcher.on<ClockAsk>([this](ClockAsk) -> Task<ClockReply> { co_return ClockReply{n_.holder, clock_us()}; });
   }
 
   std::size_t in_flight() const { return carried_in_flight_; }
--- a/source/coordination/cell_follower.hpp
+++ b/source/coordination/cell_follower.hpp
@@ -17,7 +17,7 @@
     n_.zone.set_events(std::move(events));
   }
 
-  void start(Desk& desk) { n_.zone.start(desk); }
+  void start(Dispatcher& dispatcher) { n_.zone.start(dispatcher); }
 
   Position at() const { return n_.zone.at(); }
 
--- a/source/coordination/key_coordinator.hpp
+++ b/source/coordination/key_coordinator.hpp
@@ -19,8 +19,8 @@
   KeyCoordinator(W& w, Store& store, KeySettings settings, std::function<bool()> acting)
       : w_(w), store_(store), planner_(settings), acting_(std::move(acting)), alarm_(w) {}
 
-  void attach(Desk& desk) {
-    desk.on<KeyReport>([this](KeyReport report) -> Task<KeyReportReply> {
+  void attach(Dispatcher& dispatcher) {
+    dispatcher.on<KeyReport>([this](KeyReport report) -> Task<KeyReportReply> {
       bool const news = !report.released.empty() || !report.ended.empty() || report.standing != KeyStanding::serving;
       newest_heard_ = std::max(newest_heard_, report.table);
       planner_.on_report(w_.now(), std::move(report));
@@ -91,7 +91,7 @@
     next.bytes = pack_key_table(*plan);
     next.digest = digest_of(next.bytes);
     auto const over = [next](Held const& newest) -> Result<Held> {
-      if (newest.revision + 1 != next.revision) return mishap("key table", "", "another table came first");
+      if (newest.revision + 1 != next.revision) return make_error("key table", "", "another table came first");
       Held written = next;
       written.requests = newest.requests;
       return written;
--- a/source/coordination/maintenance_keeper.hpp
+++ b/source/coordination/maintenance_keeper.hpp
@@ -42,17 +42,17 @@
     Instant counted_at{};
     auto const over_newest = [&](Held const& newest) -> Result<Held> {
       Result<MaintenancePlan> plan = unpack_maintenance(newest.bytes);
-      if (!plan) return tl::unexpected<Mishap>(plan.error());
+      if (!plan) return tl::unexpected<Error>(plan.error());
       counted_at = w_.now();
       // A newer value than ours was counted down by another registry a moment ago.
       if (newest.revision == view_.revision()) plan->advance(counted_at - view_.counted_at());
       Result<bool> const changed = edit(*plan);
-      if (!changed) return tl::unexpected<Mishap>(changed.error());
+      if (!changed) return tl::unexpected<Error>(changed.error());
       return *changed ? next_value(newest, *plan) : newest;
     };
     Result<Held> const done =
         co_await store_.change(Register::maintenance, "", w_.now() + register_patience, over_newest);
-    if (!done) co_return tl::unexpected<Mishap>(done.error());
+    if (!done) co_return tl::unexpected<Error>(done.error());
     take_written(*done, counted_at);
     co_return plan();
   }
@@ -74,7 +74,7 @@
     Instant const counted_at = w_.now();
     MaintenancePlan const plan = view_.at(counted_at);
     auto const over_own = [&](Held const& newest) -> Result<Held> {
-      if (newest.revision != revision) return mishap("maintenance", "", "another change came first");
+      if (newest.revision != revision) return make_error("maintenance", "", "another change came first");
       return next_value(newest, plan);
     };
     Result<Held> const done = co_await store_.change(Register::maintenance, "", w_.now() + register_patience, over_own);
--- a/source/coordination/membership.hpp
+++ b/source/coordination/membership.hpp
@@ -36,9 +36,9 @@
     if (acceptor_.phase() == Phase::voting) client_.follow(acceptor_.set());
   }
 
-  void attach(Desk& desk) {
-    desk.on<AddVoter>([this](AddVoter q) { return add(std::move(q)); });
-    desk.on<RemoveVoter>([this](RemoveVoter q) { return remove(std::move(q)); });
+  void attach(Dispatcher& dispatcher) {
+    dispatcher.on<AddVoter>([this](AddVoter q) { return add(std::move(q)); });
+    dispatcher.on<RemoveVoter>([this](RemoveVoter q) { return remove(std::move(q)); });
   }
 
   /// Runs for as long as the process.
--- a/source/coordination/node_state.hpp
+++ b/source/coordination/node_state.hpp
@@ -111,7 +111,7 @@
       zone.touch();
   }
 
-  void note(std::string const& what, Mishap const& m) { mishaps.note(w.now() - started, what, m); }
+  void note(std::string const& what, Error const& m) { mishaps.note(w.now() - started, what, m); }
 
   W& w;
   ProxySettings s;
--- a/source/coordination/register_client.hpp
+++ b/source/coordination/register_client.hpp
@@ -161,7 +161,7 @@
       }
       last = "accept had no majority";
     }
-    co_return mishap("register", register_name(reg), last, offered ? Proof::unknown : Proof::not_run);
+    co_return make_error("register", register_name(reg), last, offered ? Proof::unknown : Proof::not_run);
   }
 
   // The newest chosen value, vouched for by a majority as of this call.
@@ -221,11 +221,12 @@
         round_ = std::max(round_, r->accepted.round);
       }
     }
-    if (!ready || heard < majority()) co_return mishap("register", register_name(reg), "no majority", Proof::not_run);
+    if (!ready || heard < majority())
+      co_return make_error("register", register_name(reg), "no majority", Proof::not_run);
     std::uint64_t round = 0;
     Result<Held> const done = co_await change(
         reg, "", deadline, [](Held const& h) -> Result<Held> { return h; }, &round);
-    if (!done) co_return tl::unexpected<Mishap>(done.error());
+    if (!done) co_return tl::unexpected<Error>(done.error());
     co_return round;
   }
 
@@ -275,8 +276,9 @@
     std::uint64_t const longest = first_pause_ms << std::min(attempt, pause_doublings);
     return std::chrono::milliseconds(2 + w_.chance()() % longest);
   }
-  tl::unexpected<Mishap> not_confirmed(Register const reg) const {
-    return mishap("confirm", register_name(reg), set_known_ ? "no majority agrees" : "no voters known", Proof::not_run);
+  tl::unexpected<Error> not_confirmed(Register const reg) const {
+    return make_error("confirm", register_name(reg), set_known_ ? "no majority agrees" : "no voters known",
+                      Proof::not_run);
   }
 
   // A ballot that a majority has accepted, and who said so, the first to answer first.
--- a/source/coordination/slice_leases.hpp
+++ b/source/coordination/slice_leases.hpp
@@ -30,10 +30,12 @@
     auto const it = held_.find(s);
     if (broken_on_purpose("no_lease")) return std::uint64_t{1};
     if (it == held_.end() || it->second.instance != instance)
-      return mishap("lease", s.service, "slice " + std::to_string(s.slice) + " is not held here", Proof::not_run);
+      return make_error("lease", s.service, "slice " + std::to_string(s.slice) + " is not held here", Proof::not_run);
     Lease& l = it->second;
-    if (!l.wanted) return mishap("lease", s.service, "slice " + std::to_string(s.slice) + " is moving", Proof::not_run);
-    if (deadline >= l.until) return mishap("lease", s.service, "lease ends before the call's deadline", Proof::not_run);
+    if (!l.wanted)
+      return make_error("lease", s.service, "slice " + std::to_string(s.slice) + " is moving", Proof::not_run);
+    if (deadline >= l.until)
+      return make_error("lease", s.service, "lease ends before the call's deadline", Proof::not_run);
     ++l.in_flight;
     return l.epoch;
   }
--- a/source/coordination/voter_set_change.hpp
+++ b/source/coordination/voter_set_change.hpp
@@ -66,7 +66,7 @@
   Task<Result<VoterSet>> decide(VoterSet const now, VoterSet const next) {
     Result<Held> const held =
         co_await client_.change(Register::voters, "", w_.now() + decide_patience, [&](Held const& h) -> Result<Held> {
-          if (client_.set().epoch != now.epoch) return mishap("decide_set", "", "the set has changed meanwhile");
+          if (client_.set().epoch != now.epoch) return make_error("decide_set", "", "the set has changed meanwhile");
           bool const decided = h.revision > now.epoch;  // only ever written again
           if (decided || next == now) return h;
           Held changed;
@@ -74,8 +74,8 @@
           changed.bytes = pack(next);
           return changed;
         });
-    if (!held) co_return tl::unexpected<Mishap>(held.error());
-    if (held->revision <= now.epoch) co_return mishap("decide_set", "", "no change of the set was under way");
+    if (!held) co_return tl::unexpected<Error>(held.error());
+    if (held->revision <= now.epoch) co_return make_error("decide_set", "", "no change of the set was under way");
     co_return unpack<VoterSet>(held->bytes);
   }
 
--- a/source/coordination/zone_follower.hpp
+++ b/source/coordination/zone_follower.hpp
@@ -55,11 +55,11 @@
   /// Takes the place of the events given at first; before `start`.
   void set_events(FollowerEvents events) { events_ = std::move(events); }
 
-  void start(Desk& desk) {
-    desk.on<Meet>([this](Meet q) { return meet(std::move(q)); });
-    desk.on<News>([this](News q) { return news(std::move(q)); });
-    desk.on<Follow>([this](Follow q) { return follow(q); });
-    desk.on<Beat>([this](Beat q) { return beaten(std::move(q)); });
+  void start(Dispatcher& dispatcher) {
+    dispatcher.on<Meet>([this](Meet q) { return meet(std::move(q)); });
+    dispatcher.on<News>([this](News q) { return news(std::move(q)); });
+    dispatcher.on<Follow>([this](Follow q) { return follow(q); });
+    dispatcher.on<Beat>([this](Beat q) { return beaten(std::move(q)); });
     spawn(w_, keep_meeting());
     spawn(w_, keep_joined());
     spawn(w_, keep_fresh());
--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -366,7 +366,7 @@
     refusals_told_ = w_.now();
   }
 
-  ForwardReply judge_failure(Mishap const& error, std::string const& instance) {
+  ForwardReply judge_failure(Error const& error, std::string const& instance) {
     bool const nobody_listens = error.step == "connect" && error.reason == "refused";
     if (nobody_listens && instance_ && instance_->beat.id == instance) {
       instance_->refused = true;
--- a/source/data_path/request_path.hpp
+++ b/source/data_path/request_path.hpp
@@ -134,12 +134,12 @@
     Forward& f = attempt.forward;
     ServiceDefinition const& service = router.services()[Router::choose(route, w_.chance()())];
     f.attempt_id = header_of(request, headers_.attempt_id);
-    if (f.attempt_id.empty()) return mishap("admit", "", "no attempt id", Proof::not_run);
+    if (f.attempt_id.empty()) return make_error("admit", "", "no attempt id", Proof::not_run);
     f.service = service.name;
     f.keyed = service.keyed;
     if (service.keyed) {
       std::optional<std::uint32_t> const key = parse_key(header_of(request, headers_.key));
-      if (!key) return mishap("admit", "", "no key", Proof::not_run);
+      if (!key) return make_error("admit", "", "no key", Proof::not_run);
       f.key = static_cast<std::uint16_t>(*key);
     }
     Duration patience = route.timeout;
--- a/source/programs/fleet_main.cpp
+++ b/source/programs/fleet_main.cpp
@@ -106,7 +106,7 @@
     process_.on_thread([&]() {
       asio::co_spawn(world_.executor(), caller_.run_at(peer, q, world_.now() + 8s),
                      [&](std::exception_ptr e, Result<HttpReply> r) {
-                       p.set_value(e ? Result<HttpReply>(mishap("http", peer, "exception")) : std::move(r));
+                       p.set_value(e ? Result<HttpReply>(make_error("http", peer, "exception")) : std::move(r));
                      });
       return true;
     });
--- a/source/programs/hollow_fleet_control.cpp
+++ b/source/programs/hollow_fleet_control.cpp
@@ -79,7 +79,7 @@
   }
 
   std::shared_ptr<HollowProcess> registry_process, store_process;
-  Desk registry_desk, store_desk;
+  Dispatcher registry_desk, store_desk;
   Registry<HollowProcess> registry;
   MeshRegistry<HollowProcess> mesh;
   Store acceptor;
--- a/source/programs/hollow_fleet_interface.cpp
+++ b/source/programs/hollow_fleet_interface.cpp
@@ -45,7 +45,8 @@
   std::string format;
   HollowConfiguration size;
   in >> format >> size.version >> size.routes >> size.services >> size.keyed_services;
-  if (!in || format != format_name || size.services == 0) return mishap("read_hollow_configuration", "", "other bytes");
+  if (!in || format != format_name || size.services == 0)
+    return make_error("read_hollow_configuration", "", "other bytes");
   ServiceConfiguration c;
   c.version = size.version;
   c.limits.header_bytes = size.version;
--- a/source/programs/hollow_fleet_node.cpp
+++ b/source/programs/hollow_fleet_node.cpp
@@ -78,7 +78,7 @@
 
   HollowNode& node;
   std::shared_ptr<HollowProcess> process;
-  Desk desk;
+  Dispatcher dispatcher;
   MeshNode<HollowProcess> mesh;
   BackendHeartbeat beat;
 };
@@ -96,8 +96,8 @@
   in_force_.clear();
   life_ = std::make_unique<Life>(*this, ++lives_);
   network_.add(life_->process);
-  life_->process->serve(life_->desk);
-  life_->mesh.start(life_->desk);
+  life_->process->serve(life_->dispatcher);
+  life_->mesh.start(life_->dispatcher);
   if (!settings_.service.empty()) spawn(*life_->process, life_->keep_beating());
 }
 
--- a/source/programs/hollow_fleet_objects.cpp
+++ b/source/programs/hollow_fleet_objects.cpp
@@ -202,14 +202,14 @@
   constexpr std::size_t questions = 20000;
   Process process;
   SocketWorld server, client;
-  Desk desk;
-  desk.on<Echo>([](Echo q) -> Task<Echo::Reply> {
+  Dispatcher dispatcher;
+  dispatcher.on<Echo>([](Echo q) -> Task<Echo::Reply> {
     Echo::Reply reply{std::move(q.text)};
     co_return reply;
   });
   Result<Address> const address = server.listen("127.0.0.1:0");
   if (!address) return;
-  process.on_thread([&] { return (server.serve(desk), true); });
+  process.on_thread([&] { return (server.serve(dispatcher), true); });
   for (std::size_t const size : {16, 64, 256, 1024, 4096, 16384}) {
     std::promise<std::size_t> done;
     double const begun = processor_us();
--- a/source/programs/hollow_fleet_world.cpp
+++ b/source/programs/hollow_fleet_world.cpp
@@ -118,14 +118,14 @@
   if (!to->alive()) return refuse(from, to->address(), delays_.in_region, done);
   if (sender && !open(sender->place(), to->place())) return;
   count_received(*to->meter(), kind, payload->size());
-  if (to->desk() == nullptr || !to->desk()->handlers[kind]) return;
+  if (to->dispatcher() == nullptr || !to->dispatcher()->handlers[kind]) return;
   spawn(*to, handle(from, to, kind, payload, done));
 }
 
 Task<void> HollowNetwork::handle(std::weak_ptr<HollowProcess> from, std::shared_ptr<HollowProcess> to,
                                  std::uint8_t const kind, Payload payload, Done done) {
   Bytes question = std::move(*payload);
-  Result<Bytes> reply = co_await to->desk()->handlers[kind](std::move(question));
+  Result<Bytes> reply = co_await to->dispatcher()->handlers[kind](std::move(question));
   if (done) answer(from, *to, kind, std::move(reply), done);
 }
 
@@ -148,7 +148,7 @@
   std::shared_ptr<HollowProcess> const sender = from.lock();
   if (!done || !sender || !sender->alive()) return;
   at(now_ + wait, sender->meter(), [sender, peer, done] {
-    if (sender->alive()) done(mishap("connect", peer, "refused", Proof::not_run));
+    if (sender->alive()) done(make_error("connect", peer, "refused", Proof::not_run));
   });
 }
 
@@ -205,7 +205,7 @@
   });
   std::optional<Result<Bytes>> got = co_await answer->wait(deadline);
   if (got) co_return std::move(*got);
-  co_return mishap("wait_for_reply", peer, "deadline", Proof::unknown);
+  co_return make_error("wait_for_reply", peer, "deadline", Proof::unknown);
 }
 
 void HollowProcess::tell_raw(Address const& peer, std::uint8_t const kind, SharedBytes const& payload) {
--- a/source/programs/hollow_fleet_world.hpp
+++ b/source/programs/hollow_fleet_world.hpp
@@ -148,12 +148,12 @@
   asio::io_context::executor_type executor() { return network_.io().get_executor(); }
   Task<Result<Bytes>> ask_raw(Address peer, std::uint8_t kind, Bytes payload, Instant deadline);
   void tell_raw(Address const& peer, std::uint8_t kind, SharedBytes const& payload);
-  void serve(Desk& desk) { desk_ = &desk; }
+  void serve(Dispatcher& dispatcher) { desk_ = &dispatcher; }
 
   /// Ends this life: nothing of it runs any more.
   void kill();
   bool alive() const { return alive_; }
-  Desk* desk() const { return desk_; }
+  Dispatcher* dispatcher() const { return desk_; }
   Address const& address() const { return address_; }
   HollowPlace const& place() const { return place_; }
   HollowNetwork& network() { return network_; }
@@ -165,7 +165,7 @@
   HollowPlace const place_;
   std::shared_ptr<HollowMeter> const meter_;
   std::mt19937_64 chance_;
-  Desk* desk_ = nullptr;
+  Dispatcher* desk_ = nullptr;
   bool alive_ = true;
   std::map<std::uint64_t, std::weak_ptr<Waiting>> alarms_;
   std::uint64_t last_alarm_ = 0;
--- a/source/programs/maintenance_interface.hpp
+++ b/source/programs/maintenance_interface.hpp
@@ -145,7 +145,7 @@
     co_return newest_of(*done, asked.zone);
   }
 
-  static HttpReply not_taken(Mishap const& m) {
+  static HttpReply not_taken(Error const& m) {
     return maintenance_error(503, "not_known_to_be_taken", "send the same again: " + m.reason);
   }
 
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -41,9 +41,9 @@
       path_.selector().set_silent([&w](Address const& peer) { return w.silence_of(peer) > silent_after; });
   }
 
-  void start(Desk& desk) {
-    desk.on<Forward>([this](Forward f) { return forwarded(std::move(f)); });
-    follower_.start(desk);
+  void start(Dispatcher& dispatcher) {
+    dispatcher.on<Forward>([this](Forward f) { return forwarded(std::move(f)); });
+    follower_.start(dispatcher);
     spawn(w_, keep_confirming());
     spawn(w_, keep_reporting());
     spawn(w_, keep_ticking());
@@ -169,8 +169,7 @@
 
   void take_configuration(Held const& held) {
     Result<std::string> const text = decompress(held.bytes);
-    Result<ServiceConfiguration> read =
-        text ? adapter_.read_configuration(*text) : tl::unexpected<Mishap>(text.error());
+    Result<ServiceConfiguration> read = text ? adapter_.read_configuration(*text) : tl::unexpected<Error>(text.error());
     if (!read) {
       log_warn("configuration_unreadable",
                {{"version", std::to_string(held.revision)}, {"reason", read.error().reason}});
--- a/source/programs/mesh_proxy.cpp
+++ b/source/programs/mesh_proxy.cpp
@@ -63,7 +63,7 @@
   if (!bounds) return start_failed(bounds.error());
   Process process;
   SocketWorld world;
-  Desk desk;
+  Dispatcher dispatcher;
   Result<Address> const bound = world.listen(s.text("address"));
   if (!bound) return start_failed(bound.error());
   ConnectionsFactory const factory = [&world](Address const& address, std::size_t const limit) {
@@ -80,8 +80,8 @@
   HttpServer local(world.io(), interface, {});
   node.on_limits = [&clients](ClientLimits const& limits) { clients.set_limits(limits_of(limits)); };
   Result<Address> const open = process.on_thread([&]() -> Result<Address> {
-    world.serve(desk);
-    node.start(desk);
+    world.serve(dispatcher);
+    node.start(dispatcher);
     Result<Address> listening = readiness.listen(s.text("readiness-address"));
     if (listening) listening = local.listen(s.text("local-address"));
     if (listening) listening = clients.listen(s.text("client-address"));
--- a/source/programs/mesh_registry.cpp
+++ b/source/programs/mesh_registry.cpp
@@ -54,7 +54,7 @@
   if (!bounds) return start_failed(bounds.error());
   Process process;
   SocketWorld world;
-  Desk desk;
+  Dispatcher dispatcher;
   Result<Address> const bound = world.listen(s.text("address"));
   if (!bound) return start_failed(bound.error());
   Registry<SocketWorld> registry(world, registry_settings(s));
@@ -63,9 +63,9 @@
       world.io(), [&mesh](HttpRequest q, std::shared_ptr<HttpExchange>) { return mesh.interface_call(std::move(q)); },
       {});
   Result<Address> const open = process.on_thread([&]() -> Result<Address> {
-    world.serve(desk);
-    registry.start(desk);
-    mesh.start(desk);
+    world.serve(dispatcher);
+    registry.start(dispatcher);
+    mesh.start(dispatcher);
     return operators.listen(s.text("control-address"));
   });
   if (!open) return start_failed(open.error());
--- a/source/programs/mesh_registry.hpp
+++ b/source/programs/mesh_registry.hpp
@@ -29,8 +29,8 @@
     coordinator_.on_table = [this](Held const& held) { registry_.announce(Register::keys, held); };
   }
 
-  void start(Desk& desk) {
-    coordinator_.attach(desk);
+  void start(Dispatcher& dispatcher) {
+    coordinator_.attach(dispatcher);
     spawn(w_, coordinator_.run());
     spawn(w_, windows_.run());
     spawn(w_, maintenance_.run());
--- a/source/programs/mesh_settings.hpp
+++ b/source/programs/mesh_settings.hpp
@@ -91,7 +91,7 @@
 }
 
 /** Logs why a start failed; the exit code. */
-inline int start_failed(Mishap const& m) {
+inline int start_failed(Error const& m) {
   log_warn("start_failed", {{"step", m.step}, {"peer", m.peer}, {"reason", m.reason}});
   return 1;
 }
--- a/source/programs/operator_interface.hpp
+++ b/source/programs/operator_interface.hpp
@@ -27,7 +27,7 @@
   std::string word;  // acknowledged, refused, not-taken or unknown
   Revision revision = 0;
   std::string request;
-  Mishap mishap;
+  Error mishap;
 
   Json json() const {
     Json j = {{"register", register_name(reg)}, {"request", request}, {"verdict", word}};
@@ -61,7 +61,7 @@
     Verdict v;
     v.reg = p.reg;
     if (p.request.size() > 128)
-      co_return refused(v, 400, Mishap{"check_request", "", "banktide-request is over 128 bytes", Proof::not_run});
+      co_return refused(v, 400, Error{"check_request", "", "banktide-request is over 128 bytes", Proof::not_run});
     if (p.request.empty()) p.request = "auto-" + std::to_string(w_.chance()()) + std::to_string(w_.chance()());
     v.request = p.request;
     std::optional<Revision> expected;
@@ -70,7 +70,7 @@
                                      ? p.match.substr(1, p.match.size() - 2)
                                      : p.match;
       if (digits.empty() || digits.size() > 19 || digits.find_first_not_of("0123456789") != std::string::npos)
-        co_return refused(v, 400, Mishap{"check_if_match", "", "If-Match must be a revision", Proof::not_run});
+        co_return refused(v, 400, Error{"check_if_match", "", "If-Match must be a revision", Proof::not_run});
       expected = std::stoull(digits);
     }
     Layout layout;
@@ -85,15 +85,15 @@
       Result<Catalogue> const c =
           catalogue->revision > 0 ? Catalogue::read(catalogue->bytes, *l) : Result<Catalogue>(Catalogue{});
       if (!c)
-        co_return bad_revision(v, Mishap{"check_catalogue", c.error().peer,
-                                         "catalogue revision " + std::to_string(catalogue->revision) +
-                                             " would not fit: " + c.error().reason,
-                                         Proof::not_run});
+        co_return bad_revision(v, Error{"check_catalogue", c.error().peer,
+                                        "catalogue revision " + std::to_string(catalogue->revision) +
+                                            " would not fit: " + c.error().reason,
+                                        Proof::not_run});
     } else {
       Result<Held> const routing = co_await register_.read(Register::routing, held(Register::routing), w_.now() + 2s);
       if (!routing) co_return not_taken(v, routing.error());
       if (routing->revision == 0)
-        co_return bad_revision(v, Mishap{"check_references", "", "there is no routing revision yet", Proof::not_run});
+        co_return bad_revision(v, Error{"check_references", "", "there is no routing revision yet", Proof::not_run});
       registry_.take(Register::routing, *routing);
       Result<Layout> l = Layout::read(routing->bytes);
       if (!l) co_return bad_revision(v, l.error());
@@ -106,12 +106,12 @@
         co_await register_.change(p.reg, p.request, w_.now() + 5s, [&](Held const& now) -> Result<Held> {
           newest = now.revision;
           if (expected && *expected != now.revision)
-            return mishap("check_if_match", "", "the newest revision is " + std::to_string(now.revision),
-                          Proof::not_run);
+            return make_error("check_if_match", "", "the newest revision is " + std::to_string(now.revision),
+                              Proof::not_run);
           Held next = now;
           if (p.change) {
             Result<std::string> edited = edit_catalogue(now.bytes, *p.change, layout);
-            if (!edited) return tl::unexpected<Mishap>(edited.error());
+            if (!edited) return tl::unexpected<Error>(edited.error());
             next.bytes = std::move(*edited);
           } else {
             next.bytes = p.bytes;
@@ -220,7 +220,7 @@
     co_return reply;
   }
 
-  HttpReply not_vouched(Mishap const& m) {
+  HttpReply not_vouched(Error const& m) {
     note("register", m);
     HttpReply reply = json_reply(
         503,
@@ -238,17 +238,17 @@
     co_return reply;
   }
 
-  static Verdict refused(Verdict v, std::uint16_t const status, Mishap const& m) {
+  static Verdict refused(Verdict v, std::uint16_t const status, Error const& m) {
     v.status = status;
     v.word = "refused";
     v.mishap = m;
     return v;
   }
-  Verdict bad_revision(Verdict v, Mishap const& m) {
+  Verdict bad_revision(Verdict v, Error const& m) {
     note("bad_revision", m);
     return refused(std::move(v), m.step == "check_size" ? 413 : m.step == "parse_json" ? 400 : 422, m);
   }
-  Verdict not_taken(Verdict v, Mishap const& m) {
+  Verdict not_taken(Verdict v, Error const& m) {
     note("register", m);
     v.status = 503;
     v.word = "not-taken";
@@ -273,7 +273,7 @@
   }
 
   Held const& held(Register const r) const { return registry_.held(r); }
-  void note(std::string const& what, Mishap const& m) { registry_.note(what, m); }
+  void note(std::string const& what, Error const& m) { registry_.note(what, m); }
 
   Registry<W>& registry_;
   RegisterClient<W>& register_;
--- a/source/programs/operator_streams.hpp
+++ b/source/programs/operator_streams.hpp
@@ -64,8 +64,8 @@
       return !s.empty() && s.size() <= 20 && s.find_first_not_of("0123456789") == std::string::npos;
     };
     if (!number(life) || !number(seq) || out.size() > 1000)
-      return mishap("read_position", part.substr(0, 40), "a position is node:life:number, several with commas",
-                    Proof::not_run);
+      return make_error("read_position", part.substr(0, 40), "a position is node:life:number, several with commas",
+                        Proof::not_run);
     out[part.substr(0, a)] =
         Position{std::strtoull(life.c_str(), nullptr, 10), std::strtoull(seq.c_str(), nullptr, 10)};
   }
@@ -247,12 +247,12 @@
 
   static Result<Proposal> read_change(std::string const& line) {
     Result<Json> j = parse_json(line, line_limit);
-    if (!j) return tl::unexpected<Mishap>(j.error());
-    if (!j->is_object()) return mishap("check_schema", "", "a change is an object", Proof::not_run);
+    if (!j) return tl::unexpected<Error>(j.error());
+    if (!j->is_object()) return make_error("check_schema", "", "a change is an object", Proof::not_run);
     Proposal p;
     if (j->contains("put")) {
       Result<bool> const fits = check_schema(*j, whole_schema);
-      if (!fits) return tl::unexpected<Mishap>(fits.error());
+      if (!fits) return tl::unexpected<Error>(fits.error());
       p.reg = (*j)["put"] == "routing" ? Register::routing : Register::catalogue;
       p.bytes = (*j)["bytes"];
     } else {
@@ -266,7 +266,7 @@
       p.change->erase("if_match");
       p.change->erase("request");
       Result<bool> const fits = check_schema(*p.change, catalogue_change_schema);
-      if (!fits) return tl::unexpected<Mishap>(fits.error());
+      if (!fits) return tl::unexpected<Error>(fits.error());
     }
     return p;
   }
--- a/source/programs/proxy.hpp
+++ b/source/programs/proxy.hpp
@@ -22,12 +22,12 @@
         callers_(n_, beside_),
         carried_(n_, beside_, callers_) {}
 
-  void start(Desk& desk) {
-    desk.on<StateAsk>([this](StateAsk) -> Task<StateReply> { co_return StateReply{state().dump()}; });
-    follower_.start(desk);
-    beside_.start(desk);
-    callers_.start(desk);
-    carried_.start(desk);
+  void start(Dispatcher& dispatcher) {
+    dispatcher.on<StateAsk>([this](StateAsk) -> Task<StateReply> { co_return StateReply{state().dump()}; });
+    follower_.start(dispatcher);
+    beside_.start(dispatcher);
+    callers_.start(dispatcher);
+    carried_.start(dispatcher);
   }
 
   bool ready() const { return n_.ready(); }
--- a/source/programs/proxy_main.cpp
+++ b/source/programs/proxy_main.cpp
@@ -41,7 +41,7 @@
   start_logging(s.text("log-level"), "banktide-proxy", s.text("id"));
   Process process;
   SocketWorld world;
-  Desk desk;
+  Dispatcher dispatcher;
   Result<Address> const bound = world.listen(s.text("address"));
   if (!bound) {
     log_warn("start_failed",
@@ -60,8 +60,8 @@
   HttpListener local(world.io(), s.text("local"),
                      [&](HttpRequest q) -> Task<HttpReply> { co_return proxy.platform(q); });
   process.on_thread([&]() {
-    world.serve(desk);
-    proxy.start(desk);
+    world.serve(dispatcher);
+    proxy.start(dispatcher);
     return true;
   });
   for (HttpListener* const l : {&local, &callers}) {
--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -48,18 +48,18 @@
     feeds_[s_.cell] = own_feed_;
   }
 
-  void start(Desk& desk) {
-    desk.on<Join>([this](Join q) { return join(std::move(q)); });
-    desk.on<Follow>([this](Follow q) { return follow(std::move(q)); });
-    desk.on<LayoutsAsk>([this](LayoutsAsk q) { return layouts(q); });
-    desk.on<Meet>([this](Meet q) { return meet(std::move(q)); });
-    desk.on<Beat>([this](Beat q) { return beat(std::move(q)); });
-    desk.on<Suspect>([this](Suspect q) { return suspect(std::move(q)); });
-    desk.on<CellTold>([this](CellTold q) { return cell_told(std::move(q)); });
-    desk.on<Chosen>([this](Chosen q) { return chosen(std::move(q)); });
-    desk.on<LeaseAsk>([this](LeaseAsk q) { return lease(std::move(q)); });
-    desk.on<DecisionsAsk>([this](DecisionsAsk q) { return decisions(std::move(q)); });
-    desk.on<StateAsk>([this](StateAsk q) { return state(q); });
+  void start(Dispatcher& dispatcher) {
+    dispatcher.on<Join>([this](Join q) { return join(std::move(q)); });
+    dispatcher.on<Follow>([this](Follow q) { return follow(std::move(q)); });
+    dispatcher.on<LayoutsAsk>([this](LayoutsAsk q) { return layouts(q); });
+    dispatcher.on<Meet>([this](Meet q) { return meet(std::move(q)); });
+    dispatcher.on<Beat>([this](Beat q) { return beat(std::move(q)); });
+    dispatcher.on<Suspect>([this](Suspect q) { return suspect(std::move(q)); });
+    dispatcher.on<CellTold>([this](CellTold q) { return cell_told(std::move(q)); });
+    dispatcher.on<Chosen>([this](Chosen q) { return chosen(std::move(q)); });
+    dispatcher.on<LeaseAsk>([this](LeaseAsk q) { return lease(std::move(q)); });
+    dispatcher.on<DecisionsAsk>([this](DecisionsAsk q) { return decisions(std::move(q)); });
+    dispatcher.on<StateAsk>([this](StateAsk q) { return state(q); });
     spawn(w_, keep_meeting());
     spawn(w_, reading_.run());
     if (!s_.voters.empty()) spawn(w_, find_floor());
@@ -145,7 +145,7 @@
     }
   }
 
-  void note(std::string const& what, Mishap const& m) { mishaps_.note(w_.now() - started_, what, m); }
+  void note(std::string const& what, Error const& m) { mishaps_.note(w_.now() - started_, what, m); }
   Mishaps const& mishaps() const { return mishaps_; }
 
   // ---- the operators' door
--- a/source/programs/registry_main.cpp
+++ b/source/programs/registry_main.cpp
@@ -36,7 +36,7 @@
   start_logging(s.text("log-level"), "banktide-registry", s.text("id"));
   Process process;
   SocketWorld world;
-  Desk desk;
+  Dispatcher dispatcher;
   Result<Address> const bound = world.listen(s.text("address"));
   if (!bound) {
     log_warn("start_failed",
@@ -53,8 +53,8 @@
   operators.on_lines_out("/decisions",
                          [&](HttpRequest q, LinesOut& out) { return streams.decisions(std::move(q), out); });
   process.on_thread([&]() {
-    world.serve(desk);
-    registry.start(desk);
+    world.serve(dispatcher);
+    registry.start(dispatcher);
     return true;
   });
   Result<bool> const open = operators.open();
--- a/source/programs/shell_main.cpp
+++ b/source/programs/shell_main.cpp
@@ -146,13 +146,13 @@
 
   // The first door that answers.
   Result<HttpReply> http(HttpRequest const& q) {
-    Result<HttpReply> r = mishap("connect", "", "no registry", Proof::not_run);
+    Result<HttpReply> r = make_error("connect", "", "no registry", Proof::not_run);
     for (Address const& door : doors_) {
       std::promise<Result<HttpReply>> p;
       process_.on_thread([&]() {
         asio::co_spawn(world_.executor(), caller_.run_at(door, q, world_.now() + 8s),
                        [&](std::exception_ptr e, Result<HttpReply> got) {
-                         p.set_value(e ? Result<HttpReply>(mishap("http", door, "exception")) : std::move(got));
+                         p.set_value(e ? Result<HttpReply>(make_error("http", door, "exception")) : std::move(got));
                        });
         return true;
       });
--- a/source/programs/store_main.cpp
+++ b/source/programs/store_main.cpp
@@ -61,7 +61,7 @@
   }
   Process process;
   SocketWorld world;
-  Desk desk;
+  Dispatcher dispatcher;
   std::vector<std::string> const voters = s.list("voter");
   std::size_t const own =
       static_cast<std::size_t>(std::find(voters.begin(), voters.end(), s.text("address")) - voters.begin());
@@ -77,16 +77,16 @@
   membership_settings.losses = static_cast<std::uint32_t>(s.number("losses"));
   Membership<SocketWorld, SqliteDisk> membership(world, acceptor, membership_settings);
   Result<Address> bound =
-      loaded ? world.listen(s.text("address")) : Result<Address>(tl::unexpected<Mishap>(loaded.error()));
+      loaded ? world.listen(s.text("address")) : Result<Address>(tl::unexpected<Error>(loaded.error()));
   if (!bound) {
     log_warn("start_failed",
              {{"step", bound.error().step}, {"peer", bound.error().peer}, {"reason", bound.error().reason}});
     return 1;
   }
-  acceptor.attach(desk);
+  acceptor.attach(dispatcher);
   process.on_thread([&]() {
-    world.serve(desk);
-    if (!fixed) membership.attach(desk);
+    world.serve(dispatcher);
+    if (!fixed) membership.attach(dispatcher);
     spawn(world, fixed ? acceptor.settle() : membership.run());
     return true;
   });
--- a/source/protocol/archive.hpp
+++ b/source/protocol/archive.hpp
@@ -115,10 +115,10 @@
     LoadArchive ar(raw);
     T t{};
     ar(t);
-    if (ar.left() != 0) return mishap("decode", "", "bytes left over");
+    if (ar.left() != 0) return make_error("decode", "", "bytes left over");
     return t;
   } catch (std::exception const& e) {
-    return mishap("decode", "", e.what());
+    return make_error("decode", "", e.what());
   }
 }
 
--- a/source/protocol/json.cpp
+++ b/source/protocol/json.cpp
@@ -12,7 +12,8 @@
 namespace banktide {
 
 Result<Json> parse_json(std::string const& bytes, std::size_t const limit) {
-  if (bytes.size() > limit) return mishap("check_size", "", "over " + std::to_string(limit) + " bytes", Proof::not_run);
+  if (bytes.size() > limit)
+    return make_error("check_size", "", "over " + std::to_string(limit) + " bytes", Proof::not_run);
   std::vector<std::set<std::string>> seen;
   std::string twice;
   bool deep = false;
@@ -26,12 +27,12 @@
   };
   try {
     Json j = Json::parse(bytes, watch);
-    if (deep) return mishap("parse_json", "", "nested too deep", Proof::not_run);
+    if (deep) return make_error("parse_json", "", "nested too deep", Proof::not_run);
     if (!twice.empty())
-      return mishap("parse_json", "", "key \"" + twice + "\" stands twice in one object", Proof::not_run);
+      return make_error("parse_json", "", "key \"" + twice + "\" stands twice in one object", Proof::not_run);
     return j;
   } catch (Json::exception const& e) {
-    return mishap("parse_json", "", e.what(), Proof::not_run);
+    return make_error("parse_json", "", e.what(), Proof::not_run);
   }
 }
 
@@ -49,7 +50,7 @@
   std::string pointer;
   for (std::string const& part : deepest.context)
     if (part.size() > 2 && part.front() == '[') pointer += "/" + part.substr(1, part.size() - 2);
-  return mishap("check_schema", pointer, deepest.description, Proof::not_run);
+  return make_error("check_schema", pointer, deepest.description, Proof::not_run);
 }
 
 }  // namespace banktide
--- a/source/simulation/sim_machines.hpp
+++ b/source/simulation/sim_machines.hpp
@@ -49,7 +49,7 @@
     serve(port, std::move(q), process->global(deadline), done);
     std::optional<Result<HttpReply>> got = co_await shot->wait(deadline);
     if (got) co_return std::move(*got);
-    co_return mishap("call_backend", "", "deadline", Proof::unknown);
+    co_return make_error("call_backend", "", "deadline", Proof::unknown);
   }
 };
 static_assert(BackendEdge<SimEdge>);
@@ -87,7 +87,7 @@
     Address address;
     std::shared_ptr<SimProcess> process;
     std::shared_ptr<Registry<SimProcess>> registry;
-    std::shared_ptr<Desk> desk;
+    std::shared_ptr<Dispatcher> dispatcher;
   };
   struct Node {
     std::string machine, cell, id;
@@ -96,7 +96,7 @@
     std::shared_ptr<SimProcess> process;
     std::shared_ptr<SimEdge> edge;
     std::shared_ptr<Proxy<SimProcess, SimEdge>> proxy;
-    std::shared_ptr<Desk> desk;
+    std::shared_ptr<Dispatcher> dispatcher;
     bool rolling = false;
   };
   struct Backend {
@@ -175,30 +175,30 @@
     v.disk.process = v.process.get();
     v.acceptor = std::make_shared<Acceptor<SimProcess, SimDisk>>(*v.process, v.disk, voter_addresses_, i);
     if (!v.acceptor->load()) std::abort();
-    std::shared_ptr<Desk> desk = std::make_shared<Desk>();
-    bury(desk);
-    v.acceptor->attach(*desk);
-    v.process->serve(*desk);
+    std::shared_ptr<Dispatcher> dispatcher = std::make_shared<Dispatcher>();
+    bury(dispatcher);
+    v.acceptor->attach(*dispatcher);
+    v.process->serve(*dispatcher);
     spawn(*v.process, v.acceptor->settle());
   }
   void start_control(std::size_t const i) {
     Control& c = controls_[i];
     bury(c.registry);
-    bury(c.desk);
+    bury(c.dispatcher);
     c.process = process(c.machine, c.address);
     std::vector<Address> seeds;
     for (Address const& a : registry_addresses_)
       if (a != c.address) seeds.push_back(a);
     c.registry = std::make_shared<Registry<SimProcess>>(
         *c.process, RegistrySettings{c.id, c.cell, c.address, seeds, voter_addresses_});
-    c.desk = std::make_shared<Desk>();
-    c.registry->start(*c.desk);
-    c.process->serve(*c.desk);
+    c.dispatcher = std::make_shared<Dispatcher>();
+    c.registry->start(*c.dispatcher);
+    c.process->serve(*c.dispatcher);
   }
   void start_node(std::size_t const i) {
     Node& n = nodes_[i];
     bury(n.proxy);
-    bury(n.desk);
+    bury(n.dispatcher);
     bury(n.edge);
     n.process = process(n.machine, n.address);
     n.edge = std::make_shared<SimEdge>();
@@ -214,9 +214,9 @@
         n.id, n.cell, n.address, n.gateway, {registry_addresses_[0], registry_addresses_[1], registry_addresses_[2]}};
     s.decisions_kept = 1024;
     n.proxy = std::make_shared<Proxy<SimProcess, SimEdge>>(*n.process, *n.edge, s);
-    n.desk = std::make_shared<Desk>();
-    n.proxy->start(*n.desk);
-    n.process->serve(*n.desk);
+    n.dispatcher = std::make_shared<Dispatcher>();
+    n.proxy->start(*n.dispatcher);
+    n.process->serve(*n.dispatcher);
     n.rolling = false;
   }
   template <class T>
@@ -293,7 +293,7 @@
         run_backend(i, q, deadline, done);
         return;
       }
-      done(mishap("connect", "", "refused", Proof::not_run));
+      done(make_error("connect", "", "refused", Proof::not_run));
     });
   }
 
@@ -324,12 +324,12 @@
       Backend const& now = backends_[i];
       if (!now.alive || now.life != life) {
         history_.runs[run].end = std::min(history_.runs[run].end, sim_.now);
-        done(mishap("call_backend", "", "connection lost", Proof::unknown));
+        done(make_error("call_backend", "", "connection lost", Proof::unknown));
         return;
       }
       if (now.frozen) return;
       if (vanish) {
-        done(mishap("read_reply", "", "garbage", Proof::unknown));
+        done(make_error("read_reply", "", "garbage", Proof::unknown));
         return;
       }
       HttpReply ok;
--- a/source/simulation/sim_world.hpp
+++ b/source/simulation/sim_world.hpp
@@ -162,7 +162,7 @@
 
   Task<Result<Bytes>> ask_raw(Address const peer, std::uint8_t const kind, Bytes payload, Instant const deadline);
   void tell_raw(Address const& peer, std::uint8_t const kind, SharedBytes const& payload);
-  void serve(Desk& d) { desk = &d; }
+  void serve(Dispatcher& d) { dispatcher = &d; }
 
   // Runs now, later if frozen, never if dead.
   void run(std::function<void()> f) {
@@ -196,7 +196,7 @@
   std::string const machine;
   Address const address;
   std::uint64_t const run_number;
-  Desk* desk = nullptr;
+  Dispatcher* dispatcher = nullptr;
   bool alive = true, frozen = false;
   Duration clock_offset{};
   std::int64_t clock_ppm = 0;
@@ -270,7 +270,7 @@
             Proof const proof) {
     sim.after(wait, [x, step, reason, proof] {
       x->from->run([x, step, reason, proof] {
-        if (x->done) x->done(mishap(step, x->peer, reason, proof));
+        if (x->done) x->done(make_error(step, x->peer, reason, proof));
       });
     });
   }
@@ -288,14 +288,14 @@
         return;
       }
       target->run([this, x, target] {
-        if (target->desk == nullptr || !target->desk->handlers[x->kind]) return;
+        if (target->dispatcher == nullptr || !target->dispatcher->handlers[x->kind]) return;
         spawn(*target, handle(x, target));
       });
     });
   }
 
   Task<void> handle(std::shared_ptr<Exchange> x, std::shared_ptr<SimProcess> target) {
-    Result<Bytes> reply = co_await target->desk->handlers[x->kind](x->payload);
+    Result<Bytes> reply = co_await target->dispatcher->handlers[x->kind](x->payload);
     if (struck && struck(*target, x->kind)) co_return;
     if (x->done && sim.weather && sim.chance() % 100 == 0) {
       x->from->connected.erase(x->peer);
@@ -333,8 +333,8 @@
   std::optional<Result<Bytes>> got = co_await shot->wait(deadline);
   x->withdrawn = true;
   if (got) co_return std::move(*got);
-  if (!x->sent) co_return mishap("wait_to_send", peer, "deadline", Proof::not_run);
-  co_return mishap("wait_for_reply", peer, "deadline", Proof::unknown);
+  if (!x->sent) co_return make_error("wait_to_send", peer, "deadline", Proof::not_run);
+  co_return make_error("wait_for_reply", peer, "deadline", Proof::unknown);
 }
 
 inline void SimProcess::tell_raw(Address const& peer, std::uint8_t const kind, SharedBytes const& payload) {
--- a/source/state/catalogue_edit.hpp
+++ b/source/state/catalogue_edit.hpp
@@ -20,29 +20,29 @@
 
 inline Result<std::string> edit_catalogue(std::string const& bytes, Json const& change, Layout const& layout) {
   Result<bool> const fits = check_schema(change, catalogue_change_schema);
-  if (!fits) return tl::unexpected<Mishap>(fits.error());
+  if (!fits) return tl::unexpected<Error>(fits.error());
   Json j = bytes.empty() ? Json{{"cells", Json::object()}} : Json::parse(bytes, nullptr, false);
-  if (!j.is_object()) return mishap("edit", "", "the newest catalogue can't be read", Proof::not_run);
+  if (!j.is_object()) return make_error("edit", "", "the newest catalogue can't be read", Proof::not_run);
   std::string const what = change["change"], name = change["service"];
   Index const s = layout.service_names.find(name);
-  if (s == no_index) return mishap("check_references", "/service", "no such service", Proof::not_run);
+  if (s == no_index) return make_error("check_references", "/service", "no such service", Proof::not_run);
   Service const& service = layout.services[s];
   auto const needs = [&](char const* field) { return change.contains(field); };
   if (what == "move" && (!needs("slices") || !needs("to")))
-    return mishap("check_schema", "/change", "a move needs slices and to", Proof::not_run);
+    return make_error("check_schema", "/change", "a move needs slices and to", Proof::not_run);
   if (what == "place" && !needs("cells"))
-    return mishap("check_schema", "/change", "a place needs cells", Proof::not_run);
+    return make_error("check_schema", "/change", "a place needs cells", Proof::not_run);
   if (what == "move" && !service.keyed())
-    return mishap("check_references", "/service", "service is not keyed", Proof::not_run);
+    return make_error("check_references", "/service", "service is not keyed", Proof::not_run);
   if (what == "place" && service.keyed())
-    return mishap("check_references", "/service", "service is keyed: move its slices", Proof::not_run);
+    return make_error("check_references", "/service", "service is keyed: move its slices", Proof::not_run);
   if (what == "move") {
     std::uint32_t const first = change["slices"][0], last = change["slices"][1];
     if (first > last || last >= service.slices)
-      return mishap("check_references", "/slices", "slice range outside 0.." + std::to_string(service.slices - 1),
-                    Proof::not_run);
+      return make_error("check_references", "/slices", "slice range outside 0.." + std::to_string(service.slices - 1),
+                        Proof::not_run);
     if (layout.cells.find(change["to"]) == no_index)
-      return mishap("check_references", "/to", "no such cell", Proof::not_run);
+      return make_error("check_references", "/to", "no such cell", Proof::not_run);
     std::map<std::string, std::vector<bool>> owned;
     for (auto const& [cell, services] : j["cells"].items()) {
       if (!services.contains(name)) continue;
@@ -84,7 +84,7 @@
   }
   std::string const out = j.dump();
   Result<Catalogue> const good = Catalogue::read(out, layout);
-  if (!good) return tl::unexpected<Mishap>(good.error());
+  if (!good) return tl::unexpected<Error>(good.error());
   return out;
 }
 
--- a/source/state/compressed_text.cpp
+++ b/source/state/compressed_text.cpp
@@ -33,18 +33,18 @@
 }
 
 Result<std::string> decompress(std::string_view const bytes, std::size_t const longest) {
-  if (bytes.size() <= length_bytes) return mishap("decompress", "", "shorter than its head");
+  if (bytes.size() <= length_bytes) return make_error("decompress", "", "shorter than its head");
   std::size_t const length = told_length(bytes);
   std::string_view const body = bytes.substr(length_bytes);
-  if (length > longest) return mishap("decompress", "", "text of " + std::to_string(length) + " bytes");
-  if (length / greatest_ratio > body.size()) return mishap("decompress", "", "longer than its bytes can tell");
+  if (length > longest) return make_error("decompress", "", "text of " + std::to_string(length) + " bytes");
+  if (length / greatest_ratio > body.size()) return make_error("decompress", "", "longer than its bytes can tell");
   // A text of no bytes still needs somewhere to point to.
   std::string text(length + 1, '\0');
   uLongf size = static_cast<uLongf>(text.size());
   uLong used = static_cast<uLong>(body.size());
   int const result =
       uncompress2(reinterpret_cast<Bytef*>(text.data()), &size, reinterpret_cast<Bytef const*>(body.data()), &used);
-  if (result != Z_OK || size != length || used != body.size()) return mishap("decompress", "", "spoilt bytes");
+  if (result != Z_OK || size != length || used != body.size()) return make_error("decompress", "", "spoilt bytes");
   text.resize(length);
   return text;
 }
--- a/source/state/key_table.cpp
+++ b/source/state/key_table.cpp
@@ -140,9 +140,9 @@
       finish_rows(one.rows, table.holders.size());
       table.services.push_back(std::move(one));
     }
-    if (archive.left() != 0) return mishap("key table", "", "bytes left over");
+    if (archive.left() != 0) return make_error("key table", "", "bytes left over");
   } catch (std::exception const& e) {
-    return mishap("key table", "", e.what());
+    return make_error("key table", "", e.what());
   }
   return table;
 }
--- a/source/state/key_table_delta.cpp
+++ b/source/state/key_table_delta.cpp
@@ -232,10 +232,10 @@
 Result<Held> apply_key_deltas(Held const& base, std::vector<KeyDelta> const& deltas) {
   std::vector<KeyDelta>::const_iterator next =
       std::find_if(deltas.begin(), deltas.end(), [&](KeyDelta const& delta) { return delta.to > base.revision; });
-  if (next == deltas.end()) return mishap("key table delta", "", "nothing newer");
-  if (next->from != base.revision) return mishap("key table delta", "", "made from another version");
+  if (next == deltas.end()) return make_error("key table delta", "", "nothing newer");
+  if (next->from != base.revision) return make_error("key table delta", "", "made from another version");
   Result<KeyTable> table = unpack_key_table(base.bytes, base.revision);
-  if (!table) return tl::unexpected<Mishap>(table.error());
+  if (!table) return tl::unexpected<Error>(table.error());
   Held target;
   try {
     for (; next != deltas.end(); ++next) {
@@ -244,11 +244,12 @@
       target.digest = next->digest;
     }
   } catch (std::exception const& e) {
-    return mishap("key table delta", "", e.what());
+    return make_error("key table delta", "", e.what());
   }
   target.revision = table->revision;
   target.bytes = pack_key_table(*table);
-  if (digest_of(target.bytes) != target.digest) return mishap("key table delta", "", "another table than was meant");
+  if (digest_of(target.bytes) != target.digest)
+    return make_error("key table delta", "", "another table than was meant");
   return target;
 }
 
--- a/source/state/layout.hpp
+++ b/source/state/layout.hpp
@@ -82,9 +82,9 @@
 
   static Result<Layout> read(std::string const& bytes) {
     Result<Json> j = parse_json(bytes);
-    if (!j) return tl::unexpected<Mishap>(j.error());
+    if (!j) return tl::unexpected<Error>(j.error());
     Result<bool> const fits = check_schema(*j, schema);
-    if (!fits) return tl::unexpected<Mishap>(fits.error());
+    if (!fits) return tl::unexpected<Error>(fits.error());
     Layout l;
     for (Json const& c : (*j)["cells"]) l.cells.add(c.get<std::string>());
     for (auto const& [name, s] : (*j)["services"].items()) {
@@ -105,9 +105,9 @@
       std::string const pointer = "/ways/" + std::to_string(at++);
       Way way{w["prefix"].get<std::string>(), l.service_names.find(w["service"].get<std::string>())};
       if (way.service == no_index)
-        return mishap("check_references", pointer + "/service", "no such service", Proof::not_run);
+        return make_error("check_references", pointer + "/service", "no such service", Proof::not_run);
       if (!prefixes.insert(way.prefix).second)
-        return mishap("check_references", pointer + "/prefix", "prefix stands twice", Proof::not_run);
+        return make_error("check_references", pointer + "/prefix", "prefix stands twice", Proof::not_run);
       l.ways.push_back(std::move(way));
     }
     std::sort(l.ways.begin(), l.ways.end(),
@@ -153,9 +153,9 @@
   // for passes over the names and slices that are gone, and nothing else.
   static Result<Catalogue> read(std::string const& bytes, Layout const& layout, bool const forgiving = false) {
     Result<Json> j = parse_json(bytes);
-    if (!j) return tl::unexpected<Mishap>(j.error());
+    if (!j) return tl::unexpected<Error>(j.error());
     Result<bool> const fits = check_schema(*j, schema);
-    if (!fits) return tl::unexpected<Mishap>(fits.error());
+    if (!fits) return tl::unexpected<Error>(fits.error());
     Catalogue c;
     c.entries.resize(layout.services.size());
     c.closed.resize(layout.services.size(), false);
@@ -163,17 +163,18 @@
     for (Json const& name : j->value("closed", Json::array())) {
       Index const s = layout.service_names.find(name.get<std::string>());
       if (s == no_index && !forgiving)
-        return mishap("check_references", "/closed/" + std::to_string(at), "no such service", Proof::not_run);
+        return make_error("check_references", "/closed/" + std::to_string(at), "no such service", Proof::not_run);
       if (s != no_index) c.closed[s] = true;
       ++at;
     }
     for (auto const& [cell, services] : (*j)["cells"].items()) {
       bool const gone = layout.cells.find(cell) == no_index;
-      if (gone && !forgiving) return mishap("check_references", "/cells/" + cell, "no such cell", Proof::not_run);
+      if (gone && !forgiving) return make_error("check_references", "/cells/" + cell, "no such cell", Proof::not_run);
       for (auto const& [name, e] : services.items()) {
         std::string const pointer = "/cells/" + cell + "/" + name;
         Index const s = layout.service_names.find(name);
-        if (s == no_index && !forgiving) return mishap("check_references", pointer, "no such service", Proof::not_run);
+        if (s == no_index && !forgiving)
+          return make_error("check_references", pointer, "no such service", Proof::not_run);
         if (s == no_index) continue;
         Service const& service = layout.services[s];
         Entry entry;
@@ -181,7 +182,7 @@
         if (gone)
           entry.slices.assign(std::max<std::uint32_t>(service.slices, 1), false);
         else if (e.contains("slices") && !service.keyed() && !forgiving)
-          return mishap("check_references", pointer + "/slices", "service is not keyed", Proof::not_run);
+          return make_error("check_references", pointer + "/slices", "service is not keyed", Proof::not_run);
         if (service.keyed() && !gone) {
           entry.slices.assign(service.slices, !e.contains("slices"));
           for (Json const& range : e.value("slices", Json::array())) {
@@ -190,8 +191,8 @@
             if (forgiving)
               last = std::min(last, service.slices - 1);
             else if (first > last || last >= service.slices)
-              return mishap("check_references", pointer + "/slices",
-                            "slice range outside 0.." + std::to_string(service.slices - 1), Proof::not_run);
+              return make_error("check_references", pointer + "/slices",
+                                "slice range outside 0.." + std::to_string(service.slices - 1), Proof::not_run);
             for (std::uint32_t i = first; i <= last; ++i) entry.slices[i] = true;
           }
           for (Entry const& other : c.entries[s])
@@ -199,8 +200,8 @@
               if (entry.slices[i] && other.slices[i] && forgiving)
                 entry.slices[i] = false;
               else if (entry.slices[i] && other.slices[i])
-                return mishap("check_references", pointer + "/slices",
-                              "slice " + std::to_string(i) + " is also in cell " + other.cell, Proof::not_run);
+                return make_error("check_references", pointer + "/slices",
+                                  "slice " + std::to_string(i) + " is also in cell " + other.cell, Proof::not_run);
         }
         c.entries[s].push_back(std::move(entry));
       }
--- a/source/state/maintenance.cpp
+++ b/source/state/maintenance.cpp
@@ -183,7 +183,7 @@
   if (bytes.empty()) return MaintenancePlan{};
   Result<MaintenancePlan> plan = unpack<MaintenancePlan>(bytes);
   if (plan && !std::all_of(plan->windows.begin(), plan->windows.end(), readable))
-    return mishap("decode", "", "a window that can't be");
+    return make_error("decode", "", "a window that can't be");
   return plan;
 }
 
--- a/source/state/mishaps.hpp
+++ b/source/state/mishaps.hpp
@@ -15,7 +15,7 @@
 
 class Mishaps {
  public:
-  void note(Duration const since_start, std::string const& what, Mishap const& m) {
+  void note(Duration const since_start, std::string const& what, Error const& m) {
     noted_.append(Noted{as_ms(since_start), what, m.step, m.peer, m.reason});
     log_warn(what, {{"step", m.step}, {"peer", m.peer}, {"reason", m.reason}});
   }
--- a/source/state/placement.hpp
+++ b/source/state/placement.hpp
@@ -30,20 +30,20 @@
   // another it is the whole service's in each of its cells.
   static Result<std::string> solve(std::string const& constraints, Layout const& layout, std::string const& catalogue) {
     Result<Json> const want = parse_json(constraints);
-    if (!want) return tl::unexpected<Mishap>(want.error());
+    if (!want) return tl::unexpected<Error>(want.error());
     Result<bool> const fits = check_schema(*want, schema);
-    if (!fits) return tl::unexpected<Mishap>(fits.error());
+    if (!fits) return tl::unexpected<Error>(fits.error());
     Result<bool> const known = check_names(*want, layout);
-    if (!known) return tl::unexpected<Mishap>(known.error());
+    if (!known) return tl::unexpected<Error>(known.error());
     Result<Json> now = catalogue.empty() ? Result<Json>(Json{{"cells", Json::object()}}) : parse_json(catalogue);
-    if (!now) return tl::unexpected<Mishap>(now.error());
+    if (!now) return tl::unexpected<Error>(now.error());
     try {
       Placement p(*want, layout, *now);
       Result<bool> const met = p.meet();
-      if (!met) return tl::unexpected<Mishap>(met.error());
+      if (!met) return tl::unexpected<Error>(met.error());
       return p.catalogue().dump();
     } catch (z3::exception const& e) {
-      return mishap("solve", "", e.msg(), Proof::not_run);
+      return make_error("solve", "", e.msg(), Proof::not_run);
     }
   }
 
@@ -74,21 +74,21 @@
   static Result<bool> check_names(Json const& want, Layout const& layout) {
     for (auto const& [cell, c] : want["cells"].items())
       if (layout.cells.find(cell) == no_index)
-        return mishap("check_references", "/cells/" + cell, "no such cell", Proof::not_run);
+        return make_error("check_references", "/cells/" + cell, "no such cell", Proof::not_run);
     for (auto const& [service, w] : want["services"].items()) {
       if (layout.service_names.find(service) == no_index)
-        return mishap("check_references", "/services/" + service, "no such service", Proof::not_run);
+        return make_error("check_references", "/services/" + service, "no such service", Proof::not_run);
       for (Json const& cell : w.value("cells", Json::array()))
         if (!want["cells"].contains(cell.get<std::string>()))
-          return mishap("check_references", "/services/" + service + "/cells", "a cell that isn't among the cells",
-                        Proof::not_run);
+          return make_error("check_references", "/services/" + service + "/cells", "a cell that isn't among the cells",
+                            Proof::not_run);
     }
     std::size_t at = 0;
     for (Json const& pair : want.value("apart", Json::array())) {
       for (Json const& service : pair)
         if (!want["services"].contains(service.get<std::string>()))
-          return mishap("check_references", "/apart/" + std::to_string(at), "a service that isn't among the services",
-                        Proof::not_run);
+          return make_error("check_references", "/apart/" + std::to_string(at),
+                            "a service that isn't among the services", Proof::not_run);
       ++at;
     }
     return true;
@@ -160,7 +160,7 @@
     best.minimize(places);
     z3::check_result const r = best.check();
     if (r == z3::unsat) return unmet();
-    if (r == z3::unknown) return mishap("solve", "", "no answer in 20 s", Proof::not_run);
+    if (r == z3::unknown) return make_error("solve", "", "no answer in 20 s", Proof::not_run);
     z3::model const m = best.get_model();
     for (Part const& p : parts_) counts_.push_back(static_cast<std::size_t>(m.eval(p.n, true).get_numeral_int()));
     return true;
@@ -179,7 +179,7 @@
       names.insert(pointers_[std::stoul(core[static_cast<int>(i)].decl().name().str().substr(1))]);
     std::string all;
     for (std::string const& n : names) all += (all.empty() ? "" : " ") + n;
-    return mishap("solve", all, "these can't be met together", Proof::not_run);
+    return make_error("solve", all, "these can't be met together", Proof::not_run);
   }
 
   // The catalogue of now with the services of the file placed anew: a cell keeps
--- a/source/state/service_configuration.cpp
+++ b/source/state/service_configuration.cpp
@@ -31,8 +31,8 @@
   return static_cast<std::size_t>(in_a - a.begin());
 }
 
-tl::unexpected<Mishap> fault(Route const& route, std::string reason) {
-  return mishap("check_configuration", route.name, std::move(reason), Proof::not_run);
+tl::unexpected<Error> fault(Route const& route, std::string reason) {
+  return make_error("check_configuration", route.name, std::move(reason), Proof::not_run);
 }
 
 Result<bool> check_route(Route const& route, std::size_t const services) {
--- a/source/state/sqlite_disk.hpp
+++ b/source/state/sqlite_disk.hpp
@@ -39,7 +39,7 @@
  public:
   static Result<std::unique_ptr<SqliteDisk>> open(std::string const& file) {
     std::unique_ptr<SqliteDisk> d(new SqliteDisk());
-    if (sqlite3_open(file.c_str(), &d->db_) != SQLITE_OK) return mishap("open_disk", file, sqlite3_errmsg(d->db_));
+    if (sqlite3_open(file.c_str(), &d->db_) != SQLITE_OK) return make_error("open_disk", file, sqlite3_errmsg(d->db_));
     for (
         char const* sql :
         {"PRAGMA locking_mode=EXCLUSIVE", "PRAGMA journal_mode=WAL", "PRAGMA synchronous=FULL",
@@ -47,7 +47,7 @@
          "CREATE TABLE IF NOT EXISTS voter(one INTEGER PRIMARY KEY CHECK(one=1), record BLOB NOT NULL, digest INTEGER NOT NULL)",
          "BEGIN IMMEDIATE", "COMMIT"})
       if (sqlite3_exec(d->db_, sql, nullptr, nullptr, nullptr) != SQLITE_OK)
-        return mishap("open_disk", file, sqlite3_errmsg(d->db_));
+        return make_error("open_disk", file, sqlite3_errmsg(d->db_));
     return d;
   }
   ~SqliteDisk() { sqlite3_close(db_); }
@@ -56,21 +56,21 @@
   Result<VoterRecord> load() {
     sqlite3_stmt* s = nullptr;
     if (sqlite3_prepare_v2(db_, "SELECT record, digest FROM voter", -1, &s, nullptr) != SQLITE_OK)
-      return mishap("load_disk", "", sqlite3_errmsg(db_));
+      return make_error("load_disk", "", sqlite3_errmsg(db_));
     int const rc = sqlite3_step(s);
     Result<VoterRecord> out = VoterRecord{};
     if (rc == SQLITE_ROW && format() != record_format && format() != format_of_four_registers) {
-      out = mishap("load_disk", "",
-                   "record of format " + std::to_string(format()) + ", known is " + std::to_string(record_format));
+      out = make_error("load_disk", "",
+                       "record of format " + std::to_string(format()) + ", known is " + std::to_string(record_format));
     } else if (rc == SQLITE_ROW) {
       Bytes const raw(static_cast<char const*>(sqlite3_column_blob(s, 0)),
                       static_cast<std::size_t>(sqlite3_column_bytes(s, 0)));
       if (digest_of(raw) != static_cast<std::uint64_t>(sqlite3_column_int64(s, 1)))
-        out = mishap("load_disk", "", "digest differs");
+        out = make_error("load_disk", "", "digest differs");
       else
         out = read(raw);
     } else if (rc != SQLITE_DONE) {
-      out = mishap("load_disk", "", sqlite3_errmsg(db_));
+      out = make_error("load_disk", "", sqlite3_errmsg(db_));
     }
     sqlite3_finalize(s);
     return out;
@@ -105,19 +105,19 @@
 
   Result<bool> execute(char const* const sql) {
     if (sqlite3_exec(db_, sql, nullptr, nullptr, nullptr) == SQLITE_OK) return true;
-    return mishap("keep_disk", "", sqlite3_errmsg(db_));
+    return make_error("keep_disk", "", sqlite3_errmsg(db_));
   }
 
   Result<bool> write(VoterRecord const& r) {
     Bytes const raw = pack(r);
     sqlite3_stmt* s = nullptr;
     if (sqlite3_prepare_v2(db_, "INSERT OR REPLACE INTO voter VALUES(1, ?, ?)", -1, &s, nullptr) != SQLITE_OK)
-      return mishap("keep_disk", "", sqlite3_errmsg(db_));
+      return make_error("keep_disk", "", sqlite3_errmsg(db_));
     sqlite3_bind_blob64(s, 1, raw.data(), raw.size(), SQLITE_STATIC);
     sqlite3_bind_int64(s, 2, static_cast<sqlite3_int64>(digest_of(raw)));
     int const rc = sqlite3_step(s);
     sqlite3_finalize(s);
-    if (rc != SQLITE_DONE) return mishap("keep_disk", "", sqlite3_errmsg(db_));
+    if (rc != SQLITE_DONE) return make_error("keep_disk", "", sqlite3_errmsg(db_));
     return true;
   }
 
--- a/source/transport/backend_connections.cpp
+++ b/source/transport/backend_connections.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 using tcp = asio::ip::tcp;
-using Error = boost::system::error_code;
+using ErrorCode = boost::system::error_code;
 
 constexpr Duration connect_timeout = 500ms;
 constexpr int unacknowledged_ms = 2000;           // TCP_USER_TIMEOUT
@@ -30,7 +30,9 @@
 constexpr std::size_t reads_per_event = 16;       // then others get their turn
 constexpr std::size_t pending_limit = 96u << 10;  // unparsed bytes of an answer
 
-bool would_block(Error const& error) { return error == asio::error::would_block || error == asio::error::try_again; }
+bool would_block(ErrorCode const& error) {
+  return error == asio::error::would_block || error == asio::error::try_again;
+}
 
 bool has_length_anyway(std::string const& method) { return method == "POST" || method == "PUT" || method == "PATCH"; }
 
@@ -39,13 +41,13 @@
   bool const method_safe = is_safe(Header{request.method, ""});
   bool const target_safe = !request.target.empty() && std::all_of(request.target.begin(), request.target.end(),
                                                                   [](char const c) { return c > ' ' && c != '\x7f'; });
-  if (!method_safe || !target_safe) return mishap("request", peer, "unsafe request line", Proof::not_run);
+  if (!method_safe || !target_safe) return make_error("request", peer, "unsafe request line", Proof::not_run);
   remove_hop_by_hop(request.headers);
   std::string head;
   head.reserve(64 + request.target.size() + request.headers.size() * 48);
   head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
   for (Header const& header : request.headers) {
-    if (!is_safe(header)) return mishap("request", peer, "unsafe header", Proof::not_run);
+    if (!is_safe(header)) return make_error("request", peer, "unsafe header", Proof::not_run);
     append_header(head, header.name, header.value);
   }
   if (body_bytes > 0 || has_length_anyway(request.method))
@@ -108,7 +110,7 @@
  private:
   void wait_to_read();
   void wait_to_write();
-  void on_readable(Error const& error);
+  void on_readable(ErrorCode const& error);
   bool read_once();
   void take_bytes(std::string_view bytes);
   std::size_t parse(std::string_view bytes);
@@ -117,7 +119,7 @@
   bool write_once();
   void fail(std::string step, std::string reason);
   void finish(Result<HttpReply> outcome);
-  void lost(std::string const& step, Error const& error);
+  void lost(std::string const& step, ErrorCode const& error);
   void keep_or_close(bool reusable, Duration rest);
 
   std::shared_ptr<BackendPool> pool_;
@@ -145,24 +147,24 @@
   std::shared_ptr<BackendConnection> const self = shared_from_this();
   Address const peer = pool_->address;
   Result<tcp::endpoint> const endpoint = endpoint_of(peer);
-  if (!endpoint) co_return mishap("connect", peer, endpoint.error().reason, Proof::not_run);
+  if (!endpoint) co_return make_error("connect", peer, endpoint.error().reason, Proof::not_run);
   alarm_.expires_at(std::min(deadline, std::chrono::steady_clock::now() + connect_timeout));
-  std::shared_ptr<std::optional<Error>> const result = std::make_shared<std::optional<Error>>();
-  socket_.async_connect(*endpoint, [self, result](Error const& error) {
+  std::shared_ptr<std::optional<ErrorCode>> const result = std::make_shared<std::optional<ErrorCode>>();
+  socket_.async_connect(*endpoint, [self, result](ErrorCode const& error) {
     *result = error;
     self->alarm_.cancel();
   });
-  Error ignored;
+  ErrorCode ignored;
   co_await alarm_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
   if (!*result) {
     close();
-    co_return mishap("connect", peer, "timeout", Proof::not_run);
+    co_return make_error("connect", peer, "timeout", Proof::not_run);
   }
-  Error error = **result;
-  if (error == asio::error::connection_refused) co_return mishap("connect", peer, "refused", Proof::not_run);
+  ErrorCode error = **result;
+  if (error == asio::error::connection_refused) co_return make_error("connect", peer, "refused", Proof::not_run);
   if (!error) socket_.non_blocking(true, error);
   if (!error) socket_.set_option(tcp::no_delay(true), error);
-  if (error) co_return mishap("connect", peer, error.message(), Proof::not_run);
+  if (error) co_return make_error("connect", peer, error.message(), Proof::not_run);
   ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms, sizeof unacknowledged_ms);
   wait_to_read();
   co_return Result<void>();
@@ -172,7 +174,7 @@
   if (closed_) return;
   closed_ = true;
   --pool_->open;
-  Error error;
+  ErrorCode error;
   socket_.close(error);
   std::erase_if(pool_->idle, [&](std::shared_ptr<BackendConnection> const& c) { return c.get() == this; });
 }
@@ -198,7 +200,7 @@
   alarm_.expires_at(sending_->deadline);
   write();
   if (!outcome_) {
-    Error ignored;
+    ErrorCode ignored;
     co_await alarm_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
   }
   if (!outcome_) fail("deadline", "deadline");
@@ -229,11 +231,11 @@
 
 void BackendConnection::fail(std::string step, std::string reason) {
   Proof const proof = written_ == 0 ? Proof::not_run : Proof::unknown;
-  finish(mishap(std::move(step), pool_->address, std::move(reason), proof));
+  finish(make_error(std::move(step), pool_->address, std::move(reason), proof));
   close();
 }
 
-void BackendConnection::lost(std::string const& step, Error const& error) {
+void BackendConnection::lost(std::string const& step, ErrorCode const& error) {
   if (!sending_ || outcome_) {
     close();
     return;
@@ -255,7 +257,7 @@
   std::size_t const of_body = written_ - of_head;
   std::array<asio::const_buffer, 2> const buffers{asio::buffer(sending_->head) + of_head,
                                                   asio::buffer(sending_->body) + of_body};
-  Error error;
+  ErrorCode error;
   written_ += socket_.write_some(buffers, error);
   if (would_block(error)) {
     wait_to_write();
@@ -271,7 +273,7 @@
 void BackendConnection::wait_to_write() {
   if (waits_to_write_) return;
   waits_to_write_ = true;
-  socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](Error const& error) {
+  socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](ErrorCode const& error) {
     self->waits_to_write_ = false;
     if (!error && self->sending_ && !self->outcome_) self->write();
   });
@@ -280,12 +282,12 @@
 // ---- reading
 
 void BackendConnection::wait_to_read() {
-  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](Error const& error) {
+  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](ErrorCode const& error) {
     if (!self->closed_) self->on_readable(error);
   });
 }
 
-void BackendConnection::on_readable(Error const& error) {
+void BackendConnection::on_readable(ErrorCode const& error) {
   if (error) {
     lost("read", error);
     return;
@@ -298,7 +300,7 @@
 // Whether there may be more to read at once.
 bool BackendConnection::read_once() {
   std::span<char> const scratch = read_scratch();
-  Error error;
+  ErrorCode error;
   std::size_t const bytes = socket_.read_some(asio::buffer(scratch.data(), scratch.size()), error);
   if (would_block(error)) return false;
   if (error) {
@@ -342,7 +344,7 @@
       parser_->skip(sending_->is_head);
     }
     bool const had_header = parser_->is_header_done();
-    Error error;
+    ErrorCode error;
     used += parser_->parse(bytes.substr(used), error, !had_header);
     if (error) {
       fail("garbled", error.message());
@@ -424,12 +426,12 @@
 
 Task<Result<std::shared_ptr<BackendConnection>>> open_new(std::shared_ptr<BackendPool> pool, Instant const deadline) {
   if (pool->open >= pool->limit && !pool->idle.empty()) std::shared_ptr<BackendConnection>(pool->idle.front())->close();
-  if (pool->open >= pool->limit) co_return mishap("connect", pool->address, "limit", Proof::not_run);
+  if (pool->open >= pool->limit) co_return make_error("connect", pool->address, "limit", Proof::not_run);
   std::shared_ptr<BackendConnection> const connection = std::make_shared<BackendConnection>(pool);
   Result<void> const connected = co_await connection->connect(deadline);
   if (connected) co_return connection;
   connection->close();
-  co_return tl::unexpected<Mishap>(connected.error());
+  co_return tl::unexpected<Error>(connected.error());
 }
 
 // A kept connection first; if that dies before it answers, a new one, when it is sure
@@ -450,9 +452,9 @@
   }
   Result<std::shared_ptr<BackendConnection>> fresh = co_await open_new(pool, sending->deadline);
   if (!fresh) {
-    Mishap error = fresh.error();
+    Error error = fresh.error();
     if (proof == Proof::unknown) error.proof = Proof::unknown;
-    co_return tl::unexpected<Mishap>(error);
+    co_return tl::unexpected<Error>(error);
   }
   connection = *fresh;
   Result<HttpReply> outcome = co_await connection->exchange(sending);
@@ -470,7 +472,7 @@
 Task<Result<HttpReply>> BackendConnections::call(BackendCall call) {
   std::shared_ptr<BackendPool> const pool = pool_;
   if (call.deadline <= std::chrono::steady_clock::now())
-    co_return mishap("deadline", pool->address, "deadline", Proof::not_run);
+    co_return make_error("deadline", pool->address, "deadline", Proof::not_run);
   std::shared_ptr<Sending> const sending = std::make_shared<Sending>();
   sending->body = std::move(call.request.body);
   call.request.body.clear();
@@ -480,7 +482,7 @@
   sending->deadline = call.deadline;
   sending->repeatable = call.repeatable;
   Result<std::string> head = head_of(std::move(call.request), sending->body.size(), pool->address);
-  if (!head) co_return tl::unexpected<Mishap>(head.error());
+  if (!head) co_return tl::unexpected<Error>(head.error());
   sending->head = std::move(*head);
   co_return co_await run_call(pool, sending);
 }
--- a/source/transport/frame.cpp
+++ b/source/transport/frame.cpp
@@ -19,10 +19,10 @@
   h.wire = static_cast<std::uint8_t>(p[4]);
   h.kind = static_cast<std::uint8_t>(p[6]);
   std::memcpy(&h.id, p + 7, 8);
-  if (h.wire != wire_number) return mishap("read_frame", "", "wire number " + std::to_string(h.wire));
-  if (h.length > frame_limit) return mishap("read_frame", "", "frame of " + std::to_string(h.length) + " bytes");
+  if (h.wire != wire_number) return make_error("read_frame", "", "wire number " + std::to_string(h.wire));
+  if (h.length > frame_limit) return make_error("read_frame", "", "frame of " + std::to_string(h.length) + " bytes");
   if (static_cast<std::uint8_t>(p[5]) > 2)
-    return mishap("read_frame", "", "sort " + std::to_string(static_cast<int>(p[5])));
+    return make_error("read_frame", "", "sort " + std::to_string(static_cast<int>(p[5])));
   h.sort = static_cast<Sort>(p[5]);
   return h;
 }
--- a/source/transport/http_codec.cpp
+++ b/source/transport/http_codec.cpp
@@ -57,14 +57,14 @@
 
 Result<asio::ip::tcp::endpoint> endpoint_of(Address const& address) {
   std::size_t const colon = address.rfind(':');
-  if (colon == std::string::npos) return mishap("parse_address", address, "no port", Proof::not_run);
+  if (colon == std::string::npos) return make_error("parse_address", address, "no port", Proof::not_run);
   boost::system::error_code error;
   asio::ip::address const ip = asio::ip::make_address(address.substr(0, colon), error);
   std::uint16_t port = 0;
   char const* const end = address.data() + address.size();
   std::from_chars_result const read = std::from_chars(address.data() + colon + 1, end, port);
   if (error || read.ec != std::errc() || read.ptr != end)
-    return mishap("parse_address", address, "not an ip:port", Proof::not_run);
+    return make_error("parse_address", address, "not an ip:port", Proof::not_run);
   return asio::ip::tcp::endpoint(ip, port);
 }
 
@@ -149,7 +149,8 @@
 }
 
 template <bool is_request>
-std::size_t MessageParser<is_request>::parse(std::string_view const bytes, Error& error, bool const stop_at_header) {
+std::size_t MessageParser<is_request>::parse(std::string_view const bytes, ErrorCode& error,
+                                             bool const stop_at_header) {
   std::size_t used = 0;
   error = {};
   while (!this->is_done() && used < bytes.size()) {
@@ -165,7 +166,7 @@
 }
 
 template <bool is_request>
-void MessageParser<is_request>::count_header_bytes(std::size_t const bytes, Error& error) {
+void MessageParser<is_request>::count_header_bytes(std::size_t const bytes, ErrorCode& error) {
   if (bytes > header_bytes_left_) {
     error = http::error::header_limit;
     return;
@@ -175,7 +176,7 @@
 
 template <bool is_request>
 void MessageParser<is_request>::on_request_impl(Verb, View const method_text, View const target_text, int const version,
-                                                Error& error) {
+                                                ErrorCode& error) {
   method.assign(method_text.data(), method_text.size());
   target.assign(target_text.data(), target_text.size());
   version_ = version;
@@ -183,14 +184,15 @@
 }
 
 template <bool is_request>
-void MessageParser<is_request>::on_response_impl(int const code, View const reason, int const version, Error& error) {
+void MessageParser<is_request>::on_response_impl(int const code, View const reason, int const version,
+                                                 ErrorCode& error) {
   status = static_cast<std::uint16_t>(code);
   version_ = version;
   count_header_bytes(reason.size() + std::string_view("HTTP/1.1 200 \r\n").size(), error);
 }
 
 template <bool is_request>
-void MessageParser<is_request>::on_field_impl(Field const field, View const name, View const value, Error& error) {
+void MessageParser<is_request>::on_field_impl(Field const field, View const name, View const value, ErrorCode& error) {
   count_header_bytes(name.size() + value.size() + std::string_view(": \r\n").size(), error);
   if (error || header_whole_) return;
   // Another coding than chunked, or one on top of it, would leave the end of the message open to
@@ -206,34 +208,34 @@
 }
 
 template <bool is_request>
-void MessageParser<is_request>::on_header_impl(Error&) {
+void MessageParser<is_request>::on_header_impl(ErrorCode&) {
   header_whole_ = true;
 }
 
 template <bool is_request>
-void MessageParser<is_request>::on_body_init_impl(boost::optional<std::uint64_t> const& length, Error&) {
+void MessageParser<is_request>::on_body_init_impl(boost::optional<std::uint64_t> const& length, ErrorCode&) {
   if (length) body.reserve(std::min<std::size_t>(*length, body_reserve_limit));
 }
 
 template <bool is_request>
-std::size_t MessageParser<is_request>::on_body_impl(View const bytes, Error&) {
+std::size_t MessageParser<is_request>::on_body_impl(View const bytes, ErrorCode&) {
   body.append(bytes.data(), bytes.size());
   return bytes.size();
 }
 
 template <bool is_request>
-void MessageParser<is_request>::on_chunk_header_impl(std::uint64_t, View const extensions, Error& error) {
+void MessageParser<is_request>::on_chunk_header_impl(std::uint64_t, View const extensions, ErrorCode& error) {
   count_header_bytes(extensions.size(), error);
 }
 
 template <bool is_request>
-std::size_t MessageParser<is_request>::on_chunk_body_impl(std::uint64_t, View const bytes, Error&) {
+std::size_t MessageParser<is_request>::on_chunk_body_impl(std::uint64_t, View const bytes, ErrorCode&) {
   body.append(bytes.data(), bytes.size());
   return bytes.size();
 }
 
 template <bool is_request>
-void MessageParser<is_request>::on_finish_impl(Error&) {}
+void MessageParser<is_request>::on_finish_impl(ErrorCode&) {}
 
 template class MessageParser<true>;
 template class MessageParser<false>;
--- a/source/transport/http_codec.hpp
+++ b/source/transport/http_codec.hpp
@@ -77,20 +77,20 @@
 
  private:
   using View = boost::beast::string_view;
-  using Error = boost::system::error_code;
+  using ErrorCode = boost::system::error_code;
   using Field = boost::beast::http::field;
   using Verb = boost::beast::http::verb;
 
-  void on_request_impl(Verb, View method_text, View target_text, int version, Error& error) override;
-  void on_response_impl(int code, View reason, int version, Error& error) override;
-  void on_field_impl(Field field, View name, View value, Error& error) override;
-  void on_header_impl(Error& error) override;
-  void on_body_init_impl(boost::optional<std::uint64_t> const& length, Error& error) override;
-  std::size_t on_body_impl(View bytes, Error& error) override;
-  void on_chunk_header_impl(std::uint64_t size, View extensions, Error& error) override;
-  std::size_t on_chunk_body_impl(std::uint64_t remain, View bytes, Error& error) override;
-  void on_finish_impl(Error& error) override;
-  void count_header_bytes(std::size_t bytes, Error& error);
+  void on_request_impl(Verb, View method_text, View target_text, int version, ErrorCode& error) override;
+  void on_response_impl(int code, View reason, int version, ErrorCode& error) override;
+  void on_field_impl(Field field, View name, View value, ErrorCode& error) override;
+  void on_header_impl(ErrorCode& error) override;
+  void on_body_init_impl(boost::optional<std::uint64_t> const& length, ErrorCode& error) override;
+  std::size_t on_body_impl(View bytes, ErrorCode& error) override;
+  void on_chunk_header_impl(std::uint64_t size, View extensions, ErrorCode& error) override;
+  std::size_t on_chunk_body_impl(std::uint64_t remain, View bytes, ErrorCode& error) override;
+  void on_finish_impl(ErrorCode& error) override;
+  void count_header_bytes(std::size_t bytes, ErrorCode& error);
 
   std::size_t header_bytes_left_;
   int version_ = 11;
--- a/source/transport/http_edge.hpp
+++ b/source/transport/http_edge.hpp
@@ -185,7 +185,7 @@
       listener_.open().wait();
       return true;
     } catch (std::exception const& e) {
-      return mishap("listen", listener_.uri().to_string(), e.what());
+      return make_error("listen", listener_.uri().to_string(), e.what());
     }
   }
   void close() {
@@ -277,14 +277,14 @@
 
   Task<Result<HttpReply>> run_at(Address const peer, HttpRequest q, Instant const deadline) {
     Duration const left = deadline - w_.now();
-    if (left <= 1ms) co_return mishap("connect", peer, "deadline", Proof::not_run);
+    if (left <= 1ms) co_return make_error("connect", peer, "deadline", Proof::not_run);
     web::http::client::http_client_config config;
     config.set_timeout(std::chrono::duration_cast<std::chrono::milliseconds>(left) + 1ms);
     config.set_max_redirects(0);
     web::http::http_request request(q.method);
     for (Header const& h : q.headers) request.headers().add(h.name, h.value);
     request.headers().remove("Connection");
-    if (!carries(q.target)) co_return mishap("target", peer, "can't be carried as it stands", Proof::not_run);
+    if (!carries(q.target)) co_return make_error("target", peer, "can't be carried as it stands", Proof::not_run);
     if (!q.body.empty()) {
       std::string const type = request.headers().content_type();
       request.set_body(std::vector<unsigned char>(q.body.begin(), q.body.end()));
@@ -302,18 +302,18 @@
             co_await a->wait(until);
             if (!*done) c.cancel();
           }(limit, finished, cancel, deadline));
-    Result<HttpReply> out = mishap("call_backend", peer, "");
+    Result<HttpReply> out = make_error("call_backend", peer, "");
     try {
       request.set_request_uri(web::uri(q.target));
       web::http::client::http_client client(web::uri("http://" + peer), config);
       web::http::http_response r = co_await await_task(client.request(request, cancel.get_token()));
       out = co_await read(std::move(r), q.method, peer);
     } catch (web::uri_exception const& e) {
-      out = mishap("connect", peer, e.what(), Proof::not_run);
+      out = make_error("connect", peer, e.what(), Proof::not_run);
     } catch (std::exception const& e) {
       std::string const reason = e.what();
       bool const unsent = reason.starts_with("Failed to connect to any resolved endpoint");
-      out = mishap(unsent ? "connect" : "call_backend", peer, reason, unsent ? Proof::not_run : Proof::unknown);
+      out = make_error(unsent ? "connect" : "call_backend", peer, reason, unsent ? Proof::not_run : Proof::unknown);
     }
     *finished = true;
     limit->wake();
@@ -325,7 +325,7 @@
     HttpReply reply;
     reply.status = r.status_code();
     if (reply.status < 200 || reply.status > 599)
-      co_return mishap("read_reply", peer, "status " + std::to_string(reply.status));
+      co_return make_error("read_reply", peer, "status " + std::to_string(reply.status));
     std::string length, coding;
     for (auto const& [name, value] : r.headers()) {
       std::string n = name;
@@ -336,21 +336,21 @@
         coding = value;
       std::optional<std::vector<std::string>> const several =
           n == "set-cookie" ? cookies_of(value) : std::vector<std::string>{value};
-      if (!several) co_return mishap("read_reply", peer, "cookies that can't be told apart");
+      if (!several) co_return make_error("read_reply", peer, "cookies that can't be told apart");
       for (std::string const& one : *several) reply.headers.push_back({name, one});
     }
     bool const bodyless = method == "HEAD" || reply.status == 204 || reply.status == 304;
     bool const counted =
         !length.empty() && length.size() < 10 && length.find_first_not_of("0123456789") == std::string::npos;
     if (!bodyless && !(counted && coding.empty()) && !(coding == "chunked" && length.empty()))
-      co_return mishap("read_reply", peer, "neither one length nor chunks");
+      co_return make_error("read_reply", peer, "neither one length nor chunks");
     if (counted && !bodyless && std::stoul(length) > body_limit)
-      co_return mishap("read_reply", peer, "body over the limit");
+      co_return make_error("read_reply", peer, "body over the limit");
     if (bodyless) co_return reply;
     std::vector<unsigned char> const body = co_await await_task(r.extract_vector());
     if (counted && body.size() != std::stoul(length))
-      co_return mishap("read_reply", peer, "body differs from its length");
-    if (body.size() > body_limit) co_return mishap("read_reply", peer, "body over the limit");
+      co_return make_error("read_reply", peer, "body differs from its length");
+    if (body.size() > body_limit) co_return make_error("read_reply", peer, "body over the limit");
     reply.body.assign(body.begin(), body.end());
     co_return reply;
   }
--- a/source/transport/http_server.cpp
+++ b/source/transport/http_server.cpp
@@ -21,7 +21,7 @@
 namespace {
 
 using tcp = asio::ip::tcp;
-using Error = boost::system::error_code;
+using ErrorCode = boost::system::error_code;
 namespace http = boost::beast::http;
 
 constexpr Duration sweep_interval = 250ms;
@@ -35,9 +35,11 @@
 constexpr std::size_t gather_limit = 16;          // buffers in one write
 constexpr std::string_view retry_after_seconds = "0.2";
 
-bool would_block(Error const& error) { return error == asio::error::would_block || error == asio::error::try_again; }
+bool would_block(ErrorCode const& error) {
+  return error == asio::error::would_block || error == asio::error::try_again;
+}
 
-std::uint16_t status_of(Error const& error) {
+std::uint16_t status_of(ErrorCode const& error) {
   if (error == http::error::header_limit) return 431;
   if (error == http::error::body_limit) return 413;
   return 400;
@@ -134,7 +136,7 @@
 
  private:
   void wait_for_client();
-  void on_readable(Error const& error);
+  void on_readable(ErrorCode const& error);
   void on_hang_up(ClientState state);
   bool read_once(Instant now);
   void take_bytes(std::string_view bytes);
@@ -194,7 +196,7 @@
 }
 
 bool HttpConnection::has_unread_bytes() const {
-  Error error;
+  ErrorCode error;
   return socket_.available(error) > 0;
 }
 
@@ -203,7 +205,7 @@
   if (!peer_finished_ && room) {
     if (waits_to_read_) return;
     waits_to_read_ = true;
-    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](Error const& error) {
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](ErrorCode const& error) {
       self->waits_to_read_ = false;
       self->on_readable(error);
     });
@@ -211,13 +213,13 @@
   }
   if (waits_for_error_) return;
   waits_for_error_ = true;
-  socket_.async_wait(tcp::socket::wait_error, [self = shared_from_this()](Error const& error) {
+  socket_.async_wait(tcp::socket::wait_error, [self = shared_from_this()](ErrorCode const& error) {
     self->waits_for_error_ = false;
     if (!error && !self->closed_) self->on_hang_up(ClientState::gone);
   });
 }
 
-void HttpConnection::on_readable(Error const& error) {
+void HttpConnection::on_readable(ErrorCode const& error) {
   if (closed_ || error) return;
   Instant const now = std::chrono::steady_clock::now();
   for (std::size_t i = 0; i < reads_per_event && !closed_; ++i)
@@ -228,7 +230,7 @@
 // Whether there may be more to read at once.
 bool HttpConnection::read_once(Instant const now) {
   std::span<char> const scratch = read_scratch();
-  Error error;
+  ErrorCode error;
   std::size_t const bytes = socket_.read_some(asio::buffer(scratch.data(), scratch.size()), error);
   if (would_block(error)) return false;
   if (error) {
@@ -294,7 +296,7 @@
       header_since_ = std::chrono::steady_clock::now();
     }
     bool const had_header = parser_->is_header_done();
-    Error error;
+    ErrorCode error;
     used += parser_->parse(rest, error, !had_header);
     if (error) {
       refuse(status_of(error));
@@ -486,11 +488,11 @@
     buffers[i] += part;
     skip -= part;
   }
-  Error error;
+  ErrorCode error;
   written_ += socket_.write_some(std::span<asio::const_buffer>(buffers.data(), count), error);
   if (would_block(error)) {
     waits_to_write_ = true;
-    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](Error const& wait_error) {
+    socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](ErrorCode const& wait_error) {
       self->waits_to_write_ = false;
       if (!wait_error) self->advance();
     });
@@ -513,7 +515,7 @@
 // Our side ends; what the client still sends is read for a moment, since a close
 // with unread bytes would be a reset, which destroys the answer on its way.
 void HttpConnection::linger() {
-  Error error;
+  ErrorCode error;
   socket_.shutdown(tcp::socket::shutdown_send, error);
   if (error || peer_finished_) {
     close();
@@ -540,7 +542,7 @@
 void HttpConnection::close() {
   if (closed_) return;
   closed_ = true;
-  Error error;
+  ErrorCode error;
   socket_.close(error);
   parser_.reset();
   body_held_ = HeldBytes();
@@ -579,7 +581,7 @@
 // ---- what the connections share
 
 void HttpServerCore::accept_next() {
-  acceptor.async_accept([self = shared_from_this()](Error const& error, tcp::socket socket) {
+  acceptor.async_accept([self = shared_from_this()](ErrorCode const& error, tcp::socket socket) {
     if (self->stopped || !self->acceptor.is_open()) return;
     if (error) {
       self->accept_after_pause();
@@ -593,7 +595,7 @@
 // Out of descriptors or the like: trying again at once would spin.
 void HttpServerCore::accept_after_pause() {
   accept_timer.expires_after(accept_pause);
-  accept_timer.async_wait([self = shared_from_this()](Error const& error) {
+  accept_timer.async_wait([self = shared_from_this()](ErrorCode const& error) {
     if (!error && !self->stopped && self->acceptor.is_open()) self->accept_next();
   });
 }
@@ -602,7 +604,7 @@
   bool const full = connections() >= limits.connections;
   bool const over_limit = full && !close_oldest_idle();
   if (over_limit && connections() >= limits.connections + refused_connections) return;
-  Error error;
+  ErrorCode error;
   socket.non_blocking(true, error);
   if (!error) socket.set_option(tcp::no_delay(true), error);
   if (error) return;
@@ -622,7 +624,7 @@
   if (sweeping) return;
   sweeping = true;
   sweep_timer.expires_after(sweep_interval);
-  sweep_timer.async_wait([self = shared_from_this()](Error const& error) {
+  sweep_timer.async_wait([self = shared_from_this()](ErrorCode const& error) {
     self->sweeping = false;
     if (error || self->stopped) return;
     self->sweep();
@@ -642,7 +644,7 @@
 
 void HttpServerCore::stop() {
   stopped = true;
-  Error error;
+  ErrorCode error;
   acceptor.close(error);
   accept_timer.cancel();
   sweep_timer.cancel();
@@ -659,17 +661,17 @@
 
 Result<Address> HttpServer::listen(Address const& address) {
   Result<tcp::endpoint> const endpoint = endpoint_of(address);
-  if (!endpoint) return tl::unexpected<Mishap>(endpoint.error());
-  Error error;
+  if (!endpoint) return tl::unexpected<Error>(endpoint.error());
+  ErrorCode error;
   core_->acceptor.open(endpoint->protocol(), error);
   if (!error) core_->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
   if (!error) core_->acceptor.bind(*endpoint, error);
   if (!error) core_->acceptor.listen(accept_backlog, error);
   tcp::endpoint const bound = error ? tcp::endpoint() : core_->acceptor.local_endpoint(error);
   if (error) {
-    Error ignored;
+    ErrorCode ignored;
     core_->acceptor.close(ignored);
-    return mishap("listen", address, error.message(), Proof::not_run);
+    return make_error("listen", address, error.message(), Proof::not_run);
   }
   core_->accept_next();
   return address_of(bound);
@@ -680,7 +682,7 @@
 void HttpServer::drain() { core_->draining = true; }
 
 void HttpServer::close_listener() {
-  Error error;
+  ErrorCode error;
   core_->acceptor.close(error);
   core_->accept_timer.cancel();
 }
--- a/source/transport/peer_connection.cpp
+++ b/source/transport/peer_connection.cpp
@@ -21,7 +21,7 @@
   std::uint64_t const id = ++world_.last_id_;
   OutgoingFrame request = OutgoingFrame::of(Sort::ask, kind, id, std::make_shared<Bytes const>(std::move(payload)));
   Admission const admission = queue_.push(std::move(request), world_.now());
-  if (admission != Admission::taken) co_return mishap("ask", peer_, to_text(admission), Proof::not_run);
+  if (admission != Admission::taken) co_return make_error("ask", peer_, to_text(admission), Proof::not_run);
   std::shared_ptr<Waiting> const waiting = std::make_shared<Waiting>(world_);
   if (waiting_.empty()) owed_since_ = world_.now();
   waiting_[id] = waiting;
@@ -30,8 +30,8 @@
   waiting_.erase(id);
   if (got) co_return std::move(*got);
   queue_.withdraw(id);
-  if (!waiting->sent) co_return mishap("wait_to_send", peer_, "deadline", Proof::not_run);
-  co_return mishap("wait_for_reply", peer_, "deadline", Proof::unknown);
+  if (!waiting->sent) co_return make_error("wait_to_send", peer_, "deadline", Proof::not_run);
+  co_return make_error("wait_for_reply", peer_, "deadline", Proof::unknown);
 }
 
 void PeerConnection::tell(std::uint8_t const kind, SharedBytes const& payload) {
@@ -166,14 +166,14 @@
   for (auto const& [id, waiting] : waiting_)
     if (waiting->sent) lost.push_back(waiting);
   for (std::shared_ptr<Waiting> const& waiting : lost)
-    waiting->reply.give(mishap("wait_for_reply", peer_, "connection lost", Proof::unknown));
+    waiting->reply.give(make_error("wait_for_reply", peer_, "connection lost", Proof::unknown));
 }
 
 void PeerConnection::fail_queue(std::string const& step, std::string const& reason) {
   for (OutgoingFrame const& frame : queue_.take_all()) {
     auto const found = waiting_.find(frame.head.id);
     if (frame.head.sort != Sort::ask || found == waiting_.end()) continue;
-    found->second->reply.give(mishap(step, peer_, reason, Proof::not_run));
+    found->second->reply.give(make_error(step, peer_, reason, Proof::not_run));
   }
 }
 
--- a/source/transport/peer_socket.cpp
+++ b/source/transport/peer_socket.cpp
@@ -100,9 +100,9 @@
   char raw[FrameHead::size];
   boost::system::error_code ec;
   co_await asio::async_read(socket, asio::buffer(raw), asio::redirect_error(asio::use_awaitable, ec));
-  if (ec) co_return mishap("read_frame", "", ec == asio::error::eof ? "" : ec.message());
+  if (ec) co_return make_error("read_frame", "", ec == asio::error::eof ? "" : ec.message());
   Result<FrameHead> const head = FrameHead::read(raw);
-  if (!head) co_return tl::unexpected<Mishap>(head.error());
+  if (!head) co_return tl::unexpected<Error>(head.error());
   if (on_progress) on_progress();
   ReceivedFrame frame{*head, {}};
   frame.payload.reserve(head->length);  // memory is only used as the bytes come
@@ -111,7 +111,7 @@
     frame.payload.resize(std::min<std::size_t>(head->length, at + read_piece));
     co_await asio::async_read(socket, asio::buffer(&frame.payload[at], frame.payload.size() - at),
                               asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) co_return mishap("read_frame", "", ec.message());
+    if (ec) co_return make_error("read_frame", "", ec.message());
     if (on_progress) on_progress();
   }
   co_return frame;
--- a/source/transport/result.hpp
+++ b/source/transport/result.hpp
@@ -30,7 +30,7 @@
 
 enum class Proof : std::uint8_t { not_run, unknown };
 
-struct Mishap {
+struct Error {
   std::string step;
   std::string peer;
   std::string reason;
@@ -38,14 +38,14 @@
 };
 
 template <class T>
-using Result = tl::expected<T, Mishap>;
+using Result = tl::expected<T, Error>;
 
 template <class T>
 using Task = asio::awaitable<T>;
 
-inline tl::unexpected<Mishap> mishap(std::string step, std::string peer, std::string reason,
-                                     Proof const proof = Proof::unknown) {
-  return tl::unexpected<Mishap>(Mishap{std::move(step), std::move(peer), std::move(reason), proof});
+inline tl::unexpected<Error> make_error(std::string step, std::string peer, std::string reason,
+                                        Proof const proof = Proof::unknown) {
+  return tl::unexpected<Error>(Error{std::move(step), std::move(peer), std::move(reason), proof});
 }
 
 }  // namespace banktide
--- a/source/transport/socket_world.cpp
+++ b/source/transport/socket_world.cpp
@@ -18,13 +18,13 @@
 
 Result<asio::ip::tcp::endpoint> parse_address(Address const& a) {
   std::size_t const colon = a.rfind(':');
-  if (colon == std::string::npos) return mishap("parse_address", a, "no port");
+  if (colon == std::string::npos) return make_error("parse_address", a, "no port");
   boost::system::error_code ec;
   asio::ip::address const ip = asio::ip::make_address(a.substr(0, colon), ec);
   std::string const port = a.substr(colon + 1);
   if (ec || port.empty() || port.size() > 5 || port.find_first_not_of("0123456789") != std::string::npos ||
       std::stoul(port) > 65535)
-    return mishap("parse_address", a, "not an ip:port");
+    return make_error("parse_address", a, "not an ip:port");
   return asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(std::stoul(port)));
 }
 
@@ -64,26 +64,26 @@
 
 Result<Address> SocketWorld::listen(Address const& at) {
   Result<asio::ip::tcp::endpoint> ep = parse_address(at);
-  if (!ep) return tl::unexpected<Mishap>(ep.error());
+  if (!ep) return tl::unexpected<Error>(ep.error());
   boost::system::error_code ec;
   acceptor_ = std::make_unique<asio::ip::tcp::acceptor>(io_);
   acceptor_->open(ep->protocol(), ec);
   if (!ec) acceptor_->set_option(asio::ip::tcp::acceptor::reuse_address(true), ec);
   if (!ec) acceptor_->bind(*ep, ec);
   if (!ec) acceptor_->listen(connections_to_accept, ec);
-  if (ec) return mishap("listen", at, ec.message());
+  if (ec) return make_error("listen", at, ec.message());
   return ep->address().to_string() + ":" + std::to_string(acceptor_->local_endpoint().port());
 }
 
-void SocketWorld::serve(Desk& desk) {
-  desk_ = &desk;
+void SocketWorld::serve(Dispatcher& dispatcher) {
+  desk_ = &dispatcher;
   start(accept());
 }
 
 Task<Result<Bytes>> SocketWorld::ask_raw(Address const peer, std::uint8_t const kind, Bytes payload,
                                          Instant const deadline) {
-  if (payload.size() > frame_limit) co_return mishap("ask", peer, "frame over the limit", Proof::not_run);
-  if (stopping_) co_return mishap("ask", peer, "stopping", Proof::not_run);
+  if (payload.size() > frame_limit) co_return make_error("ask", peer, "frame over the limit", Proof::not_run);
+  if (stopping_) co_return make_error("ask", peer, "stopping", Proof::not_run);
   std::shared_ptr<PeerConnection> const connection = connection_to(peer);
   if (!std::exchange(watching_, true)) start(watch_connections());
   Result<Bytes> reply = co_await connection->ask(kind, std::move(payload), deadline);
--- a/source/transport/socket_world.hpp
+++ b/source/transport/socket_world.hpp
@@ -52,7 +52,7 @@
 
   /** Binds at once, so that a taken port is a start-up error and port 0 is known. */
   Result<Address> listen(Address const& at);
-  void serve(Desk& desk);
+  void serve(Dispatcher& dispatcher);
 
   /** A request. Whether it had begun to be written when it failed is what tells "not run" from "unknown". */
   Task<Result<Bytes>> ask_raw(Address peer, std::uint8_t kind, Bytes payload, Instant deadline);
@@ -85,7 +85,7 @@
   PeerLimits const limits_;
   std::shared_ptr<QueueTotals> const totals_;
   std::unique_ptr<asio::ip::tcp::acceptor> acceptor_;
-  Desk* desk_ = nullptr;
+  Dispatcher* desk_ = nullptr;
   std::uint64_t last_id_ = 0;
   bool watching_ = false;
   bool stopping_ = false;
--- a/source/transport/surroundings.hpp
+++ b/source/transport/surroundings.hpp
@@ -28,14 +28,14 @@
 
 // Handlers of peer messages by kind. A payload that does not decode is a
 // mishap; the transport answers it by closing the connection.
-struct Desk {
+struct Dispatcher {
   std::array<PeerHandler, 256> handlers;
 
   template <class Q, class F>
   void on(F f) {
     handlers[Q::kind] = [f](Bytes raw) -> Task<Result<Bytes>> {
       Result<Q> q = unpack<Q>(raw);
-      if (!q) co_return tl::unexpected<Mishap>(q.error());
+      if (!q) co_return tl::unexpected<Error>(q.error());
       typename Q::Reply reply = co_await f(std::move(*q));
       co_return pack(reply);
     };
@@ -53,7 +53,7 @@
 
 template <class W>
 concept PeerTransport = requires(W& w, Address const& peer, std::uint8_t kind, Bytes b, SharedBytes shared, Instant t,
-                                 Desk& d) {
+                                 Dispatcher& d) {
   { w.ask_raw(peer, kind, b, t) } -> std::same_as<Task<Result<Bytes>>>;
   w.tell_raw(peer, kind, shared);
   w.serve(d);
@@ -85,7 +85,7 @@
 template <class Q, PeerTransport W>
 Task<Result<typename Q::Reply>> ask(W& w, Address peer, Q q, Instant deadline) {
   Result<Bytes> raw = co_await w.ask_raw(peer, Q::kind, pack(q), deadline);
-  if (!raw) co_return tl::unexpected<Mishap>(raw.error());
+  if (!raw) co_return tl::unexpected<Error>(raw.error());
   Result<typename Q::Reply> reply = unpack<typename Q::Reply>(*raw);
   if (!reply) reply.error().peer = peer;
   co_return reply;
--- a/tests/coordination/key_coordinator_test.cpp
+++ b/tests/coordination/key_coordinator_test.cpp
@@ -53,8 +53,8 @@
     node = start("node");
     coordinator = std::make_unique<KeyCoordinator<SimProcess, OneValueStore>>(*registry, store, KeySettings{},
                                                                               [this] { return acting; });
-    coordinator->attach(desk);
-    registry->serve(desk);
+    coordinator->attach(dispatcher);
+    registry->serve(dispatcher);
     spawn(*registry, coordinator->run());
     spawn(*node, send_reports(*node, "registry:1"));
   }
@@ -73,7 +73,7 @@
   Sim sim;
   SimNet net;
   OneValueStore store;
-  Desk desk;
+  Dispatcher dispatcher;
   bool acting = true;
   std::shared_ptr<SimProcess> registry, node;
   std::unique_ptr<KeyCoordinator<SimProcess, OneValueStore>> coordinator;
--- a/tests/coordination/key_table_feed_test.cpp
+++ b/tests/coordination/key_table_feed_test.cpp
@@ -51,11 +51,11 @@
 };
 
 // Counts the answers that leave a process.
-void watch_answers(Desk& desk, TableBytes& bytes) {
+void watch_answers(Dispatcher& dispatcher, TableBytes& bytes) {
   for (std::uint8_t const kind : {LayoutsAsk::kind, Peek::kind}) {
-    PeerHandler const handler = desk.handlers[kind];
+    PeerHandler const handler = dispatcher.handlers[kind];
     if (!handler) continue;
-    desk.handlers[kind] = [handler, kind, &bytes](Bytes raw) -> Task<Result<Bytes>> {
+    dispatcher.handlers[kind] = [handler, kind, &bytes](Bytes raw) -> Task<Result<Bytes>> {
       Result<Peek> const peek = unpack<Peek>(raw);
       bool const of_keys = kind != Peek::kind || (peek && peek->reg == Register::keys);
       Result<Bytes> answer = co_await handler(std::move(raw));
@@ -81,7 +81,7 @@
 
   /// Desks that were made since the last call.
   void watch_desks() {
-    for (; watched < desks.size(); ++watched) watch_answers(*desks[watched], bytes);
+    for (; watched < dispatchers.size(); ++watched) watch_answers(*dispatchers[watched], bytes);
   }
 
   Task<void> write(std::string const by, std::shared_ptr<bool> const done) {
@@ -203,7 +203,7 @@
   t.write_some("ra", 3);
   ASSERT_TRUE(t.run_until([&] { return t.all_have_newest(); }, 2s));
   t.bytes = {};
-  PeerHandler& at_node = t.net.at.at("a2:1")->desk->handlers[News::kind];
+  PeerHandler& at_node = t.net.at.at("a2:1")->dispatcher->handlers[News::kind];
   at_node = [whole = at_node](Bytes raw) -> Task<Result<Bytes>> {
     Result<News> news = unpack<News>(raw);
     for (KeyDelta& delta : news->key_deltas) ++delta.digest;
@@ -235,7 +235,7 @@
   explicit ReadingTrial(std::uint64_t const seed) : StoreTrial(seed, 4, 1) {
     start_all(true);
     EXPECT_TRUE(run_until([&] { return all_vote(4); }, 20s));
-    for (std::unique_ptr<Desk> const& desk : desks) watch_answers(*desk, bytes);
+    for (std::unique_ptr<Dispatcher> const& dispatcher : dispatchers) watch_answers(*dispatcher, bytes);
   }
   Result<ConfirmedRevision> confirm_revision(std::size_t const client, Duration const patience) {
     std::optional<Result<ConfirmedRevision>> done;
@@ -244,7 +244,7 @@
     };
     spawn(*clients[client], ask_for_it());
     run_until([&] { return done.has_value(); }, patience + 2s);
-    return done ? *done : Result<ConfirmedRevision>(mishap("confirm", "", "no end"));
+    return done ? *done : Result<ConfirmedRevision>(make_error("confirm", "", "no end"));
   }
   TableBytes bytes;
 };
--- a/tests/coordination/register_client_test.cpp
+++ b/tests/coordination/register_client_test.cpp
@@ -40,9 +40,9 @@
     disks[i].process = p.get();
     acceptors.push_back(std::make_unique<Acceptor<SimProcess, SimDisk>>(*p, disks[i], voters, i));
     EXPECT_TRUE(acceptors.back()->load());
-    desks.push_back(std::make_unique<Desk>());
-    acceptors.back()->attach(*desks.back());
-    p->serve(*desks.back());
+    dispatchers.push_back(std::make_unique<Dispatcher>());
+    acceptors.back()->attach(*dispatchers.back());
+    p->serve(*dispatchers.back());
     spawn(*p, acceptors.back()->settle());
   }
 
@@ -126,10 +126,10 @@
   std::vector<SimDisk> disks;
   std::vector<std::shared_ptr<SimProcess>> all, clients;
   std::vector<std::unique_ptr<Acceptor<SimProcess, SimDisk>>> acceptors;
-  std::vector<std::unique_ptr<Desk>> desks;
+  std::vector<std::unique_ptr<Dispatcher>> dispatchers;
   std::vector<std::unique_ptr<RegisterClient<SimProcess>>> coordinators;
   std::vector<std::string> acked, refused;
-  Result<Held> written = mishap("", "", ""), seen = mishap("", "", "");
+  Result<Held> written = make_error("", "", ""), seen = make_error("", "", "");
   std::string last;
   std::uint64_t runs = 0, made = 0;
   bool over = false, down = false;
--- a/tests/coordination/register_stand_in.hpp
+++ b/tests/coordination/register_stand_in.hpp
@@ -18,7 +18,7 @@
   template <class Step>
   Task<Result<Held>> change(Register, std::string, Instant, Step step) {
     co_await sleep_for(process_, std::chrono::milliseconds(1 + process_.chance()() % 30));
-    if (!shared_.reachable) co_return mishap("change", "", "no majority", Proof::not_run);
+    if (!shared_.reachable) co_return make_error("change", "", "no majority", Proof::not_run);
     Result<Held> next = step(shared_.held);
     if (next && next->revision != shared_.held.revision) ++shared_.writings;
     if (next) shared_.held = *next;
--- a/tests/coordination/store_trial.hpp
+++ b/tests/coordination/store_trial.hpp
@@ -48,10 +48,10 @@
     settings.losses = losses;
     memberships[i] = std::make_shared<Membership<SimProcess, SimDisk>>(*p, *acceptors[i], settings);
     buried.emplace_back(acceptors[i], memberships[i]);
-    desks.push_back(std::make_unique<Desk>());
-    acceptors[i]->attach(*desks.back());
-    memberships[i]->attach(*desks.back());
-    p->serve(*desks.back());
+    dispatchers.push_back(std::make_unique<Dispatcher>());
+    acceptors[i]->attach(*dispatchers.back());
+    memberships[i]->attach(*dispatchers.back());
+    p->serve(*dispatchers.back());
     spawn(*p, memberships[i]->run());
   }
   void start_all(bool const initial) {
@@ -104,19 +104,19 @@
     std::optional<Result<Held>> done;
     spawn(*clients[client], put_one(client, reg, newer, patience, done));
     run_until([&] { return done.has_value(); }, patience + 2s);
-    return done ? *done : Result<Held>(mishap("put", "", "no end"));
+    return done ? *done : Result<Held>(make_error("put", "", "no end"));
   }
   Result<Held> get(std::size_t const client, Register const reg, Duration const patience = 5s) {
     std::optional<Result<Held>> done;
     spawn(*clients[client], get_one(client, reg, patience, done));
     run_until([&] { return done.has_value(); }, patience + 2s);
-    return done ? *done : Result<Held>(mishap("get", "", "no end"));
+    return done ? *done : Result<Held>(make_error("get", "", "no end"));
   }
   Result<Confirmed> confirm(std::size_t const client, Register const reg, Held const known, Duration const patience) {
     std::optional<Result<Confirmed>> done;
     spawn(*clients[client], confirm_one(client, reg, known, patience, done));
     run_until([&] { return done.has_value(); }, patience + 2s);
-    return done ? *done : Result<Confirmed>(mishap("confirm", "", "no end"));
+    return done ? *done : Result<Confirmed>(make_error("confirm", "", "no end"));
   }
 
   template <class F>
@@ -144,7 +144,7 @@
   std::vector<std::shared_ptr<Membership<SimProcess, SimDisk>>> memberships;
   std::vector<std::shared_ptr<Acceptor<SimProcess, SimDisk>>> acceptors;
   std::vector<std::pair<std::shared_ptr<void>, std::shared_ptr<void>>> buried;
-  std::vector<std::unique_ptr<Desk>> desks;
+  std::vector<std::unique_ptr<Dispatcher>> dispatchers;
   std::vector<std::unique_ptr<RegisterClient<SimProcess>>> registers;
   std::uint64_t runs = 0;
 };
--- a/tests/coordination/voter_set_test.cpp
+++ b/tests/coordination/voter_set_test.cpp
@@ -57,9 +57,9 @@
     trial.disks[i].process = p.get();
     trial.acceptors[i] = std::make_shared<Acceptor<SimProcess, SimDisk>>(*p, trial.disks[i], trial.addresses[i]);
     EXPECT_TRUE(trial.acceptors[i]->load());
-    trial.desks.push_back(std::make_unique<Desk>());
-    trial.acceptors[i]->attach(*trial.desks.back());
-    p->serve(*trial.desks.back());
+    trial.dispatchers.push_back(std::make_unique<Dispatcher>());
+    trial.acceptors[i]->attach(*trial.dispatchers.back());
+    p->serve(*trial.dispatchers.back());
   }
   template <class Q>
   static Task<void> ask_one(SimProcess& w, Address const peer, Q const q, std::optional<typename Q::Reply>& out) {
--- a/tests/coordination/zone_trial.hpp
+++ b/tests/coordination/zone_trial.hpp
@@ -48,7 +48,7 @@
     disks[i].process = p.get();
     acceptors[i] = std::make_shared<Acceptor<SimProcess, SimDisk>>(*p, disks[i], voters, i);
     EXPECT_TRUE(acceptors[i]->load());
-    acceptors[i]->attach(desk(*p));
+    acceptors[i]->attach(dispatcher(*p));
     spawn(*p, acceptors[i]->settle());
   }
 
@@ -71,7 +71,7 @@
     settings.voters = voters;
     c.registry = std::make_shared<Registry<SimProcess>>(*c.process, settings);
     kept.push_back(c.registry);
-    c.registry->start(desk(*c.process));
+    c.registry->start(dispatcher(*c.process));
   }
 
   void add_node(std::string const& id, std::string const& zone, std::string const& service) {
@@ -98,7 +98,7 @@
     events.value = [&n](Register const r, Held const& h) { n.values[r] = h.bytes; };
     events.view_changed = [&n] { n.least_members = std::min(n.least_members, n.follower->view().members.size()); };
     n.follower = std::make_shared<ZoneFollower<SimProcess>>(*n.process, settings, events);
-    n.follower->start(desk(*n.process));
+    n.follower->start(dispatcher(*n.process));
   }
 
   /// A new life of the node, which knows nothing.
@@ -140,10 +140,10 @@
     net.machine_of[address] = machine;
     return p;
   }
-  Desk& desk(SimProcess& p) {
-    desks.push_back(std::make_unique<Desk>());
-    p.serve(*desks.back());
-    return *desks.back();
+  Dispatcher& dispatcher(SimProcess& p) {
+    dispatchers.push_back(std::make_unique<Dispatcher>());
+    p.serve(*dispatchers.back());
+    return *dispatchers.back();
   }
 
   Sim sim;
@@ -158,7 +158,7 @@
   std::map<std::string, Control> controls;
   std::map<std::string, Node> nodes;
   std::vector<std::shared_ptr<Registry<SimProcess>>> kept;
-  std::vector<std::unique_ptr<Desk>> desks;
+  std::vector<std::unique_ptr<Dispatcher>> dispatchers;
 };
 
 }  // namespace banktide
--- a/tests/data_path/request_path_model_test.cpp
+++ b/tests/data_path/request_path_model_test.cpp
@@ -22,7 +22,7 @@
 struct FickleNode {
   std::shared_ptr<SimProcess> process;
   Runs* runs = nullptr;
-  Desk desk;
+  Dispatcher dispatcher;
 
   Task<ForwardReply> run(Forward const forward) {
     std::uint64_t const lot = process->chance()() % 10;
@@ -117,8 +117,8 @@
     FickleNode& node = nodes_[name];
     if (node.process) node.process->kill();
     node.process = start(name);
-    node.desk.on<Forward>([&node](Forward f) { return node.run(std::move(f)); });
-    node.process->serve(node.desk);
+    node.dispatcher.on<Forward>([&node](Forward f) { return node.run(std::move(f)); });
+    node.process->serve(node.dispatcher);
   }
 
   void strike() {
--- a/tests/data_path/request_path_test.cpp
+++ b/tests/data_path/request_path_test.cpp
@@ -34,7 +34,7 @@
 struct AnsweringNode {
   ForwardReply reply;
   std::vector<Forward> seen;
-  Desk desk;
+  Dispatcher dispatcher;
   std::shared_ptr<SimProcess> process;
 
   Task<ForwardReply> run(Forward forward) {
@@ -82,8 +82,8 @@
     AnsweringNode& node = *nodes.emplace_back(std::make_unique<AnsweringNode>());
     node.reply = reply;
     node.process = start(name);
-    node.desk.on<Forward>([&node](Forward f) { return node.run(std::move(f)); });
-    node.process->serve(node.desk);
+    node.dispatcher.on<Forward>([&node](Forward f) { return node.run(std::move(f)); });
+    node.process->serve(node.dispatcher);
     Endpoint endpoint;
     endpoint.node = name;
     endpoint.address = name + ":1";
--- a/tests/programs/control_trial.hpp
+++ b/tests/programs/control_trial.hpp
@@ -91,9 +91,9 @@
     core.registry = std::make_shared<Registry<SimProcess>>(*core.process, settings);
     core.interface = std::make_shared<ConfigurationInterface<SimProcess>>(*core.process, *core.registry, adapter_);
     core.status = std::make_shared<ControlStatus<SimProcess>>(*core.process, *core.registry);
-    core.desk = std::make_shared<Desk>();
-    core.process->serve(*core.desk);
-    core.registry->start(*core.desk);
+    core.dispatcher = std::make_shared<Dispatcher>();
+    core.process->serve(*core.dispatcher);
+    core.registry->start(*core.dispatcher);
     all_.push_back(core);
     registries_[i] = core;
   }
@@ -184,7 +184,7 @@
     std::shared_ptr<Registry<SimProcess>> registry;
     std::shared_ptr<ConfigurationInterface<SimProcess>> interface;
     std::shared_ptr<ControlStatus<SimProcess>> status;
-    std::shared_ptr<Desk> desk;
+    std::shared_ptr<Dispatcher> dispatcher;
   };
   static constexpr Duration patience = 1s;
 
--- a/tests/programs/mesh_trial.hpp
+++ b/tests/programs/mesh_trial.hpp
@@ -114,7 +114,7 @@
     settings.initial_start = initial;
     std::shared_ptr<Membership<SimProcess, SimDisk>> const membership =
         std::make_shared<Membership<SimProcess, SimDisk>>(*core.store_process, *voter, settings);
-    Desk& d = desk(*core.store_process);
+    Dispatcher& d = dispatcher(*core.store_process);
     voter->attach(d);
     membership->attach(d);
     spawn(*core.store_process, membership->run());
@@ -137,7 +137,7 @@
                                                            KeySettings{}, maintenance);
     kept.push_back(core.registry);
     kept.push_back(core.mesh);
-    Desk& d = desk(*core.registry_process);
+    Dispatcher& d = dispatcher(*core.registry_process);
     core.registry->start(d);
     core.mesh->start(d);
   }
@@ -162,7 +162,7 @@
     };
     machine.node = std::make_shared<MeshNode<SimProcess>>(*machine.process, settings, adapter, factory);
     kept.push_back(machine.node);
-    machine.node->start(desk(*machine.process));
+    machine.node->start(dispatcher(*machine.process));
     spawn(*machine.process, keep_beating(machine.process, machine.node, machine.backend));
     for (std::string_view const service : trial_services)
       spawn(*machine.process, keep_asking(machine.process, machine.node, machine, std::string(service)));
@@ -321,10 +321,10 @@
     net.machine_of[address] = machine;
     return p;
   }
-  Desk& desk(SimProcess& p) {
-    desks.push_back(std::make_unique<Desk>());
-    p.serve(*desks.back());
-    return *desks.back();
+  Dispatcher& dispatcher(SimProcess& p) {
+    dispatchers.push_back(std::make_unique<Dispatcher>());
+    p.serve(*dispatchers.back());
+    return *dispatchers.back();
   }
 
   // Bytes that cross the made-up interface are numbers of what they stand for.
@@ -448,7 +448,7 @@
   }
 
   std::vector<std::shared_ptr<SimProcess>> processes;
-  std::vector<std::unique_ptr<Desk>> desks;
+  std::vector<std::unique_ptr<Dispatcher>> dispatchers;
   std::vector<BackendHeartbeat> beats;
   std::vector<HeartbeatAnswer> answers;
   std::uint64_t runs = 0;
--- a/tests/state/sqlite_disk_test.cpp
+++ b/tests/state/sqlite_disk_test.cpp
@@ -16,7 +16,7 @@
   ~SqliteDiskFile() override { std::filesystem::remove_all(folder); }
 
   Result<bool> keep(SqliteDisk& disk, VoterRecord const& record) {
-    Result<bool> out = mishap("keep", "", "no end");
+    Result<bool> out = make_error("keep", "", "no end");
     asio::io_context io;
     asio::co_spawn(io, disk.keep(record), [&](std::exception_ptr, Result<bool> kept) { out = kept; });
     io.run();
--- a/tests/transport/backend_connections_model_test.cpp
+++ b/tests/transport/backend_connections_model_test.cpp
@@ -45,7 +45,7 @@
 
  private:
   Task<void> accept_all() {
-    Error error;
+    ErrorCode error;
     while (true) {
       tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
       if (error) co_return;
@@ -129,13 +129,13 @@
   }
 
   Task<bool> put(Peer& peer, std::string const bytes) {
-    Error error;
+    ErrorCode error;
     co_await asio::async_write(peer.socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
     co_return !error;
   }
   Task<bool> more(Peer& peer) {
     char bytes[4096];
-    Error error;
+    ErrorCode error;
     std::size_t const count =
         co_await peer.socket.async_read_some(asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
     peer.unread.append(bytes, count);
--- a/tests/transport/backend_stand_in.hpp
+++ b/tests/transport/backend_stand_in.hpp
@@ -11,7 +11,7 @@
 namespace banktide {
 
 using tcp = asio::ip::tcp;
-using Error = boost::system::error_code;
+using ErrorCode = boost::system::error_code;
 
 /// A deadline that no test is meant to reach.
 inline constexpr Duration long_enough = 50s;
@@ -24,7 +24,7 @@
   Task<std::string> next() {
     RequestParser parser(1u << 20, 1u << 30);
     std::string taken;
-    Error error;
+    ErrorCode error;
     while (true) {
       std::size_t const used = parser.parse(unread, error, false);
       taken += unread.substr(0, used);
--- a/tests/transport/http_edge_test.cpp
+++ b/tests/transport/http_edge_test.cpp
@@ -80,7 +80,7 @@
   on_pool([&]() {
     asio::co_spawn(w.executor(), caller.run(port, std::move(q), w.now() + 20s),
                    [&](std::exception_ptr e, Result<HttpReply> r) {
-                     p.set_value(e ? Result<HttpReply>(mishap("test", "", "exception")) : std::move(r));
+                     p.set_value(e ? Result<HttpReply>(make_error("test", "", "exception")) : std::move(r));
                    });
     return true;
   });
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 using tcp = asio::ip::tcp;
-using Error = boost::system::error_code;
+using ErrorCode = boost::system::error_code;
 
 constexpr Duration watchdog = 60s;  // a hanging test ends; no bound on speed
 
@@ -31,7 +31,7 @@
     timer_.cancel();
   }
   Task<void> wait() {
-    Error ignored;
+    ErrorCode ignored;
     if (!open_) co_await timer_.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
   }
 
@@ -48,14 +48,14 @@
     co_await socket.async_connect(*endpoint_of(address), asio::use_awaitable);
   }
   Task<void> send(std::string const bytes) {
-    Error ignored;
+    ErrorCode ignored;
     co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ignored));
   }
   // The next answer with its headers as they came; status 0 if the connection ended first.
   Task<HttpReply> next(bool const to_head = false) {
     ReplyParser parser(1u << 20, 1u << 30);
     parser.skip(to_head);
-    Error error;
+    ErrorCode error;
     while (!parser.is_done()) {
       std::size_t const used = parser.parse(unread, error, false);
       unread.erase(0, used);
@@ -92,7 +92,7 @@
 
   tcp::socket socket;
   std::string unread;
-  Error end;
+  ErrorCode end;
 };
 
 std::string value_of(HttpReply const& reply, std::string_view const name) {
@@ -629,7 +629,7 @@
     HttpReply const first = co_await client.next();
     EXPECT_EQ(first.status, 200);
     server->close_listener();
-    Error refused;
+    ErrorCode refused;
     co_await late.socket.async_connect(*endpoint_of(address), asio::redirect_error(asio::use_awaitable, refused));
     EXPECT_EQ(refused, asio::error::connection_refused);
     co_await client.send(get("/2"));
@@ -676,7 +676,7 @@
         at += piece;
         if (chance() % 2 == 0) co_await turn();
       }
-      Error ignored;
+      ErrorCode ignored;
       client.socket.shutdown(tcp::socket::shutdown_send, ignored);
       std::size_t answered = 0;
       bool refused = false;
--- a/tests/transport/socket_world_test.cpp
+++ b/tests/transport/socket_world_test.cpp
@@ -126,12 +126,12 @@
 TEST(SocketWorld, answers_come_back_refusals_are_proof_and_a_bad_frame_only_costs_its_connection) {
   start_pool();
   SocketWorld w;
-  Desk desk;
-  desk.on<Echo>([](Echo q) -> Task<Echo::Reply> { co_return Echo::Reply{q.text + "!"}; });
+  Dispatcher dispatcher;
+  dispatcher.on<Echo>([](Echo q) -> Task<Echo::Reply> { co_return Echo::Reply{q.text + "!"}; });
   Address const here = *w.listen("127.0.0.1:0");
   std::promise<void> over;
   auto const script = [&]() -> Task<void> {
-    w.serve(desk);
+    w.serve(dispatcher);
     Echo const hello{"hello"};
     Result<Echo::Reply> const r = co_await ask(w, here, hello, w.now() + 20s);
     EXPECT_TRUE(r && r->text == "hello!");
@@ -253,9 +253,9 @@
   start_pool();
   PeerLimits limits;
   SocketWorld server(limits);
-  Desk desk;
+  Dispatcher dispatcher;
   std::string const large(256u << 10, 'x');
-  desk.on<Echo>([&large](Echo) -> Task<Echo::Reply> {
+  dispatcher.on<Echo>([&large](Echo) -> Task<Echo::Reply> {
     Echo::Reply reply{large};
     co_return reply;
   });
@@ -263,7 +263,7 @@
   std::size_t most_queued = 0;
   bool closed = false;
   run_on_pool([&]() -> Task<void> {
-    server.serve(desk);
+    server.serve(dispatcher);
     asio::ip::tcp::socket asker(server.io());
     co_await asker.async_connect(*parse_address(here), asio::use_awaitable);
     Echo const question{"?"};
@@ -291,15 +291,15 @@
   PeerLimits limits;
   limits.write_stall = 20ms;
   SocketWorld server(limits);
-  Desk desk;
-  desk.on<Echo>([](Echo) -> Task<Echo::Reply> {
+  Dispatcher dispatcher;
+  dispatcher.on<Echo>([](Echo) -> Task<Echo::Reply> {
     Echo::Reply reply{std::string(48u << 20, 'x')};  // more than the kernel takes
     co_return reply;
   });
   Address const here = *server.listen("127.0.0.1:0");
   std::size_t most_queued = 0, left_queued = 1;
   run_on_pool([&]() -> Task<void> {
-    server.serve(desk);
+    server.serve(dispatcher);
     asio::ip::tcp::socket asker(server.io());
     co_await asker.async_connect(*parse_address(here), asio::use_awaitable);
     Echo const question{"?"};
@@ -322,9 +322,9 @@
 TEST(SocketWorld, small_requests_are_answered_before_large_ones_that_were_asked_first) {
   start_pool();
   SocketWorld w;
-  Desk desk;
+  Dispatcher dispatcher;
   std::vector<std::size_t> order;
-  desk.on<Echo>([&order](Echo q) -> Task<Echo::Reply> {
+  dispatcher.on<Echo>([&order](Echo q) -> Task<Echo::Reply> {
     order.push_back(q.text.size());
     Echo::Reply reply{std::move(q.text)};
     co_return reply;
@@ -333,7 +333,7 @@
   constexpr std::size_t large = 1u << 20, small = 10;
   std::size_t answered = 0;
   run_on_pool([&]() -> Task<void> {
-    w.serve(desk);
+    w.serve(dispatcher);
     auto const ask_once = [&](std::size_t const size) -> Task<void> {
       Echo const question{std::string(size, 'x')};
       Result<Echo::Reply> const reply = co_await ask(w, here, question, w.now() + long_enough);
