A backend that signs off without draining keeps its keys until its hold has run out

A sign-off was taken for the proof of an end, so the next table gave their rows to others while they still held them: for up to a whole hold two backends would hold the same keys.

Change: such a backend gets nothing more to run, is told to the coordinators as draining, and its end is told once the hold it was granted last has run out by a clock 2 % slow. Who drained before ends as it signs off, as before.

Tests: KeyHolder.who_signs_off_without_draining..., .who_signs_off_after_draining..., LocalBackend.only_who_drained_before...

--- a/source/coordination/key_holder.cpp
+++ b/source/coordination/key_holder.cpp
@@ -57,6 +57,8 @@
   news_ = true;
   if (instance != instance_) return;
   instance_.clear();
+  signed_off_ = false;
+  granted_until_ = Instant{};
   standing_ = KeyStanding::serving;
   held_.clear();
   released_.clear();
@@ -66,6 +68,7 @@
 
 void KeyHolder::take_beat(Instant const now, KeyBeat const& beat) {
   if (ended_ids_.contains(beat.instance)) return;
+  if (signed_off_ && beat.instance == instance_) return;
   if (beat.instance != instance_) {
     if (!instance_.empty() && !awake(now)) return;
     begin_life(beat.instance);
@@ -165,7 +168,7 @@
 
 KeyBeatAnswer KeyHolder::answer(Instant const now, std::string const& instance, std::uint64_t const sequence) {
   KeyBeatAnswer answer;
-  if (instance.empty() || instance != instance_ || sequence != sequence_) return answer;
+  if (instance.empty() || instance != instance_ || sequence != sequence_ || signed_off_) return answer;
   for (Leaving& leaving : leaving_)
     if (leaving.left_out_at == 0) leaving.left_out_at = sequence;
   if (!leased(now)) return answer;
@@ -179,6 +182,7 @@
   answer.rows = rows_to_grant();
   serve(answer.rows, now);
   hold_end_ = arrived_ + hold - settings_.hold_margin;
+  granted_until_ = std::max(granted_until_, arrived_ + scaled(hold, 1 + settings_.clock_drift));
   return answer;
 }
 
@@ -280,6 +284,21 @@
   end_life(instance, reason);
 }
 
+void KeyHolder::on_instance_signed_off(std::string const& instance, Instant const now) {
+  bool const may_hold_on = instance == instance_ && standing_ == KeyStanding::serving && now < granted_until_;
+  if (!may_hold_on) return end_life(instance, "it signed off");
+  signed_off_ = true;
+  standing_ = KeyStanding::draining;  // so that others are chosen for its rows meanwhile
+  serving_.clear();
+  news_ = true;
+}
+
+void KeyHolder::end_who_signed_off(Instant const now) {
+  if (!signed_off_ || now < granted_until_) return;
+  std::string const instance = instance_;
+  end_life(instance, "its hold has run out since it signed off");
+}
+
 KeyHolder::Serving const* KeyHolder::serving_row(std::uint16_t const key) const {
   std::vector<Serving>::const_iterator const after = std::upper_bound(
       serving_.begin(), serving_.end(), key, [](std::uint16_t k, Serving const& s) { return k < s.grant.from; });
@@ -338,6 +357,7 @@
 
 KeyReport KeyHolder::report(Instant const now, float const busy, float const capacity) {
   measure(now);
+  end_who_signed_off(now);
   if (now - last_report_ > wake_gap) awake_since_ = now;
   last_report_ = now;
   news_ = false;
--- a/source/coordination/key_holder.hpp
+++ b/source/coordination/key_holder.hpp
@@ -72,6 +72,10 @@
   void on_confirmed(Revision revision, Instant sent);
   /// The process of an instance is proved to have ended, or left in order.
   void on_instance_ended(std::string const& instance, std::string const& reason);
+  /// An instance has signed off, but its process may serve on for a while: it gets nothing
+  /// more to run, and its end is told once the hold that it was given last has run out.
+  /// One that was draining before ends as it signs off.
+  void on_instance_signed_off(std::string const& instance, Instant now);
 
   /// Whether a request on a key may be sent to the backend now: the fence of
   /// its row, if work of the expected length ends within the hold.
@@ -126,6 +130,7 @@
   void start_pending_leases();
   void begin_life(std::string const& instance);
   void end_life(std::string const& instance, std::string const& reason);
+  void end_who_signed_off(Instant now);
   bool awake(Instant now) const;
   void take_releases(KeyBeat const& beat);
   void judge_leaving(KeyBeat const& beat);
@@ -151,6 +156,8 @@
   std::vector<KnownRelease> released_;  // tokens of what was let go and not granted again
   std::vector<Serving> serving_;        // by the last answer that renewed
   Instant hold_end_{};
+  Instant granted_until_{};  // by the slowest clock that a backend may have
+  bool signed_off_ = false;  // the instance: it ends at `granted_until_`
   std::vector<Leaving> leaving_;
   std::vector<KeyEnd> ended_;
   std::set<std::string> ended_ids_;
--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -43,6 +43,8 @@
     std::function<void()> record_changed;
     /** An instance's process is proved to have ended. */
     std::function<void(std::string const& service, std::string const& instance, std::string const& reason)> ended;
+    /** An instance has signed off without having drained before: its process may serve on for a while. */
+    std::function<void(std::string const& instance)> signed_off;
     /** Connections that a backend of the service takes. */
     std::function<std::size_t(std::string const& service)> connection_limit;
   };
@@ -77,7 +79,8 @@
   /** The backend signs off. */
   void leave(std::string const& id) {
     if (!instance_ || instance_->beat.id != id) return;
-    retire("it signed off");
+    if (!instance_->beat.leaving) events_.signed_off(id);
+    retire("it signed off", instance_->beat.leaving);
     events_.record_changed();
   }
 
@@ -193,14 +196,14 @@
     log_info("backend_up", {{"service", beat.service}, {"instance", beat.id}, {"address", beat.address}});
   }
 
-  void retire(std::string const& reason) {
+  void retire(std::string const& reason, bool const process_ended = true) {
     log_info("backend_ended", {{"instance", instance_->beat.id}, {"reason", reason}});
     instance_->queue.refuse_all();
     carry_out();
     wake_awaiting_keys();
     instance_->connections->close();
     former_.insert(instance_->beat.id);
-    events_.ended(instance_->beat.service, instance_->beat.id, reason);
+    if (process_ended) events_.ended(instance_->beat.service, instance_->beat.id, reason);
     instance_.reset();
     ++life_;
   }
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -123,6 +123,10 @@
       if (keys_) keys_->on_instance_ended(instance, reason);
       report_alarm_.wake();
     };
+    e.signed_off = [this](std::string const& instance) {
+      if (keys_) keys_->on_instance_signed_off(instance, w_.now());
+      report_alarm_.wake();
+    };
     e.connection_limit = [this](std::string const& service) -> std::size_t {
       std::shared_ptr<Router const> const& router = path_.router();
       std::optional<std::uint32_t> const i = router ? router->service_index(service) : std::nullopt;
--- a/tests/coordination/key_holder_test.cpp
+++ b/tests/coordination/key_holder_test.cpp
@@ -185,6 +185,45 @@
   EXPECT_EQ(t.holder.instance(), "i-9");
 }
 
+// It serves on after it has signed off, and holds its keys until they run out.
+TEST(KeyHolder, who_signs_off_without_draining_first_ends_when_its_hold_has_run_out) {
+  HolderTrial t;
+  t.confirm();
+  KeyBeatAnswer const granted = t.holder.on_beat(t.now, t.beat());
+  ASSERT_TRUE(granted.renews);
+  Instant const end_of_hold = t.now + std::chrono::duration_cast<Duration>(granted.hold * 1.02);
+  // The answer to a beat may still be held back when it signs off.
+  KeyBeat const unanswered = t.beat();
+  t.holder.take_beat(t.now + 50ms, unanswered);
+  t.holder.on_instance_signed_off("i-1", t.now + 100ms);
+  EXPECT_FALSE(t.holder.answer(t.now + 110ms, "i-1", unanswered.sequence).renews);
+  EXPECT_FALSE(t.holder.may_run(50, t.now + 200ms, 1ms));
+  EXPECT_FALSE(t.holder.on_beat(t.now + 300ms, t.beat()).renews);
+  KeyReport const before = t.holder.report(end_of_hold - 10ms, 0);
+  EXPECT_TRUE(before.ended.empty());
+  EXPECT_EQ(before.instance, "i-1");
+  EXPECT_EQ(before.standing, KeyStanding::draining);
+  KeyReport const after = t.holder.report(end_of_hold + 1ms, 0);
+  ASSERT_EQ(after.ended.size(), 1u);
+  EXPECT_EQ(after.ended[0].instance, "i-1");
+  EXPECT_EQ(after.instance, "");
+}
+
+TEST(KeyHolder, who_signs_off_after_draining_or_without_a_hold_ends_at_once) {
+  HolderTrial drained;
+  drained.confirm();
+  KeyBeat leaving = drained.beat();
+  leaving.standing = KeyStanding::draining;
+  ASSERT_TRUE(drained.holder.on_beat(drained.now, leaving).renews);
+  drained.holder.on_instance_signed_off("i-1", drained.now + 100ms);
+  EXPECT_EQ(drained.holder.report(drained.now + 200ms, 0).ended.size(), 1u);
+
+  HolderTrial without_lease;
+  without_lease.holder.on_beat(without_lease.now, without_lease.beat());
+  without_lease.holder.on_instance_signed_off("i-1", without_lease.now + 100ms);
+  EXPECT_EQ(without_lease.holder.report(without_lease.now + 200ms, 0).ended.size(), 1u);
+}
+
 TEST(KeyHolder, right_after_a_freeze_no_beat_ends_another_life) {
   HolderTrial t;
   t.confirm();
--- a/tests/data_path/local_backend_test.cpp
+++ b/tests/data_path/local_backend_test.cpp
@@ -43,7 +43,10 @@
     settings.node = "node";
     LocalBackend<SimProcess>::Events events;
     events.record_changed = [] {};
-    events.ended = [](std::string const&, std::string const&, std::string const&) {};
+    events.ended = [this](std::string const&, std::string const& instance, std::string const&) {
+      ended.push_back(instance);
+    };
+    events.signed_off = [this](std::string const& instance) { signed_off.push_back(instance); };
     events.connection_limit = [](std::string const&) { return std::size_t{10}; };
     ConnectionsFactory factory = [this](Address const&, std::size_t) {
       return std::make_unique<PromptBackend>(*process, calls);
@@ -113,6 +116,7 @@
   KeyHolder holder{"accounts", "node", "node:1", "zone", KeySettings{}};
   std::size_t calls = 0;
   std::uint64_t beats = 0;
+  std::vector<std::string> ended, signed_off;
   std::unique_ptr<LocalBackend<SimProcess>> backend;
   std::vector<ForwardReply> replies;
   Duration took{};
@@ -178,6 +182,18 @@
   EXPECT_EQ(t.backend->in_flight(), 0u);
 }
 
+TEST(LocalBackend, only_who_drained_before_has_ended_as_it_signs_off) {
+  LocalTrial sudden;
+  sudden.backend->leave("i-1");
+  EXPECT_TRUE(sudden.ended.empty());
+  EXPECT_EQ(sudden.signed_off, std::vector<std::string>{"i-1"});
+  LocalTrial drained;
+  drained.beat(true);
+  drained.backend->leave("i-1");
+  EXPECT_EQ(drained.ended, std::vector<std::string>{"i-1"});
+  EXPECT_TRUE(drained.signed_off.empty());
+}
+
 TEST(LocalBackend, only_so_many_requests_wait_for_keys) {
   LocalTrial t;
   for (int i = 0; i < 70; ++i) t.send(7);
