--- a/tests/days/aimed_days.py
+++ b/tests/days/aimed_days.py
@@ -199,6 +199,20 @@
     day.close()
 
 
+def impatient_clients(day):
+    """Clients who leave early or ask again at once, while backends and machines turn slow."""
+    day.changes(3.0)
+    day.fault(day.between(2, 5), "give_up", share=day.between(0.3, 0.7), for_s=10.0)
+    day.fault(day.between(14, 18), "give_up", share=day.between(0.3, 0.7), x=day.between(20, 80), for_s=8.0)
+    day.fault(day.between(4, 10), "retry_abuse", share=0.4, x=2, for_s=6.0)
+    day.fault(day.between(6, 12), "burst", x=day.between(1.3, 2), for_s=5.0)
+    day.fault(day.between(3, 12), "srv_slow", share=0.3, x=4, for_s=6.0)
+    day.fault(day.between(14, 20), "node_slow", share=0.2, x=5.0, for_s=5.0)
+    day.fault(day.between(18, 22), "node_freeze", share=0.2, for_s=day.between(0.5, 3))
+    day.planned(day.between(20, 24), "roll_term", share=0.5, gap_s=1.0)
+    day.close()
+
+
 def anything(day):
     """Four to seven faults of all kinds that concern the control side, anywhere."""
     day.changes(day.between(0.7, 3))
@@ -236,7 +250,7 @@
 
 
 AIMS = [replace_then_lose, replace_and_cut, wipes_in_a_row, cut_off_leader, halves, races, storm_and_restart,
-        storm_and_cut, silence_and_resets, reuse_and_freeze, anything]
+        storm_and_cut, silence_and_resets, reuse_and_freeze, impatient_clients, anything]
 
 
 def main():
