--- /dev/null
+++ b/tests/data_path/local_backend_model_test.cpp
@@ -0,0 +1,167 @@
+// One backend and its node under sign-offs, new lives, late heartbeats and freezes in any
+// order. The stand-in backend keeps what it ran: each reply belongs to its request, nothing
+// is sent twice, and what is told as not run has not run and never will.
+#include "data_path/local_backend.hpp"
+
+#include <gtest/gtest.h>
+
+#include "simulation/sim_world.hpp"
+
+#include <map>
+
+namespace banktide {
+namespace {
+
+constexpr DataPathHeaders header_names{"attempt", "remaining", "target",     "answering", "key",
+                                       "caller",  "not-run",   "load-level", "seal"};
+
+using Runs = std::map<std::string, unsigned>;
+
+/// Refuses with a mark or without, runs and answers, fails, or never tells.
+class FickleBackend : public BackendCaller {
+ public:
+  FickleBackend(SimProcess& process, Runs& runs) : process_(process), runs_(runs) {}
+
+  Task<Result<HttpReply>> call(BackendCall const call) override {
+    std::string const id = call.attempt_id;
+    std::uint64_t const lot = process_.chance()() % 10;
+    HttpReply reply;
+    reply.status = 503;
+    if (lot == 0) co_return make_error("connect", "backend", "refused", Proof::not_run);
+    if (lot == 1) {
+      reply.headers.push_back({std::string(header_names.not_executed), "1"});
+      co_return reply;
+    }
+    ++runs_[id];
+    co_await sleep_for(process_, std::chrono::milliseconds(1 + process_.chance()() % 120));
+    if (lot == 2) co_return reply;  // without the mark it may have run
+    if (lot == 3) co_return make_error("read", "backend", "reset", Proof::unknown);
+    reply.status = lot == 4 ? 500 : 200;
+    reply.body = id;
+    co_return reply;
+  }
+  void close() override {}
+
+ private:
+  SimProcess& process_;
+  Runs& runs_;
+};
+
+class LocalDay {
+ public:
+  explicit LocalDay(std::uint64_t const seed) : sim_(seed), net_(sim_) {
+    process_ = std::make_shared<SimProcess>(sim_, net_, "node", "node:1", 1);
+    net_.at["node:1"] = process_;
+    net_.machine_of["node:1"] = process_->machine;
+    LocalBackendSettings settings;
+    settings.node = "node";
+    LocalBackend<SimProcess>::Events events;
+    events.record_changed = [] {};
+    events.ended = [](std::string const&, std::string const&, std::string const&) {};
+    events.signed_off = [](std::string const&) {};
+    events.connection_limit = [](std::string const&) { return std::size_t{10}; };
+    ConnectionsFactory factory = [this](Address const&, std::size_t) {
+      return std::make_unique<FickleBackend>(*process_, runs_);
+    };
+    backend_ = std::make_unique<LocalBackend<SimProcess>>(*process_, settings, header_names, factory, events);
+    beat(false);
+  }
+  ~LocalDay() {
+    process_->kill();
+    sim_.clear();
+  }
+  LocalDay(LocalDay const&) = delete;
+
+  void play(unsigned const steps) {
+    for (unsigned n = 0; n < steps; ++n) {
+      spawn(*process_, send("r-" + std::to_string(n)));
+      happen();
+      sim_.run_until(sim_.now + std::chrono::milliseconds(sim_.chance() % 30));
+    }
+    if (process_->frozen) process_->thaw();
+    sim_.run_until(sim_.now + 5s);
+    EXPECT_EQ(replies_.size(), steps);
+  }
+
+  void expect_every_promise_kept() {
+    for (auto const& [id, reply] : replies_) {
+      unsigned const ran = runs_.contains(id) ? runs_.at(id) : 0;
+      EXPECT_LE(ran, 1u) << id;
+      if (reply.outcome == Outcome::not_run) {
+        EXPECT_EQ(ran, 0u) << id << ": " << reply.reason;
+      }
+      if (reply.outcome == Outcome::answered && reply.reply.status == 200) {
+        EXPECT_EQ(reply.reply.body, id);
+        ++answered;
+      }
+      refused += reply.outcome == Outcome::not_run;
+      unknown += reply.outcome == Outcome::unknown;
+    }
+  }
+
+  unsigned answered = 0, refused = 0, unknown = 0;
+
+ private:
+  Task<void> send(std::string const id) {
+    Forward forward;
+    forward.service = "orders";
+    forward.aim_ms = 300;
+    forward.remaining_ms = static_cast<std::uint32_t>(50 + sim_.chance() % 1000);
+    forward.attempt_id = id;
+    forward.request.headers = {{"Host", "orders.test"}};
+    ForwardReply const reply = co_await backend_->run(std::move(forward));
+    replies_.emplace(id, reply);
+  }
+
+  void happen() {
+    std::uint64_t const lot = sim_.chance() % 40;
+    if (lot == 0) {
+      backend_->leave(instance());
+    } else if (lot == 1) {
+      ++life_;
+      beat(false);
+    } else if (lot == 2 && !process_->frozen) {
+      process_->freeze();
+      std::shared_ptr<SimProcess> const frozen = process_;
+      sim_.after(std::chrono::milliseconds(10 + sim_.chance() % 400), [frozen] { frozen->thaw(); });
+    } else if (lot < 8) {
+      beat(lot == 3);
+    }
+  }
+
+  std::string instance() const { return "i-" + std::to_string(life_); }
+  void beat(bool const leaving) {
+    BackendHeartbeat heartbeat;
+    heartbeat.id = instance();
+    heartbeat.service = "orders";
+    heartbeat.address = "backend:1";
+    heartbeat.slots = 4;
+    // One in four is late: it was sent before one that has come.
+    heartbeat.sequence = sim_.chance() % 4 == 0 && beats_ > 3 ? beats_ - 3 : ++beats_;
+    heartbeat.leaving = leaving;
+    backend_->heartbeat(heartbeat);
+  }
+
+  Sim sim_;
+  SimNet net_;
+  std::shared_ptr<SimProcess> process_;
+  Runs runs_;
+  std::unique_ptr<LocalBackend<SimProcess>> backend_;
+  std::map<std::string, ForwardReply> replies_;
+  std::uint64_t life_ = 1, beats_ = 0;
+};
+
+class LocalDays : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(LocalDays, replies_belong_to_their_requests_and_what_is_refused_never_runs) {
+  LocalDay day(GetParam());
+  day.play(600);
+  day.expect_every_promise_kept();
+  EXPECT_GT(day.answered, 20u);
+  EXPECT_GT(day.refused, 20u);
+  EXPECT_GT(day.unknown, 5u);
+}
+INSTANTIATE_TEST_SUITE_P(Seeds, LocalDays, testing::Range<std::uint64_t>(1, 31));
+
+}  // namespace
+}  // namespace banktide
