--- /dev/null
+++ b/source/data_path/client_departure.hpp
@@ -0,0 +1,45 @@
+// Whether and when the client of one request left before it had its answer, and
+// what such requests cost: the figures that tell whether work ends with its client.
+#pragma once
+
+#include "transport/http_server.hpp"
+
+#include <optional>
+
+namespace banktide {
+
+/** Requests whose clients left before the answer, counted when the node has done with them. */
+struct DepartureCounts {
+  /** The client had ended its side of the connection in order. */
+  std::uint64_t closed = 0;
+  /** Its connection was reset, then or afterwards. */
+  std::uint64_t reset = 0;
+  /** Of both, those that the node was still busy with half a second later. */
+  std::uint64_t outlived = 0;
+  /** The time that the node was still busy with all of them, in milliseconds. */
+  std::uint64_t outlived_ms = 0;
+};
+
+class ClientDeparture {
+ public:
+  void note(ClientState const state, Instant const now) {
+    if (!at_) at_ = now;
+    last_state_ = state;
+  }
+
+  /** To be called once, when the request has ended. */
+  void count(DepartureCounts& counts, Instant const now) const {
+    if (!at_) return;
+    ++(last_state_ == ClientState::gone ? counts.reset : counts.closed);
+    Duration const outlived = now - *at_;
+    counts.outlived_ms += static_cast<std::uint64_t>(as_ms(outlived));
+    if (outlived >= long_after) ++counts.outlived;
+  }
+
+ private:
+  static constexpr Duration long_after = 500ms;
+  std::optional<Instant> at_;
+  ClientState last_state_ = ClientState::here;
+};
+
+}  // namespace banktide
--- a/source/data_path/request_path.hpp
+++ b/source/data_path/request_path.hpp
@@ -5,6 +5,7 @@
 // is repeatable and the shared retry budget allows it.
 #pragma once
 
+#include "data_path/client_departure.hpp"
 #include "data_path/endpoint_selector.hpp"
 #include "data_path/local_backend.hpp"
 #include "data_path/request_state.hpp"
@@ -45,6 +46,7 @@
 
   EndpointSelector& selector() { return selector_; }
   RequestCounts const& counts() const { return counts_; }
+  DepartureCounts const& departures() const { return departures_; }
   std::size_t in_flight() const { return in_flight_; }
 
   void set_router(std::shared_ptr<Router const> router) { router_ = std::move(router); }
@@ -62,9 +64,13 @@
     if (in_flight_ >= s_.most_in_flight) co_return refusal("too many requests in flight", busy_retry);
     Result<Attempt> attempt = prepare(*router, *route, std::move(request));
     if (!attempt) co_return plain_reply(400, attempt.error().reason);
+    std::shared_ptr<ClientDeparture> const departure = std::make_shared<ClientDeparture>();
+    if (exchange->client_hung_up()) departure->note(exchange->client, w_.now());
+    exchange->on_hang_up = [this, departure](ClientState const state) { departure->note(state, w_.now()); };
     ++in_flight_;
     HttpReply reply = co_await run(std::move(*attempt), std::move(exchange));
     --in_flight_;
+    departure->count(departures_, w_.now());
     co_return reply;
   }
 
@@ -312,6 +318,7 @@
   std::shared_ptr<KeyTable const> keys_;
   tsl::robin_map<std::string, RetryBudget> budgets_;
   RequestCounts counts_;
+  DepartureCounts departures_;
   std::size_t in_flight_ = 0;
 };
 
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -415,6 +415,11 @@
                           {"refused", std::to_string(c.refused)},
                           {"failed", std::to_string(c.failed)},
                           {"retried", std::to_string(c.retried)}});
+    DepartureCounts const& d = path_.departures();
+    log_info("clients_left", {{"closed", std::to_string(d.closed)},
+                              {"reset", std::to_string(d.reset)},
+                              {"outlived", std::to_string(d.outlived)},
+                              {"outlived_ms", std::to_string(d.outlived_ms)}});
   }
 
   static constexpr Duration count_period = 10s;
--- a/tests/data_path/request_path_test.cpp
+++ b/tests/data_path/request_path_test.cpp
@@ -33,12 +33,14 @@
 /** Takes what is forwarded and answers the same each time. */
 struct AnsweringNode {
   ForwardReply reply;
+  Duration answers_after{};
   std::vector<Forward> seen;
   Dispatcher dispatcher;
   std::shared_ptr<SimProcess> process;
 
   Task<ForwardReply> run(Forward forward) {
     seen.push_back(std::move(forward));
+    if (answers_after > Duration::zero()) co_await sleep_for(*process, answers_after);
     co_return reply;
   }
 };
@@ -305,6 +307,29 @@
   EXPECT_EQ(trial.arrivals(), requests + trial.path->counts().retried);
 }
 
+TEST(RequestPath, clients_that_leave_are_counted_with_the_time_that_the_node_was_still_busy) {
+  RequestTrial trial;
+  trial.configure();
+  trial.add_node("n-1", answer(200)).answers_after = 700ms;
+  std::shared_ptr<HttpExchange> const exchange = std::make_shared<HttpExchange>();
+  spawn(*trial.own.process, [](RequestTrial& t, std::shared_ptr<HttpExchange> x) -> Task<void> {
+    HttpRequest q = RequestTrial::request("orders");
+    co_await t.path->handle(std::move(q), x);
+  }(trial, exchange));
+  trial.sim.run_until(trial.sim.now + 100ms);
+  exchange->client = ClientState::finished_sending;
+  ASSERT_TRUE(exchange->on_hang_up);
+  exchange->on_hang_up(exchange->client);
+  trial.sim.run_until(trial.sim.now + 5s);
+  DepartureCounts const& counts = trial.path->departures();
+  EXPECT_EQ(counts.closed, 1u);
+  EXPECT_EQ(counts.reset, 0u);
+  EXPECT_EQ(counts.outlived, 1u);
+  EXPECT_GE(counts.outlived_ms, 500u);
+  EXPECT_EQ(trial.play(RequestTrial::request("orders")).status, 200);
+  EXPECT_EQ(counts.closed, 1u);
+}
+
 TEST(RequestPath, a_key_goes_to_its_holder_and_to_nobody_else) {
   RequestTrial trial;
   trial.configure();
--- a/tests/days/aimed_days.py
+++ b/tests/days/aimed_days.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Writes days for the users' bench that aim at one mechanism of the control side.
+"""Writes days for the users' bench that aim at one mechanism.
 
 A day is drawn from a seed and an aim. Each aim lets two or more faults meet that
 one mechanism has to bear together; moments, strengths and companions are drawn.
@@ -213,6 +213,33 @@
     day.close()
 
 
+# ---- clients that leave
+
+
+def few_leave_slow_backends(day):
+    """A few clients leave calm machines whose backends are slow, so that their requests would last."""
+    day.changes(6.0)
+    day.fault(2.0, "srv_slow", share=1.0, x=day.between(4, 7), for_s=24.0)
+    day.fault(day.between(4, 8), "give_up", share=day.between(0.03, 0.1), x=day.between(60, 200), for_s=12.0)
+
+
+def few_leave_while_rolled(day):
+    """A few clients leave while one machine after the other is told to go and comes back."""
+    day.changes(3.0)
+    day.planned(1.0, "roll_term", share=1.0, gap_s=2.0, how=day.random.choice(["", "busy"]))
+    day.fault(2.0, "srv_slow", share=day.between(0.4, 1), x=day.between(2, 5), for_s=24.0)
+    day.fault(day.between(4, 18), "give_up", share=day.between(0.02, 0.3), x=day.between(60, 300), for_s=8.0)
+
+
+def many_leave_while_rolled(day):
+    """Most clients leave while machines are rolled, and one fault meets that."""
+    day.changes(1.5)
+    day.planned(day.between(1, 4), "roll_term", share=1.0, gap_s=2.0, how=day.random.choice(["", "busy"]))
+    day.fault(day.between(2, 6), "give_up", share=day.between(0.5, 0.9), x=day.between(60, 300), for_s=20.0)
+    kind = day.random.choice(["reset_conns", "node_freeze", "node_kill", "node_slow", "srv_crash", "srv_cut"])
+    day.fault(day.between(8, 16), kind, share=0.2, for_s=day.between(1, 4))
+
+
 def anything(day):
     """Four to seven faults of all kinds that concern the control side, anywhere."""
     day.changes(day.between(0.7, 3))
@@ -250,7 +277,8 @@
 
 
 AIMS = [replace_then_lose, replace_and_cut, wipes_in_a_row, cut_off_leader, halves, races, storm_and_restart,
-        storm_and_cut, silence_and_resets, reuse_and_freeze, impatient_clients, anything]
+        storm_and_cut, silence_and_resets, reuse_and_freeze, impatient_clients, few_leave_slow_backends,
+        few_leave_while_rolled, many_leave_while_rolled, anything]
 
 
 def main():
