--- /dev/null
+++ b/tests/programs/client_leaves_trial.hpp
@@ -0,0 +1,251 @@
+// Whole nodes on real sockets, from the client's connection to the backend's: up to
+// three nodes in two zones, one of them beside a backend that a test drives by hand.
+// Nodes run tasks that never end, so they are kept until the process ends.
+#pragma once
+
+#include "programs/mesh_node.hpp"
+#include "tests/transport/backend_stand_in.hpp"
+#include "transport/socket_world.hpp"
+
+#include <gtest/gtest.h>
+#include <future>
+
+namespace banktide {
+
+/// How long a test waits for what must come; it bounds no speed, only how long a failure takes.
+inline constexpr Duration patience = 20s;
+/// Longer than `patience`, so that no deadline ends a request instead.
+inline constexpr Duration route_timeout = 120s;
+
+inline constexpr DataPathHeaders trial_header_names{"X-Attempt", "X-Remaining", "X-Target", "X-Answering", "X-Key",
+                                                    "X-Caller",  "X-Not-Run",   "X-Load",   "X-Seal"};
+
+/// Runs a script on the pool's thread and waits for its end.
+template <class Script>
+void run_on_pool_thread(Script script) {
+  start_pool();
+  std::promise<void> over;
+  auto const whole = [&]() -> Task<void> {
+    try {
+      co_await script();
+    } catch (std::exception const& e) {
+      ADD_FAILURE() << e.what();
+    }
+    over.set_value();
+  };
+  asio::io_context& io = crossplat::threadpool::shared_instance().service();
+  asio::post(io, [&] { asio::co_spawn(io, whole(), asio::detached); });
+  over.get_future().get();
+}
+
+/// Whether the connection ended, by either kind of end, before `patience` ran out.
+inline Task<bool> ends(std::shared_ptr<Peer> const peer) {
+  asio::steady_timer limit(peer->socket.get_executor(), patience);
+  limit.async_wait([peer](ErrorCode const& cancelled) {
+    ErrorCode ignored;
+    if (!cancelled) peer->socket.cancel(ignored);
+  });
+  char byte = 0;
+  ErrorCode error;
+  co_await peer->socket.async_read_some(asio::buffer(&byte, 1), asio::redirect_error(asio::use_awaitable, error));
+  co_return error&& error != asio::error::operation_aborted;
+}
+
+/// The backend's port; each connection is handed to the test.
+class TestBackend {
+ public:
+  explicit TestBackend(asio::io_context& io) : acceptor_(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)) {}
+  Address address() const { return address_of(acceptor_.local_endpoint()); }
+
+  /// The next connection; none if none came before `patience` ran out.
+  Task<std::shared_ptr<Peer>> accept() {
+    asio::steady_timer limit(acceptor_.get_executor(), patience);
+    limit.async_wait([this](ErrorCode const& cancelled) {
+      ErrorCode ignored;
+      if (!cancelled) acceptor_.cancel(ignored);
+    });
+    ErrorCode error;
+    tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
+    if (error) throw std::runtime_error("no connection came to the backend");
+    co_return std::make_shared<Peer>(std::move(socket));
+  }
+
+ private:
+  tcp::acceptor acceptor_;
+};
+
+/// One node, its connections to peers and the port for its clients.
+class TestNode {
+ public:
+  TestNode(std::string const& id, std::string const& zone) : peers_(*world_.listen("127.0.0.1:0")) {
+    make_adapter();
+    MeshNodeSettings settings;
+    settings.follower.id = id;
+    settings.follower.zone = zone;
+    settings.follower.address = peers_;
+    settings.service = "orders";
+    ConnectionsFactory const factory = [this](Address const& address, std::size_t const limit) {
+      return std::make_unique<BackendConnections>(world_.io(), address, limit);
+    };
+    node_ = std::make_unique<MeshNode<SocketWorld>>(world_, settings, adapter_, factory);
+    HttpHandler const handler = [this](HttpRequest q, std::shared_ptr<HttpExchange> x) {
+      return node_->request(std::move(q), std::move(x));
+    };
+    server_ = std::make_unique<HttpServer>(world_.io(), handler, HttpServerLimits{});
+    clients_ = *server_->listen("127.0.0.1:0");
+    world_.serve(dispatcher_);
+    node_->start(dispatcher_);
+    node_->path().set_router(std::make_shared<Router const>(configuration()));
+  }
+  TestNode(TestNode const&) = delete;
+
+  Address const& clients() const { return clients_; }
+  Address const& peers() const { return peers_; }
+  MeshNode<SocketWorld>& node() { return *node_; }
+  HttpServer& server() { return *server_; }
+
+  /// A backend beats here.
+  Task<void> take_backend(Address const address, std::uint32_t const slots) {
+    beat_.id = "i-1";
+    beat_.service = "orders";
+    beat_.address = address;
+    beat_.slots = slots;
+    beat_.sequence = 1;
+    HttpRequest const request;
+    HttpReply const reply = co_await node_->interface_call(request);
+    EXPECT_EQ(reply.status, 200);
+  }
+
+  /// Requests go to that node from now on, and to no other.
+  void send_to(TestNode const& other, bool const same_zone) {
+    Endpoint endpoint;
+    endpoint.node = "other";
+    endpoint.address = other.peers();
+    endpoint.zone = same_zone ? "zone-1" : "zone-2";
+    endpoint.local_zone = same_zone;
+    endpoint.slots = 4;
+    node_->path().selector().replace({{"orders", {endpoint}}});
+  }
+
+ private:
+  void make_adapter() {
+    adapter_.headers = trial_header_names;
+    adapter_.interpret = [this](HttpRequest const&) -> tl::expected<InterfaceOperation, InterfaceReply> {
+      return InterfaceOperation(HeartbeatOperation{beat_});
+    };
+    adapter_.heartbeat_reply = [](HeartbeatAnswer const&) { return InterfaceReply{200, "", "", "", ""}; };
+  }
+
+  // Requests to `orders.test` may be repeated, those to `payments.test` may not; both go to one service.
+  static ServiceConfiguration configuration() {
+    ServiceConfiguration all;
+    all.services = {{"orders", "/health", 0, false, 0s}};
+    for (std::string const name : {"orders", "payments"}) {
+      Route route;
+      route.name = name;
+      route.host = name + ".test";
+      route.prefix = "/";
+      route.repeatable = name == "orders";
+      route.attempt_limit = 3;
+      route.timeout = route_timeout;
+      route.aim = route_timeout;
+      route.targets = {WeightedService{0, 1}};
+      all.routes.push_back(route);
+    }
+    return all;
+  }
+
+  SocketWorld world_;
+  Address const peers_;
+  Address clients_;
+  Dispatcher dispatcher_;
+  InterfaceAdapter adapter_;
+  BackendHeartbeat beat_;
+  std::unique_ptr<MeshNode<SocketWorld>> node_;
+  std::unique_ptr<HttpServer> server_;
+};
+
+/// Where the request's backend stands, seen from the node that takes it.
+enum class Way : std::uint8_t { same_node, same_zone, through_gateway };
+
+/// The nodes of one way, the last of them beside the backend.
+class LeavingTrial {
+ public:
+  explicit LeavingTrial(Way const way) : taker_(std::make_shared<TestNode>("taker", "zone-1")), holder_(taker_) {
+    if (way != Way::same_node) holder_ = std::make_shared<TestNode>("holder", zone_of(way));
+    if (way == Way::through_gateway) gateway_ = std::make_shared<TestNode>("gateway", "zone-2");
+    backend_ = std::make_shared<TestBackend>(crossplat::threadpool::shared_instance().service());
+    static std::vector<std::shared_ptr<void>>& kept = *new std::vector<std::shared_ptr<void>>();
+    kept.insert(kept.end(), {taker_, holder_, gateway_, backend_});
+  }
+
+  Task<void> form(Way const way, std::uint32_t const slots) {
+    co_await holder_->take_backend(backend_->address(), slots);
+    if (way == Way::same_zone) taker_->send_to(*holder_, true);
+    if (way == Way::through_gateway) {
+      taker_->send_to(*gateway_, false);
+      gateway_->send_to(*holder_, true);
+    }
+  }
+
+  TestNode& taker() { return *taker_; }
+  TestNode& holder() { return *holder_; }
+  TestBackend& backend() { return *backend_; }
+
+ private:
+  static std::string zone_of(Way const way) { return way == Way::same_zone ? "zone-1" : "zone-2"; }
+
+  std::shared_ptr<TestNode> taker_, holder_, gateway_;
+  std::shared_ptr<TestBackend> backend_;
+};
+
+/// A client's connection.
+class TestClient {
+ public:
+  explicit TestClient(asio::io_context& io) : socket_(io) {}
+
+  Task<void> connect(Address const address) {
+    co_await socket_.async_connect(*endpoint_of(address), asio::use_awaitable);
+  }
+  Task<void> send(std::string const bytes) {
+    co_await asio::async_write(socket_, asio::buffer(bytes), asio::use_awaitable);
+  }
+  void close() { socket_.close(); }
+  void reset() {
+    socket_.set_option(asio::socket_base::linger(true, 0));
+    socket_.close();
+  }
+  void end_sending() { socket_.shutdown(tcp::socket::shutdown_send); }
+
+  /// The next answer; status 0 if the connection ended first.
+  Task<HttpReply> next() {
+    ReplyParser parser(1u << 20, 1u << 30);
+    ErrorCode error;
+    HttpReply reply;
+    while (!parser.is_done()) {
+      std::size_t const used = parser.parse(unread_, error, false);
+      unread_.erase(0, used);
+      if (error) throw std::runtime_error("not an answer: " + error.message());
+      if (parser.is_done()) break;
+      char bytes[4096];
+      std::size_t const count =
+          co_await socket_.async_read_some(asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+      if (error) co_return reply;
+      unread_.append(bytes, count);
+    }
+    reply.status = parser.status;
+    reply.headers = std::move(parser.headers);
+    reply.body = std::move(parser.body);
+    co_return reply;
+  }
+
+ private:
+  tcp::socket socket_;
+  std::string unread_;
+};
+
+inline std::string request_to(std::string const& route, std::string const& attempt) {
+  return "GET /thing HTTP/1.1\r\nHost: " + route + ".test\r\nX-Attempt: " + attempt + "\r\n\r\n";
+}
+
+}  // namespace banktide
