--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -2,6 +2,10 @@
 // heartbeats, its queue, its connections, and the sending of one request to it.
 // A request that was not sent, or that the backend says it did not run, is
 // "not run"; an answer counts only when it is whole and names our attempt.
+//
+// A request that is cancelled gives its place in the queue back. One that runs is
+// ended with its connection if it may be repeated; any other runs to its end, so
+// that its outcome is known.
 #pragma once
 
 #include "coordination/key_holder.hpp"
@@ -119,14 +123,15 @@
   }
 
   /** Runs one request on the backend: at once, after a wait for a slot, or not at all. */
-  Task<ForwardReply> run(Forward forward) {
+  Task<ForwardReply> run(Forward forward, SharedCancellation const cancellation = nullptr) {
     Instant const arrived = w_.now();
     Instant const deadline = arrived + std::chrono::milliseconds(forward.remaining_ms);
     // What would miss its aim is better refused early: another endpoint, or the
     // client's next try, may still make it.
     Duration const aim = std::chrono::milliseconds(forward.aim_ms) * s_.aim_percent / 100;
     Duration const useful = std::min<Duration>(aim, deadline - arrived);
-    if (key_is_due(forward, arrived)) co_await wait_for_key(forward, arrived + useful);
+    if (key_is_due(forward, arrived)) co_await wait_for_key(forward, arrived + useful, cancellation);
+    if (is_cancelled(cancellation)) co_return cancelled_reply(Proof::not_run);
     if (ForwardReply const refused = check(forward, w_.now()); refused.refusal != Refusal::none) co_return refused;
     std::uint64_t const id = ++last_id_;
     QueuedRequest const queued{id, forward.rank, forward.work_class, arrived + useful};
@@ -137,10 +142,10 @@
     std::uint64_t const life = life_;
     if (admission == Admission::wait) {
       carry_out();
-      std::optional<bool> const turn = co_await waiter->turn.wait(deadline);
-      if (!turn || !*turn) co_return give_up_waiting(id, life, forward);
+      std::optional<bool> const turn = co_await wait_for_slot(*waiter, id, life, deadline, cancellation);
+      if (!turn || !*turn) co_return give_up_waiting(id, life, forward, cancellation);
     }
-    ForwardReply reply = co_await send(forward, deadline, life);
+    ForwardReply reply = co_await send(forward, deadline, life, cancellation);
     requests_.erase(id);
     co_return reply;
   }
@@ -252,24 +257,36 @@
            awaiting_keys_.size() < most_awaiting_keys;
   }
 
-  Task<void> wait_for_key(Forward const& forward, Instant const useful_until) {
+  // Who is cancelled leaves the queue at once; who has been given a slot by then keeps it until `send`.
+  Task<std::optional<bool>> wait_for_slot(Waiter& waiter, std::uint64_t const id, std::uint64_t const life,
+                                          Instant const deadline, SharedCancellation const cancellation) {
+    CancellationListener const listener(cancellation, [this, &waiter, id, life] {
+      if (life == life_ && instance_ && instance_->queue.withdraw(id)) waiter.turn.give(false);
+    });
+    co_return co_await waiter.turn.wait(deadline);
+  }
+
+  Task<void> wait_for_key(Forward const& forward, Instant const useful_until, SharedCancellation const cancellation) {
     Instant const until = useful_until - instance_->queue.estimate().expected(forward.work_class);
     std::uint64_t const id = ++last_id_;
     std::shared_ptr<Waiter> const waiter = std::make_shared<Waiter>(w_);
     awaiting_keys_[id] = waiter;
+    CancellationListener const listener(cancellation, [waiter] { waiter->turn.give(false); });
     std::optional<bool> const granted = co_await waiter->turn.wait(until);
     awaiting_keys_.erase(id);
     // The answer that grants the key reaches the backend before a request does.
-    if (granted) co_await sleep_for(w_, grant_takes);
+    if (granted && *granted) co_await sleep_for(w_, grant_takes);
   }
 
   void wake_awaiting_keys() {
     for (auto const& [id, waiter] : awaiting_keys_) waiter->turn.give(true);
   }
 
-  ForwardReply give_up_waiting(std::uint64_t const id, std::uint64_t const life, Forward const& forward) {
+  ForwardReply give_up_waiting(std::uint64_t const id, std::uint64_t const life, Forward const& forward,
+                               SharedCancellation const& cancellation) {
     requests_.erase(id);
     if (life == life_ && instance_) instance_->queue.withdraw(id);
+    if (is_cancelled(cancellation)) return cancelled_reply(Proof::not_run);
     return refuse(Refusal::busy, "no slot in time", expected_wait(forward));
   }
 
@@ -309,12 +326,17 @@
     return call;
   }
 
-  Task<ForwardReply> send(Forward& forward, Instant const deadline, std::uint64_t const life) {
+  Task<ForwardReply> send(Forward& forward, Instant const deadline, std::uint64_t const life,
+                          SharedCancellation const cancellation) {
     // While it waited its keys may have moved, or its time have gone.
     Instant const begun = w_.now();
     if (life != life_ || !instance_) co_return refuse(Refusal::no_backend, "backend ended", 100ms);
     bool const held = !forward.keyed || key_held(forward, begun);
     bool const drained = instance_->draining_since && begun - *instance_->draining_since > s_.drain_end;
+    if (is_cancelled(cancellation)) {
+      finished(life, forward.work_class, Duration::zero(), false);
+      co_return cancelled_reply(Proof::not_run);
+    }
     if (!held || drained || begun >= deadline) {
       finished(life, forward.work_class, Duration::zero(), false);
       co_return refuse(held ? (drained ? Refusal::no_backend : Refusal::too_late) : Refusal::key_not_held,
@@ -323,10 +345,13 @@
     std::shared_ptr<BackendCaller> const connections = instance_->connections;
     std::string const instance = instance_->beat.id;
     BackendCall call = call_of(forward, deadline);
+    if (forward.repeatable) call.cancellation = cancellation;
     Result<HttpReply> got = co_await connections->call(std::move(call));
     Duration const took = w_.now() - begun;
     bool const good = got && got->status < 500 && got->status >= 200;
     finished(life, forward.work_class, took, good);
+    bool const ended_by_us = !got && forward.repeatable && is_cancelled(cancellation);
+    if (ended_by_us) co_return cancelled_reply(got.error().proof);
     if (life == life_ && instance_ && reached_backend(got)) instance_->failures.add(w_.now(), !good);
     ForwardReply reply = got ? judge(std::move(*got), instance) : judge_failure(got.error(), instance);
     co_return reply;
@@ -369,6 +394,12 @@
     refusals_told_ = w_.now();
   }
 
+  ForwardReply cancelled_reply(Proof const proof) const {
+    ForwardReply reply = refuse(Refusal::cancelled, "nobody waits for it", Duration::zero());
+    if (proof != Proof::not_run) reply.outcome = Outcome::unknown;
+    return reply;
+  }
+
   ForwardReply judge_failure(Error const& error, std::string const& instance) {
     bool const nobody_listens = error.step == "connect" && error.reason == "refused";
     if (nobody_listens && instance_ && instance_->beat.id == instance) {
--- a/source/data_path/request_path.hpp
+++ b/source/data_path/request_path.hpp
@@ -2,7 +2,8 @@
 // route is found, an endpoint selected, the request forwarded there, and its
 // final answer given. What may be sent again follows from what is proved: a
 // request that was not run may go elsewhere; one of unknown outcome only if it
-// is repeatable and the shared retry budget allows it.
+// is repeatable and the shared retry budget allows it. Once its client has closed
+// its connection it is cancelled wherever it waits, and sent nowhere else.
 #pragma once
 
 #include "data_path/client_departure.hpp"
@@ -65,35 +66,34 @@
     Result<Attempt> attempt = prepare(*router, *route, std::move(request));
     if (!attempt) co_return plain_reply(400, attempt.error().reason);
     std::shared_ptr<ClientDeparture> const departure = std::make_shared<ClientDeparture>();
-    if (exchange->client_hung_up()) departure->note(exchange->client, w_.now());
-    exchange->on_hang_up = [this, departure](ClientState const state) { departure->note(state, w_.now()); };
+    exchange->on_hang_up = [this, departure, cancellation = attempt->cancellation](ClientState const state) {
+      departure->note(state, w_.now());
+      cancellation->request();
+    };
+    if (exchange->client_hung_up()) exchange->on_hang_up(exchange->client);
     ++in_flight_;
-    HttpReply reply = co_await run(std::move(*attempt), std::move(exchange));
+    HttpReply reply = co_await run(std::move(*attempt));
     --in_flight_;
     departure->count(departures_, w_.now());
     co_return reply;
   }
 
   /** The gateway's part: a request from another zone that the own backend can't take goes to another of this zone. */
-  Task<ForwardReply> pass_on(Forward forward, ForwardReply refused) {
+  Task<ForwardReply> pass_on(Forward forward, ForwardReply refused, SharedCancellation cancellation = nullptr) {
     forward.crossed = false;
     std::set<Address> const tried{s_.own_address};
     Endpoint const* const other = selector_.select(forward.service, tried, w_.now(), w_.chance(), forward.repeatable);
     if (other == nullptr || !other->local_zone) co_return refused;
     Instant const deadline = w_.now() + std::chrono::milliseconds(forward.remaining_ms);
     Address const address = other->address;
-    ForwardReply reply = co_await send(address, forward, deadline);
+    ForwardReply reply = co_await send(address, forward, deadline, std::move(cancellation));
     co_return reply;
   }
 
   /** A refusal is a promise that the request has not run and never will. */
   HttpReply refusal(std::string const& reason, Duration const retry_after) {
     ++counts_.refused;
-    HttpReply reply = plain_reply(503, reason);
-    char text[32];
-    std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(retry_after).count());
-    reply.headers.push_back({"Retry-After", text});
-    return reply;
+    return refusal_of(reason, retry_after);
   }
 
  private:
@@ -112,6 +112,7 @@
     Instant deadline{};
     Duration aim{};  // from `began`; zero: not stated
     std::uint32_t attempt_limit = 1;
+    SharedCancellation cancellation = std::make_shared<Cancellation>();
     RequestState state;
   };
 
@@ -123,6 +124,14 @@
     return reply;
   }
 
+  static HttpReply refusal_of(std::string const& reason, Duration const retry_after) {
+    HttpReply reply = plain_reply(503, reason);
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(retry_after).count());
+    reply.headers.push_back({"Retry-After", text});
+    return reply;
+  }
+
   HttpReply failure(Attempt const& attempt, std::string const& reason) {
     ++counts_.failed;
     return plain_reply(w_.now() + answer_margin >= attempt.deadline ? 504 : 502, reason);
@@ -184,14 +193,15 @@
     return endpoint->address;
   }
 
-  Task<ForwardReply> send(Address const address, Forward const& forward, Instant const deadline) {
+  Task<ForwardReply> send(Address const address, Forward const& forward, Instant const deadline,
+                          SharedCancellation const cancellation) {
     selector_.sent(address);
     ForwardReply reply;
     if (address == s_.own_address) {
-      reply = co_await backend_.run(forward);
+      reply = co_await backend_.run(forward, cancellation);
     } else {
       Instant const sent = w_.now();
-      Result<ForwardReply> got = co_await ask(w_, address, forward, deadline);
+      Result<ForwardReply> got = co_await ask_cancellable(w_, address, forward, deadline, cancellation);
       if (got) {
         reply = std::move(*got);
         selector_.transferred(address, w_.now() - sent - std::chrono::microseconds(reply.here_us), w_.now());
@@ -199,6 +209,7 @@
         if (got.error().proof != Proof::not_run) unanswered(address, w_.now() - sent);
         reply.outcome = got.error().proof == Proof::not_run ? Outcome::not_run : Outcome::unknown;
         reply.refusal = reply.outcome == Outcome::not_run ? Refusal::unreachable : Refusal::none;
+        if (is_cancelled(cancellation)) reply.refusal = Refusal::cancelled;
         reply.reason = got.error().step + ": " + got.error().reason;
       }
     }
@@ -218,7 +229,8 @@
       selector_.answered(address, reply.load, now);
     else if (reply.refusal == Refusal::busy || reply.refusal == Refusal::too_late)
       selector_.busy(address, reply.load, std::chrono::milliseconds(std::min(reply.retry_after_ms, 200u)), now);
-    else if (reply.refusal == Refusal::key_not_held || reply.refusal == Refusal::by_backend)
+    else if (reply.refusal == Refusal::key_not_held || reply.refusal == Refusal::by_backend ||
+             reply.refusal == Refusal::cancelled)
       selector_.answered(address, reply.load, now);
     else
       selector_.failed(address, reply.refusal == Refusal::unreachable || reply.refusal == Refusal::no_backend, now);
@@ -242,7 +254,7 @@
     return static_cast<std::uint32_t>(std::max<std::int64_t>(left, 0));
   }
 
-  Task<HttpReply> run(Attempt attempt, std::shared_ptr<HttpExchange> exchange) {
+  Task<HttpReply> run(Attempt attempt) {
     std::set<Address> tried;
     ForwardReply last;
     last.outcome = Outcome::not_run;
@@ -253,7 +265,7 @@
     budget(attempt.forward.service).first(w_.now());
     for (std::uint32_t n = 0; n < s_.most_endpoints; ++n) {
       attempt.forward.remaining_ms = remaining_ms(attempt);
-      if (attempt.forward.remaining_ms < 2 || exchange->client_gone()) break;
+      if (attempt.forward.remaining_ms < 2 || attempt.cancellation->requested()) break;
       attempt.state.step(RequestPhase::selecting);
       std::optional<Address> const endpoint = choose(attempt, tried);
       if (!endpoint) break;
@@ -263,7 +275,7 @@
       }
       attempt.forward.aim_ms = aim_left_ms(attempt, *endpoint);
       attempt.state.step(RequestPhase::forwarded);
-      last = co_await send(*endpoint, attempt.forward, attempt.deadline);
+      last = co_await send(*endpoint, attempt.forward, attempt.deadline, attempt.cancellation);
       if (last.outcome == Outcome::answered && !worth_repeating(attempt, last)) break;
       if (last.outcome != Outcome::not_run || last.refusal == Refusal::by_backend) ++arrivals;
       if (last.outcome != Outcome::not_run) {
@@ -289,7 +301,7 @@
   // the next one is here.
   Task<void> wait_for_another_holder(Attempt const& attempt, Address const refusing) {
     Instant const until = std::min(w_.now() + key_move_patience, attempt.deadline);
-    while (w_.now() < until) {
+    while (w_.now() < until && !attempt.cancellation->requested()) {
       KeyHolderRecord const* const holder = keys_ ? keys_->find(attempt.forward.service, attempt.forward.key) : nullptr;
       if (holder != nullptr && holder->address != refusing) co_return;
       co_await sleep_for(w_, key_move_pause);
@@ -303,12 +315,18 @@
       return std::move(last.reply);
     }
     attempt.state.step(RequestPhase::given_up);
+    if (attempt.cancellation->requested()) return abandoned(may_have_run);
     if (may_have_run) return failure(attempt, last.reason);
     Duration wait = attempt.forward.keyed ? key_retry : busy_retry;
     if (retry_after_ms > 0) wait = std::chrono::milliseconds(retry_after_ms);
     return refusal(last.reason.empty() ? "no usable backend" : last.reason, wait);
   }
 
+  // Its client has closed, or ended its side and may still read; `departures` counts it.
+  static HttpReply abandoned(bool const may_have_run) {
+    return may_have_run ? plain_reply(502, "client has left") : refusal_of("client has left", busy_retry);
+  }
+
   W& w_;
   RequestPathSettings const s_;
   DataPathHeaders const& headers_;
--- a/source/programs/hollow_fleet_world.cpp
+++ b/source/programs/hollow_fleet_world.cpp
@@ -125,7 +125,7 @@
 Task<void> HollowNetwork::handle(std::weak_ptr<HollowProcess> from, std::shared_ptr<HollowProcess> to,
                                  std::uint8_t const kind, Payload payload, Done done) {
   Bytes question = std::move(*payload);
-  Result<Bytes> reply = co_await to->dispatcher()->handlers[kind](std::move(question));
+  Result<Bytes> reply = co_await to->dispatcher()->handlers[kind](std::move(question), nullptr);
   if (done) answer(from, *to, kind, std::move(reply), done);
 }
 
@@ -196,7 +196,7 @@
 }
 
 Task<Result<Bytes>> HollowProcess::ask_raw(Address const peer, std::uint8_t const kind, Bytes payload,
-                                           Instant const deadline) {
+                                           Instant const deadline, SharedCancellation) {
   using Answer = OneShot<HollowProcess, Result<Bytes>>;
   std::shared_ptr<Answer> const answer = std::make_shared<Answer>(*this);
   std::weak_ptr<Answer> const weak = answer;
--- a/source/programs/hollow_fleet_world.hpp
+++ b/source/programs/hollow_fleet_world.hpp
@@ -146,7 +146,9 @@
   Instant now() const { return network_.now(); }
   std::mt19937_64& chance() { return chance_; }
   asio::io_context::executor_type executor() { return network_.io().get_executor(); }
-  Task<Result<Bytes>> ask_raw(Address peer, std::uint8_t kind, Bytes payload, Instant deadline);
+  /** The cancellation isn't passed on: no clients leave here. */
+  Task<Result<Bytes>> ask_raw(Address peer, std::uint8_t kind, Bytes payload, Instant deadline,
+                              SharedCancellation cancellation = nullptr);
   void tell_raw(Address const& peer, std::uint8_t kind, SharedBytes const& payload);
   void serve(Dispatcher& dispatcher) { desk_ = &dispatcher; }
 
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -42,7 +42,9 @@
   }
 
   void start(Dispatcher& dispatcher) {
-    dispatcher.on<Forward>([this](Forward f) { return forwarded(std::move(f)); });
+    dispatcher.on<Forward>([this](Forward f, SharedCancellation cancellation) {
+      return forwarded(std::move(f), std::move(cancellation));
+    });
     follower_.start(dispatcher);
     spawn(w_, keep_confirming());
     spawn(w_, keep_reporting());
@@ -224,14 +226,14 @@
 
   // ---- requests from other nodes
 
-  Task<ForwardReply> forwarded(Forward f) {
+  Task<ForwardReply> forwarded(Forward f, SharedCancellation cancellation) {
     Instant const arrived = w_.now();
-    ForwardReply reply = co_await answer_forwarded(std::move(f));
+    ForwardReply reply = co_await answer_forwarded(std::move(f), std::move(cancellation));
     reply.here_us = static_cast<std::uint32_t>(as_us(w_.now() - arrived));
     co_return reply;
   }
 
-  Task<ForwardReply> answer_forwarded(Forward f) {
+  Task<ForwardReply> answer_forwarded(Forward f, SharedCancellation const cancellation) {
     if (refusing()) {
       ForwardReply reply;
       reply.outcome = Outcome::not_run;
@@ -240,15 +242,15 @@
       co_return reply;
     }
     bool const may_pass_on = f.crossed && !f.keyed;
-    if (!may_pass_on) co_return co_await local_.run(std::move(f));
+    if (!may_pass_on) co_return co_await local_.run(std::move(f), cancellation);
     Instant const arrived = w_.now();
     Forward kept = f;
-    ForwardReply reply = co_await local_.run(std::move(f));
+    ForwardReply reply = co_await local_.run(std::move(f), cancellation);
     std::uint32_t const waited = static_cast<std::uint32_t>(as_ms(w_.now() - arrived));
     kept.remaining_ms -= std::min(kept.remaining_ms, waited);
     bool const refused = reply.refusal == Refusal::busy || reply.refusal == Refusal::no_backend;
     if (reply.outcome != Outcome::not_run || !refused) co_return reply;
-    co_return co_await path_.pass_on(std::move(kept), std::move(reply));
+    co_return co_await path_.pass_on(std::move(kept), std::move(reply), cancellation);
   }
 
   // ---- heartbeats and keys
--- a/source/protocol/forward_messages.hpp
+++ b/source/protocol/forward_messages.hpp
@@ -34,6 +34,8 @@
   too_late = 5,
   /** Not reached: the node can't be connected to, or the request was never written. */
   unreachable = 6,
+  /** Nobody waits for the answer any more; with an unknown outcome: it was ended while it ran. */
+  cancelled = 7,
 };
 
 struct ForwardReply {
--- a/source/simulation/sim_world.hpp
+++ b/source/simulation/sim_world.hpp
@@ -160,7 +160,8 @@
   std::mt19937_64& chance() { return chance_; }
   asio::io_context::executor_type executor() { return sim.io.get_executor(); }
 
-  Task<Result<Bytes>> ask_raw(Address const peer, std::uint8_t const kind, Bytes payload, Instant const deadline);
+  Task<Result<Bytes>> ask_raw(Address const peer, std::uint8_t const kind, Bytes payload, Instant const deadline,
+                              SharedCancellation cancellation = nullptr);
   void tell_raw(Address const& peer, std::uint8_t const kind, SharedBytes const& payload);
   void serve(Dispatcher& d) { dispatcher = &d; }
 
@@ -228,9 +229,19 @@
     std::uint8_t kind = 0;
     Bytes payload;
     std::function<void(Result<Bytes>)> done;  // none: one-way
+    SharedCancellation cancellation;          // at the receiver; none: can't be cancelled
     bool sent = false, withdrawn = false;
   };
 
+  // Word to the receiver that the answer is of no more use; lost where the way is cut.
+  void cancel(std::shared_ptr<Exchange> const& x) {
+    sim.after(sim.delay(), [this, x] {
+      auto const target = at.find(x->peer);
+      if (target == at.end() || !sim.open(x->from->machine, target->second->machine)) return;
+      target->second->run([x] { x->cancellation->request(); });
+    });
+  }
+
   void begin(std::shared_ptr<Exchange> const& x, Duration const wait) {
     sim.after(wait, [this, x] {
       if (!x->from->alive || x->withdrawn) return;
@@ -295,7 +306,7 @@
   }
 
   Task<void> handle(std::shared_ptr<Exchange> x, std::shared_ptr<SimProcess> target) {
-    Result<Bytes> reply = co_await target->dispatcher->handlers[x->kind](x->payload);
+    Result<Bytes> reply = co_await target->dispatcher->handlers[x->kind](x->payload, x->cancellation);
     if (struck && struck(*target, x->kind)) co_return;
     if (x->done && sim.weather && sim.chance() % 100 == 0) {
       x->from->connected.erase(x->peer);
@@ -317,7 +328,8 @@
 };
 
 inline Task<Result<Bytes>> SimProcess::ask_raw(Address const peer, std::uint8_t const kind, Bytes payload,
-                                               Instant const deadline) {
+                                               Instant const deadline, SharedCancellation const cancellation) {
+  if (is_cancelled(cancellation)) co_return make_error("ask", peer, "cancelled", Proof::not_run);
   std::shared_ptr<OneShot<SimProcess, Result<Bytes>>> shot =
       std::make_shared<OneShot<SimProcess, Result<Bytes>>>(*this);
   std::shared_ptr<SimNet::Exchange> x = std::make_shared<SimNet::Exchange>();
@@ -329,7 +341,9 @@
   x->done = [weak](Result<Bytes> r) {
     if (std::shared_ptr<OneShot<SimProcess, Result<Bytes>>> const s = weak.lock()) s->give(std::move(r));
   };
+  if (cancellation) x->cancellation = std::make_shared<Cancellation>();
   net.begin(x, 0us);
+  CancellationListener const listener(cancellation, [x] { x->from->net.cancel(x); });
   std::optional<Result<Bytes>> got = co_await shot->wait(deadline);
   x->withdrawn = true;
   if (got) co_return std::move(*got);
--- a/source/transport/backend_connections.cpp
+++ b/source/transport/backend_connections.cpp
@@ -65,6 +65,7 @@
   Instant deadline{};
   bool is_head = false;
   bool repeatable = false;
+  SharedCancellation cancellation;
 };
 
 }  // namespace
@@ -198,6 +199,9 @@
   surplus_ = 0;
   heard_ = died_ = false;
   alarm_.expires_at(sending_->deadline);
+  CancellationListener const listener(sending_->cancellation, [this] {
+    if (!outcome_) fail("cancelled", "nobody waits for it");
+  });
   write();
   if (!outcome_) {
     ErrorCode ignored;
@@ -446,7 +450,8 @@
     if (first) co_return first;
     Instant const ended = std::chrono::steady_clock::now();
     if (connection->died_silently()) pool->idle_limit.on_silent_end(ended, rested, ended - sent);
-    bool const again = first.error().proof == Proof::not_run || sending->repeatable;
+    bool const may_repeat = first.error().proof == Proof::not_run || sending->repeatable;
+    bool const again = may_repeat && !is_cancelled(sending->cancellation);
     if (!connection->died_silently() || !again) co_return first;
     proof = first.error().proof;
   }
@@ -481,6 +486,7 @@
   sending->attempt_id = std::move(call.attempt_id);
   sending->deadline = call.deadline;
   sending->repeatable = call.repeatable;
+  sending->cancellation = std::move(call.cancellation);
   Result<std::string> head = head_of(std::move(call.request), sending->body.size(), pool->address);
   if (!head) co_return tl::unexpected<Error>(head.error());
   sending->head = std::move(*head);
--- a/source/transport/backend_connections.hpp
+++ b/source/transport/backend_connections.hpp
@@ -18,7 +18,8 @@
   std::string attempt_header;  ///< the header that an answer must carry back; empty: any answer is ours
   std::string attempt_id;      ///< its value
   Instant deadline{};
-  bool repeatable = false;  ///< may be sent again when a kept connection turns out to be dead
+  bool repeatable = false;          ///< may be sent again when a kept connection turns out to be dead
+  SharedCancellation cancellation;  ///< ends the call with its connection; null: it always goes on to its end
 };
 
 struct BackendPool;
@@ -41,7 +42,7 @@
 
   /// Sends the request and waits for its answer. Steps of a mishap: "request" (not writable as
   /// HTTP), "connect" (reasons "refused", "timeout", "limit" or the system's), "write", "read",
-  /// "garbled" (bytes that are no answer of ours) and "deadline".
+  /// "garbled" (bytes that are no answer of ours), "deadline" and "cancelled".
   Task<Result<HttpReply>> call(BackendCall call) override;
 
   /// Drops the idle connections and keeps none from now on; running calls go on.
--- a/source/transport/frame.cpp
+++ b/source/transport/frame.cpp
@@ -21,7 +21,7 @@
   std::memcpy(&h.id, p + 7, 8);
   if (h.wire != wire_number) return make_error("read_frame", "", "wire number " + std::to_string(h.wire));
   if (h.length > frame_limit) return make_error("read_frame", "", "frame of " + std::to_string(h.length) + " bytes");
-  if (static_cast<std::uint8_t>(p[5]) > 2)
+  if (static_cast<std::uint8_t>(p[5]) > last_sort)
     return make_error("read_frame", "", "sort " + std::to_string(static_cast<int>(p[5])));
   h.sort = static_cast<Sort>(p[5]);
   return h;
--- a/source/transport/peer_connection.cpp
+++ b/source/transport/peer_connection.cpp
@@ -17,7 +17,9 @@
 PeerConnection::PeerConnection(SocketWorld& world, Address peer)
     : world_(world), peer_(std::move(peer)), queue_(world.limits_, world.totals_), alarm_(world) {}
 
-Task<Result<Bytes>> PeerConnection::ask(std::uint8_t const kind, Bytes payload, Instant const deadline) {
+Task<Result<Bytes>> PeerConnection::ask(std::uint8_t const kind, Bytes payload, Instant const deadline,
+                                        SharedCancellation const cancellation) {
+  if (is_cancelled(cancellation)) co_return make_error("ask", peer_, "cancelled", Proof::not_run);
   std::uint64_t const id = ++world_.last_id_;
   OutgoingFrame request = OutgoingFrame::of(Sort::ask, kind, id, std::make_shared<Bytes const>(std::move(payload)));
   Admission const admission = queue_.push(std::move(request), world_.now());
@@ -26,6 +28,7 @@
   if (waiting_.empty()) owed_since_ = world_.now();
   waiting_[id] = waiting;
   alarm_.wake();
+  CancellationListener const listener(cancellation, [this, id] { cancel(id); });
   std::optional<Result<Bytes>> got = co_await waiting->reply.wait(deadline);
   waiting_.erase(id);
   if (got) co_return std::move(*got);
@@ -34,6 +37,18 @@
   co_return make_error("wait_for_reply", peer_, "deadline", Proof::unknown);
 }
 
+void PeerConnection::cancel(std::uint64_t const id) {
+  auto const found = waiting_.find(id);
+  if (found == waiting_.end() || found->second->reply.given()) return;
+  if (queue_.withdraw(id)) {
+    std::shared_ptr<Waiting> const waiting = found->second;
+    waiting->reply.give(make_error("wait_to_send", peer_, "cancelled", Proof::not_run));
+    return;
+  }
+  queue_.push(OutgoingFrame::of(Sort::cancel, 0, id, nullptr), world_.now());
+  alarm_.wake();
+}
+
 void PeerConnection::tell(std::uint8_t const kind, SharedBytes const& payload) {
   OutgoingFrame message = OutgoingFrame::of(Sort::tell, kind, 0, payload);
   std::size_t const all = world_.totals_->bytes[static_cast<std::size_t>(QueueBound::one_way)];
--- a/source/transport/peer_connection.hpp
+++ b/source/transport/peer_connection.hpp
@@ -6,6 +6,9 @@
 // taken for unreachable and its connection is reset, so that nothing that a cut
 // has held up reaches it later. While a ping waits behind bytes that the peer
 // still takes, it isn't silent.
+//
+// A request that is cancelled before it was sent is withdrawn; of one that was sent
+// the peer is told on the same connection, behind it.
 #pragma once
 
 #include "transport/peer_queue.hpp"
@@ -18,7 +21,7 @@
  public:
   PeerConnection(SocketWorld& world, Address peer);
 
-  Task<Result<Bytes>> ask(std::uint8_t kind, Bytes payload, Instant deadline);
+  Task<Result<Bytes>> ask(std::uint8_t kind, Bytes payload, Instant deadline, SharedCancellation cancellation);
   void tell(std::uint8_t kind, SharedBytes const& payload);
 
   /** To be called every `watch_period` while answers are owed. */
@@ -48,6 +51,7 @@
     bool broken = false;
   };
 
+  void cancel(std::uint64_t id);
   Task<std::shared_ptr<Line>> connect();
   Task<boost::system::error_code> open(std::shared_ptr<PeerSocket> socket, asio::ip::tcp::endpoint at);
   Task<void> write(std::shared_ptr<Line> line);
--- a/source/transport/peer_session.cpp
+++ b/source/transport/peer_session.cpp
@@ -35,6 +35,22 @@
   boost::system::error_code ignored;
   socket_->close(ignored);
   alarm_.wake();
+  cancel_all();
+}
+
+void PeerSession::cancel(std::uint64_t const id) {
+  auto const found = under_way_.find(id);
+  if (found == under_way_.end()) return;  // answered already
+  SharedCancellation const cancellation = found->second;
+  cancellation->request();
+}
+
+// Their answers can't be delivered any more.
+void PeerSession::cancel_all() {
+  std::vector<SharedCancellation> all;
+  for (auto const& [id, cancellation] : under_way_) all.push_back(cancellation);
+  under_way_.clear();
+  for (SharedCancellation const& cancellation : all) cancellation->request();
 }
 
 Task<void> PeerSession::read_requests() {
@@ -44,6 +60,10 @@
       respond(OutgoingFrame::of(Sort::reply, ping_kind, frame->head.id, nullptr));
       continue;
     }
+    if (frame && frame->head.sort == Sort::cancel) {
+      cancel(frame->head.id);
+      continue;
+    }
     if (frame && frame->head.sort != Sort::reply && world_.desk_->handlers[frame->head.kind]) {
       while (handling_ >= handled_at_once && !closed_) co_await sleep_for(world_, 1ms);
       ++handling_;
@@ -61,8 +81,11 @@
 
 Task<void> PeerSession::answer(ReceivedFrame request) {
   FrameHead const head = request.head;
-  Result<Bytes> reply = co_await world_.desk_->handlers[head.kind](std::move(request.payload));
+  SharedCancellation const cancellation = std::make_shared<Cancellation>();
+  if (head.sort == Sort::ask) under_way_[head.id] = cancellation;
+  Result<Bytes> reply = co_await world_.desk_->handlers[head.kind](std::move(request.payload), cancellation);
   --handling_;
+  under_way_.erase(head.id);
   if (!reply) {
     log_warn("bad_frame", {{"step", reply.error().step},
                            {"peer", peer_},
--- a/source/transport/peer_session.hpp
+++ b/source/transport/peer_session.hpp
@@ -1,7 +1,8 @@
 // The answering side of one accepted connection: requests are handled as they
 // come, responses wait in a queue and are written in turn. A peer that doesn't
 // read its responses loses the connection, and so does one whose responses don't
-// fit the queue: the peer then knows at once that it gets none.
+// fit the queue: the peer then knows at once that it gets none. What the peer
+// cancels, and what is left when the connection ends, is cancelled at its handler.
 #pragma once
 
 #include "transport/peer_queue.hpp"
@@ -22,6 +23,8 @@
   Task<void> read_requests();
   Task<void> answer(ReceivedFrame request);
   Task<void> write_responses();
+  void cancel(std::uint64_t id);
+  void cancel_all();
   void respond(OutgoingFrame response);
 
   SocketWorld& world_;
@@ -30,6 +33,7 @@
   PeerQueue queue_;
   SocketWorld::Alarm alarm_;
   std::size_t handling_ = 0;
+  tsl::robin_map<std::uint64_t, SharedCancellation> under_way_;  // requests by id
   bool closed_ = false;
 };
 
--- a/source/transport/socket_world.cpp
+++ b/source/transport/socket_world.cpp
@@ -81,12 +81,12 @@
 }
 
 Task<Result<Bytes>> SocketWorld::ask_raw(Address const peer, std::uint8_t const kind, Bytes payload,
-                                         Instant const deadline) {
+                                         Instant const deadline, SharedCancellation cancellation) {
   if (payload.size() > frame_limit) co_return make_error("ask", peer, "frame over the limit", Proof::not_run);
   if (stopping_) co_return make_error("ask", peer, "stopping", Proof::not_run);
   std::shared_ptr<PeerConnection> const connection = connection_to(peer);
   if (!std::exchange(watching_, true)) start(watch_connections());
-  Result<Bytes> reply = co_await connection->ask(kind, std::move(payload), deadline);
+  Result<Bytes> reply = co_await connection->ask(kind, std::move(payload), deadline, std::move(cancellation));
   co_return reply;
 }
 
--- a/source/transport/socket_world.hpp
+++ b/source/transport/socket_world.hpp
@@ -55,7 +55,8 @@
   void serve(Dispatcher& dispatcher);
 
   /** A request. Whether it had begun to be written when it failed is what tells "not run" from "unknown". */
-  Task<Result<Bytes>> ask_raw(Address peer, std::uint8_t kind, Bytes payload, Instant deadline);
+  Task<Result<Bytes>> ask_raw(Address peer, std::uint8_t kind, Bytes payload, Instant deadline,
+                              SharedCancellation cancellation = nullptr);
   /** A one-way message. It may be dropped: see `PeerLimits`. */
   void tell_raw(Address const& peer, std::uint8_t kind, SharedBytes const& payload);
 
--- a/source/transport/surroundings.hpp
+++ b/source/transport/surroundings.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "protocol/archive.hpp"
+#include "transport/cancellation.hpp"
 #include "transport/log.hpp"
 #include "transport/mutant.hpp"
 #include "transport/result.hpp"
@@ -24,20 +25,27 @@
 namespace banktide {
 
 using Address = std::string;
-using PeerHandler = std::function<Task<Result<Bytes>>(Bytes)>;
+/** Answers a peer's request; the cancellation is null for one that can't be cancelled. */
+using PeerHandler = std::function<Task<Result<Bytes>>(Bytes, SharedCancellation)>;
 
 // Handlers of peer messages by kind. A payload that does not decode is a
 // mishap; the transport answers it by closing the connection.
 struct Dispatcher {
   std::array<PeerHandler, 256> handlers;
 
+  /** `f` takes the request, and the cancellation if it can do something about it. */
   template <class Q, class F>
   void on(F f) {
-    handlers[Q::kind] = [f](Bytes raw) -> Task<Result<Bytes>> {
+    handlers[Q::kind] = [f](Bytes raw, SharedCancellation cancellation) -> Task<Result<Bytes>> {
       Result<Q> q = unpack<Q>(raw);
       if (!q) co_return tl::unexpected<Error>(q.error());
-      typename Q::Reply reply = co_await f(std::move(*q));
-      co_return pack(reply);
+      if constexpr (std::is_invocable_v<F const&, Q, SharedCancellation>) {
+        typename Q::Reply reply = co_await f(std::move(*q), std::move(cancellation));
+        co_return pack(reply);
+      } else {
+        typename Q::Reply reply = co_await f(std::move(*q));
+        co_return pack(reply);
+      }
     };
   }
 };
@@ -82,13 +90,26 @@
   co_await alarm.wait(w.now() + d);
 }
 
-template <class Q, PeerTransport W>
-Task<Result<typename Q::Reply>> ask(W& w, Address peer, Q q, Instant deadline) {
-  Result<Bytes> raw = co_await w.ask_raw(peer, Q::kind, pack(q), deadline);
-  if (!raw) co_return tl::unexpected<Error>(raw.error());
+template <class Q>
+Result<typename Q::Reply> unpack_reply(Result<Bytes> const& raw, Address const& peer) {
+  if (!raw) return tl::unexpected<Error>(raw.error());
   Result<typename Q::Reply> reply = unpack<typename Q::Reply>(*raw);
   if (!reply) reply.error().peer = peer;
-  co_return reply;
+  return reply;
+}
+
+template <class Q, PeerTransport W>
+Task<Result<typename Q::Reply>> ask(W& w, Address peer, Q q, Instant deadline) {
+  Result<Bytes> const raw = co_await w.ask_raw(peer, Q::kind, pack(q), deadline);
+  co_return unpack_reply<Q>(raw, peer);
+}
+
+/** Passes a cancellation on to the peer, which still answers. One that comes before anything was sent is proof. */
+template <class Q, PeerTransport W>
+Task<Result<typename Q::Reply>> ask_cancellable(W& w, Address peer, Q q, Instant deadline,
+                                                SharedCancellation cancellation) {
+  Result<Bytes> const raw = co_await w.ask_raw(peer, Q::kind, pack(q), deadline, std::move(cancellation));
+  co_return unpack_reply<Q>(raw, peer);
 }
 
 template <class Q, PeerTransport W>
--- a/tests/coordination/key_table_feed_test.cpp
+++ b/tests/coordination/key_table_feed_test.cpp
@@ -55,10 +55,11 @@
   for (std::uint8_t const kind : {LayoutsAsk::kind, Peek::kind}) {
     PeerHandler const handler = dispatcher.handlers[kind];
     if (!handler) continue;
-    dispatcher.handlers[kind] = [handler, kind, &bytes](Bytes raw) -> Task<Result<Bytes>> {
+    dispatcher.handlers[kind] = [handler, kind, &bytes](Bytes raw,
+                                                        SharedCancellation cancellation) -> Task<Result<Bytes>> {
       Result<Peek> const peek = unpack<Peek>(raw);
       bool const of_keys = kind != Peek::kind || (peek && peek->reg == Register::keys);
-      Result<Bytes> answer = co_await handler(std::move(raw));
+      Result<Bytes> answer = co_await handler(std::move(raw), std::move(cancellation));
       if (answer && of_keys) bytes.add_answer(kind, *answer);
       co_return answer;
     };
@@ -204,10 +205,10 @@
   ASSERT_TRUE(t.run_until([&] { return t.all_have_newest(); }, 2s));
   t.bytes = {};
   PeerHandler& at_node = t.net.at.at("a2:1")->dispatcher->handlers[News::kind];
-  at_node = [whole = at_node](Bytes raw) -> Task<Result<Bytes>> {
+  at_node = [whole = at_node](Bytes raw, SharedCancellation cancellation) -> Task<Result<Bytes>> {
     Result<News> news = unpack<News>(raw);
     for (KeyDelta& delta : news->key_deltas) ++delta.digest;
-    Result<Bytes> answer = co_await whole(pack(*news));
+    Result<Bytes> answer = co_await whole(pack(*news), std::move(cancellation));
     co_return answer;
   };
   t.write_some("ra", 1);
--- a/tests/data_path/local_backend_test.cpp
+++ b/tests/data_path/local_backend_test.cpp
@@ -15,10 +15,12 @@
 /** Answers everything with 200 after a while, and counts. */
 class PromptBackend : public BackendCaller {
  public:
-  PromptBackend(SimProcess& process, std::size_t& calls) : process_(process), calls_(calls) {}
+  PromptBackend(SimProcess& process, std::size_t& calls, std::function<void()> const& on_answer)
+      : process_(process), calls_(calls), on_answer_(on_answer) {}
   Task<Result<HttpReply>> call(BackendCall) override {
     ++calls_;
     co_await sleep_for(process_, 10ms);
+    if (on_answer_) on_answer_();
     HttpReply reply;
     reply.status = 200;
     co_return reply;
@@ -28,6 +30,7 @@
  private:
   SimProcess& process_;
   std::size_t& calls_;
+  std::function<void()> const& on_answer_;
 };
 
 struct LocalTrial {
@@ -49,7 +52,7 @@
     events.signed_off = [this](std::string const& instance) { signed_off.push_back(instance); };
     events.connection_limit = [](std::string const&) { return std::size_t{10}; };
     ConnectionsFactory factory = [this](Address const&, std::size_t) {
-      return std::make_unique<PromptBackend>(*process, calls);
+      return std::make_unique<PromptBackend>(*process, calls, on_answer);
     };
     backend = std::make_unique<LocalBackend<SimProcess>>(*process, settings, header_names, factory, events);
     backend->set_keys(&holder);
@@ -90,7 +93,7 @@
     EXPECT_TRUE(holder.answer(process->now(), "i-1", beats).renews);
     backend->keys_granted();
   }
-  void send(std::uint16_t const key) {
+  void send(std::uint16_t const key, SharedCancellation const cancellation = nullptr) {
     Forward forward;
     forward.service = "accounts";
     forward.keyed = true;
@@ -98,12 +101,12 @@
     forward.aim_ms = 500;
     forward.remaining_ms = 1000;
     forward.attempt_id = "a-1";
-    spawn(*process, run(std::move(forward)));
+    spawn(*process, run(std::move(forward), cancellation));
     run_for(1ms);
   }
-  Task<void> run(Forward forward) {
+  Task<void> run(Forward forward, SharedCancellation const cancellation) {
     Instant const began = process->now();
-    ForwardReply reply = co_await backend->run(std::move(forward));
+    ForwardReply reply = co_await backend->run(std::move(forward), cancellation);
     took = process->now() - began;
     replies.push_back(std::move(reply));
   }
@@ -115,6 +118,7 @@
   KeyTable table;
   KeyHolder holder{"accounts", "node", "node:1", "zone", KeySettings{}};
   std::size_t calls = 0;
+  std::function<void()> on_answer;
   std::uint64_t beats = 0;
   std::vector<std::string> ended, signed_off;
   std::unique_ptr<LocalBackend<SimProcess>> backend;
@@ -201,5 +205,55 @@
   EXPECT_EQ(t.replies.size(), 6u);
 }
 
+TEST(LocalBackend, who_is_cancelled_waits_for_no_key_any_more_and_never_runs) {
+  LocalTrial t;
+  SharedCancellation const cancellation = std::make_shared<Cancellation>();
+  t.send(7, cancellation);
+  t.send(8);
+  t.run_for(100ms);
+  cancellation->request();
+  t.run_for(1ms);
+  ASSERT_EQ(t.replies.size(), 1u);
+  EXPECT_EQ(t.replies[0].outcome, Outcome::not_run);
+  EXPECT_EQ(t.replies[0].refusal, Refusal::cancelled);
+  EXPECT_EQ(t.backend->in_flight(), 1u);
+  t.grant();
+  t.run_for(50ms);
+  EXPECT_EQ(t.calls, 1u) << "only the other one";
+}
+
+TEST(LocalBackend, who_is_cancelled_in_the_queue_leaves_it_at_once_and_never_runs) {
+  LocalTrial t;
+  t.grant();
+  SharedCancellation const cancellation = std::make_shared<Cancellation>();
+  for (int i = 0; i < 4; ++i) t.send(7);
+  t.send(7, cancellation);  // waits for one of the four slots
+  t.run_for(5ms);
+  EXPECT_EQ(t.backend->load().waiting, 1u);
+  cancellation->request();
+  EXPECT_EQ(t.backend->load().waiting, 0u);
+  t.run_for(50ms);
+  EXPECT_EQ(t.calls, 4u);
+  EXPECT_EQ(t.backend->load().running, 0u);
+  EXPECT_EQ(t.backend->in_flight(), 0u);
+}
+
+TEST(LocalBackend, a_slot_that_was_given_a_moment_before_the_cancellation_is_given_on) {
+  LocalTrial t;
+  t.grant();
+  SharedCancellation const cancellation = std::make_shared<Cancellation>();
+  // Runs once the slot is given, and before the request that gets it goes on.
+  t.on_answer = [&] { asio::post(t.sim.io, [cancellation] { cancellation->request(); }); };
+  for (int i = 0; i < 4; ++i) t.send(7);
+  t.send(7, cancellation);
+  t.run_for(5ms);
+  EXPECT_EQ(t.backend->load().waiting, 1u);
+  t.run_for(50ms);
+  ASSERT_EQ(t.replies.size(), 5u);
+  EXPECT_EQ(t.calls, 4u);
+  EXPECT_EQ(t.backend->load().running, 0u) << "no slot is lost";
+  EXPECT_EQ(t.backend->in_flight(), 0u);
+}
+
 }  // namespace
 }  // namespace banktide
--- a/tests/data_path/request_path_model_test.cpp
+++ b/tests/data_path/request_path_model_test.cpp
@@ -24,7 +24,7 @@
   Runs* runs = nullptr;
   Dispatcher dispatcher;
 
-  Task<ForwardReply> run(Forward const forward) {
+  Task<ForwardReply> run(Forward const forward, SharedCancellation = nullptr) {
     std::uint64_t const lot = process->chance()() % 10;
     ForwardReply reply;
     reply.load.slots = 4;
--- a/tests/data_path/request_path_test.cpp
+++ b/tests/data_path/request_path_test.cpp
@@ -38,7 +38,7 @@
   Dispatcher dispatcher;
   std::shared_ptr<SimProcess> process;
 
-  Task<ForwardReply> run(Forward forward) {
+  Task<ForwardReply> run(Forward forward, SharedCancellation = nullptr) {
     seen.push_back(std::move(forward));
     if (answers_after > Duration::zero()) co_await sleep_for(*process, answers_after);
     co_return reply;
--- a/tests/transport/backend_connections_test.cpp
+++ b/tests/transport/backend_connections_test.cpp
@@ -339,5 +339,49 @@
   EXPECT_EQ(backend->open(), 0u);
 }
 
+TEST_F(BackendConnectionsTest, a_cancelled_call_ends_its_connection_and_its_outcome_is_unknown) {
+  BackendCall call = call_of("1");
+  SharedCancellation const cancellation = std::make_shared<Cancellation>();
+  call.cancellation = cancellation;
+  Result<HttpReply> const outcome = play(std::move(call), [&]() -> Task<void> {
+    peer = co_await accept();
+    last_request = co_await peer->next();
+    cancellation->request();
+    std::string const more = co_await peer->next();
+    EXPECT_EQ(more, "") << "the connection has ended";
+  });
+  ASSERT_FALSE(outcome);
+  EXPECT_EQ(outcome.error().step, "cancelled");
+  EXPECT_EQ(outcome.error().proof, Proof::unknown);
+  EXPECT_EQ(backend->open(), 0u);
+}
+
+TEST_F(BackendConnectionsTest, a_call_that_is_cancelled_before_it_was_written_has_not_run) {
+  BackendCall call = call_of("1");
+  call.cancellation = std::make_shared<Cancellation>();
+  call.cancellation->request();
+  Result<HttpReply> const outcome = play(std::move(call), [&]() -> Task<void> {
+    peer = co_await accept();
+    std::string const request = co_await peer->next();
+    EXPECT_EQ(request, "");
+  });
+  ASSERT_FALSE(outcome);
+  EXPECT_EQ(outcome.error().proof, Proof::not_run);
+  EXPECT_EQ(backend->open(), 0u);
+}
+
+TEST_F(BackendConnectionsTest, a_cancellation_after_the_answer_costs_no_connection) {
+  BackendCall call = call_of("1");
+  SharedCancellation const cancellation = std::make_shared<Cancellation>();
+  call.cancellation = cancellation;
+  Result<HttpReply> const outcome = play(std::move(call), answer_with(answer("1", "one")));
+  ASSERT_TRUE(outcome);
+  cancellation->request();
+  EXPECT_EQ(backend->idle(), 1u);
+  Result<HttpReply> const next = play(call_of("2"), answer_on_same(answer("2", "two")));
+  ASSERT_TRUE(next);
+  EXPECT_EQ(next->body, "two");
+}
+
 }  // namespace
 }  // namespace banktide
--- a/tests/transport/socket_world_test.cpp
+++ b/tests/transport/socket_world_test.cpp
@@ -123,6 +123,111 @@
   std::size_t tasks_ = 0;
 };
 
+SocketWorld* serving_world = nullptr;  // whose alarms the handlers below use
+
+// Answers a request once it is cancelled, and says so.
+void serve_until_cancelled(Dispatcher& dispatcher, std::size_t& under_way, std::size_t& cancelled) {
+  dispatcher.on<Echo>([&](Echo, SharedCancellation cancellation) -> Task<Echo::Reply> {
+    std::shared_ptr<SocketWorld::Alarm> const alarm = std::make_shared<SocketWorld::Alarm>(*serving_world);
+    ++under_way;
+    {
+      CancellationListener const listener(cancellation, [alarm] { alarm->wake(); });
+      co_await alarm->wait(serving_world->now() + long_enough);
+    }
+    --under_way;
+    if (cancellation->requested()) ++cancelled;
+    co_return Echo::Reply{"cancelled"};
+  });
+}
+
+TEST(SocketWorld, a_cancelled_request_is_cancelled_at_its_handler_which_still_answers) {
+  start_pool();
+  SocketWorld server, client;
+  serving_world = &server;
+  Address const there = *server.listen("127.0.0.1:0");
+  Dispatcher dispatcher;
+  std::size_t under_way = 0, cancelled = 0;
+  serve_until_cancelled(dispatcher, under_way, cancelled);
+  run_on_pool([&]() -> Task<void> {
+    server.serve(dispatcher);
+    SharedCancellation const first = std::make_shared<Cancellation>();
+    SharedCancellation const second = std::make_shared<Cancellation>();
+    std::vector<Result<Echo::Reply>> replies;
+    for (SharedCancellation const& one : {first, second})
+      spawn(client,
+            [](SocketWorld& w, Address peer, SharedCancellation c, std::vector<Result<Echo::Reply>>& to) -> Task<void> {
+              Echo const question{"q"};
+              Result<Echo::Reply> reply = co_await ask_cancellable(w, peer, question, w.now() + long_enough, c);
+              to.push_back(std::move(reply));
+            }(client, there, one, replies));
+    while (under_way < 2) co_await let_others_run(client);
+    second->request();
+    while (replies.empty()) co_await let_others_run(client);
+    EXPECT_TRUE(replies[0] && replies[0]->text == "cancelled");
+    EXPECT_EQ(under_way, 1u) << "only the one that was named";
+    first->request();
+    while (replies.size() < 2) co_await let_others_run(client);
+    EXPECT_EQ(cancelled, 2u);
+    co_await client.stop();
+    co_await server.stop();
+  });
+}
+
+TEST(SocketWorld, what_a_peer_has_asked_is_cancelled_when_its_connection_ends) {
+  start_pool();
+  SocketWorld server, client;
+  serving_world = &server;
+  Address const there = *server.listen("127.0.0.1:0");
+  Dispatcher dispatcher;
+  std::size_t under_way = 0, cancelled = 0;
+  serve_until_cancelled(dispatcher, under_way, cancelled);
+  run_on_pool([&]() -> Task<void> {
+    server.serve(dispatcher);
+    for (int i = 0; i < 3; ++i)
+      spawn(client, [](SocketWorld& w, Address peer) -> Task<void> {
+        Echo const question{"q"};
+        Result<Echo::Reply> const reply = co_await ask(w, peer, question, w.now() + long_enough);
+        EXPECT_FALSE(reply);
+      }(client, there));
+    while (under_way < 3) co_await let_others_run(client);
+    co_await client.stop();
+    while (cancelled < 3) co_await let_others_run(client);
+    EXPECT_EQ(under_way, 0u);
+    co_await server.stop();
+  });
+}
+
+TEST(SocketWorld, a_request_that_is_cancelled_before_it_was_sent_has_not_run) {
+  start_pool();
+  SocketWorld server, client;
+  Address const there = *server.listen("127.0.0.1:0");
+  Dispatcher dispatcher;
+  std::size_t handled = 0;
+  dispatcher.on<Echo>([&](Echo q) -> Task<Echo::Reply> {
+    ++handled;
+    co_return Echo::Reply{q.text};
+  });
+  run_on_pool([&]() -> Task<void> {
+    server.serve(dispatcher);
+    SharedCancellation const cancellation = std::make_shared<Cancellation>();
+    Echo const question{"q"};
+    asio::post(client.executor(), [cancellation] { cancellation->request(); });
+    Result<Echo::Reply> const early =
+        co_await ask_cancellable(client, there, question, client.now() + long_enough, cancellation);
+    EXPECT_FALSE(early);
+    EXPECT_EQ(early.error().proof, Proof::not_run);
+    Result<Echo::Reply> const later =
+        co_await ask_cancellable(client, there, question, client.now() + long_enough, cancellation);
+    EXPECT_FALSE(later);
+    EXPECT_EQ(later.error().proof, Proof::not_run);
+    Result<Echo::Reply> const other = co_await ask(client, there, question, client.now() + long_enough);
+    EXPECT_TRUE(other) << "the connection has borne it";
+    EXPECT_EQ(handled, 1u);
+    co_await client.stop();
+    co_await server.stop();
+  });
+}
+
 TEST(SocketWorld, answers_come_back_refusals_are_proof_and_a_bad_frame_only_costs_its_connection) {
   start_pool();
   SocketWorld w;
