Callbacks that nobody sets or calls are found by a source rule; leavers in the model tests

A scan of fields found two that nothing uses (history.hpp, gone) and of settings nine that nothing reads: their help now says so.

--- a/source/programs/mesh_proxy.cpp
+++ b/source/programs/mesh_proxy.cpp
@@ -11,17 +11,17 @@
 
 void define(Settings& s) {
   define_mesh_settings(s);
-  s.text("region", "", "the region that the zone belongs to");
+  s.text("region", "", "the region that the zone belongs to; not used");
   s.text("client-address", "", "ip:port for requests of this machine's clients and backend (HTTP)");
   s.text("inbound-address", "", "ip:port kept for requests from outside; not used");
   s.text("readiness-address", "", "ip:port at which the platform asks whether the node is ready (HTTP)");
   s.text("local-address", "", "ip:port for the heartbeats of this machine's backend (HTTP)");
   s.text("service", "", "the service of this machine's backend");
-  s.text("backend-address", "", "ip:port of this machine's backend");
-  s.text("heartbeat-interval", "", "seconds between two heartbeats of a backend");
-  s.text("memory-mb", "0", "the memory that the process may use, in MB");
-  s.text("cpu-share", "", "the part of a core that the process may use");
-  s.list("contracts", "parts of the operators' rules in force; for the log only");
+  s.text("backend-address", "", "ip:port of this machine's backend; not used: backends tell theirs");
+  s.text("heartbeat-interval", "", "seconds between two heartbeats of a backend; not used");
+  s.text("memory-mb", "0", "the memory that the process may use, in MB; not used: the bounds are fixed");
+  s.text("cpu-share", "", "the part of a core that the process may use; not used");
+  s.list("contracts", "parts of the operators' rules in force; not used");
   s.need_address("client-address");
   s.need_address("readiness-address");
   s.need_address("local-address");
--- a/source/programs/mesh_registry.cpp
+++ b/source/programs/mesh_registry.cpp
@@ -14,7 +14,7 @@
 void define(Settings& s) {
   define_mesh_settings(s);
   s.text("control-address", "", "ip:port for operators (HTTP)");
-  s.flag("counted", "this machine counts among those that may be lost");
+  s.flag("counted", "this machine counts among those that may be lost; not used");
   s.list("zones", "names of all zones");
   s.number("maintenance-lead", 60, 1, 3600, "seconds before a maintenance window at which traffic moves, by default");
   s.number("maintenance-return", 30, 1, 3600, "seconds over which traffic comes back after a maintenance window");
--- a/source/programs/mesh_settings.hpp
+++ b/source/programs/mesh_settings.hpp
@@ -24,7 +24,7 @@
 };
 
 inline void define_mesh_settings(Settings& s) {
-  s.text("interface", "", "the interface that the process meets; named for the log only");
+  s.text("interface", "", "the interface that the process meets; not used");
   s.text("id", "", "name of this process");
   s.text("zone", "", "the zone that it stands in");
   s.text("address", "", "ip:port for other processes");
--- a/source/programs/store_main.cpp
+++ b/source/programs/store_main.cpp
@@ -24,7 +24,7 @@
   s.list("seed-voter", "instead of --voter: ip:port of a store to ask; repeat");
   s.list("seed-control", "like seed-voter, by the operator interfaces on their machines; with peer-port");
   s.text("peer-port", "0", "the port at which all stores listen");
-  s.flag("counted", "this machine counts among those that may be lost");
+  s.flag("counted", "this machine counts among those that may be lost; not used");
   s.flag("initial-start", "the seeds found the register: their disks are empty");
   s.number("losses", 1, 0, 9, "with --seed-voter: how many stores may lose their disks at once");
   s.text("data", "", "folder for its file");
--- a/source/simulation/history.hpp
+++ b/source/simulation/history.hpp
@@ -69,10 +69,8 @@
   std::map<std::string, std::vector<ForceSeen>> forces;  // by machine
   std::vector<std::pair<Instant, std::string>> drains;   // instance that said it leaves
   std::vector<Instant> extra_tries;
-  bool planned_only = false;  // nothing but planned restarts: no answer may be lost
-  std::size_t lost_revisions_taken = 0;
+  bool planned_only = false;        // nothing but planned restarts: no answer may be lost
   std::vector<std::string> wrongs;  // seen at once by a stand-in
-  Instant quiet_from{};             // the last fault is over
   std::string readback[2];
   bool readback_good[2] = {false, false};
 
--- a/tests/data_path/local_backend_model_test.cpp
+++ b/tests/data_path/local_backend_model_test.cpp
@@ -33,7 +33,8 @@
       co_return reply;
     }
     ++runs_[id];
-    co_await sleep_for(process_, std::chrono::milliseconds(1 + process_.chance()() % 120));
+    if (!co_await work(std::chrono::milliseconds(1 + process_.chance()() % 120), call.cancellation))
+      co_return make_error("cancelled", "backend", "nobody waits for it", Proof::unknown);
     if (lot == 2) co_return reply;  // without the mark it may have run
     if (lot == 3) co_return make_error("read", "backend", "reset", Proof::unknown);
     reply.status = lot == 4 ? 500 : 200;
@@ -43,13 +44,21 @@
   void close() override {}
 
  private:
+  /// Whether it was worked on to its end.
+  Task<bool> work(Duration const takes, SharedCancellation const cancellation) {
+    SimProcess::Alarm alarm(process_);
+    CancellationListener const listener(cancellation, [&alarm] { alarm.wake(); });
+    co_return co_await alarm.wait(process_.now() + takes);
+  }
+
   SimProcess& process_;
   Runs& runs_;
 };
 
 class LocalDay {
  public:
-  explicit LocalDay(std::uint64_t const seed) : sim_(seed), net_(sim_) {
+  /// With leavers every second request is cancelled, early or late.
+  explicit LocalDay(std::uint64_t const seed, bool const leavers = false) : sim_(seed), net_(sim_), leavers_(leavers) {
     process_ = std::make_shared<SimProcess>(sim_, net_, "node", "node:1", 1);
     net_.at["node:1"] = process_;
     net_.machine_of["node:1"] = process_->machine;
@@ -81,6 +90,9 @@
     if (process_->frozen) process_->thaw();
     sim_.run_until(sim_.now + 5s);
     EXPECT_EQ(replies_.size(), steps);
+    EXPECT_EQ(backend_->in_flight(), 0u);
+    EXPECT_EQ(backend_->load().running, 0u) << "every slot came back";
+    EXPECT_EQ(backend_->load().waiting, 0u);
   }
 
   void expect_every_promise_kept() {
@@ -95,11 +107,12 @@
         ++answered;
       }
       refused += reply.outcome == Outcome::not_run;
+      cancelled += reply.refusal == Refusal::cancelled;
       unknown += reply.outcome == Outcome::unknown;
     }
   }
 
-  unsigned answered = 0, refused = 0, unknown = 0;
+  unsigned answered = 0, refused = 0, unknown = 0, cancelled = 0;
 
  private:
   Task<void> send(std::string const id) {
@@ -109,10 +122,21 @@
     forward.remaining_ms = static_cast<std::uint32_t>(50 + sim_.chance() % 1000);
     forward.attempt_id = id;
     forward.request.headers = {{"Host", "orders.test"}};
-    ForwardReply const reply = co_await backend_->run(std::move(forward));
+    SharedCancellation const cancellation = std::make_shared<Cancellation>();
+    if (leavers_) {
+      forward.repeatable = sim_.chance() % 2 == 0;
+      if (sim_.chance() % 2 == 0) cancel_soon(cancellation);
+    }
+    ForwardReply const reply = co_await backend_->run(std::move(forward), cancellation);
     replies_.emplace(id, reply);
   }
 
+  void cancel_soon(SharedCancellation const& cancellation) {
+    std::shared_ptr<SimProcess> const process = process_;
+    sim_.after(std::chrono::milliseconds(sim_.chance() % 60),
+               [process, cancellation] { process->run([cancellation] { cancellation->request(); }); });
+  }
+
   void happen() {
     std::uint64_t const lot = sim_.chance() % 40;
     if (lot == 0) {
@@ -149,6 +173,7 @@
   std::unique_ptr<LocalBackend<SimProcess>> backend_;
   std::map<std::string, ForwardReply> replies_;
   std::uint64_t life_ = 1, beats_ = 0;
+  bool const leavers_;
 };
 
 class LocalDays : public testing::TestWithParam<std::uint64_t> {};
@@ -161,6 +186,14 @@
   EXPECT_GT(day.refused, 20u);
   EXPECT_GT(day.unknown, 5u);
 }
+
+TEST_P(LocalDays, requests_that_are_cancelled_break_no_promise_and_cost_no_slot) {
+  LocalDay day(GetParam(), true);
+  day.play(2400);
+  day.expect_every_promise_kept();
+  EXPECT_GT(day.answered, 20u);
+  EXPECT_GT(day.cancelled, 20u);
+}
 INSTANTIATE_TEST_SUITE_P(Seeds, LocalDays, testing::Range<std::uint64_t>(1, 31));
 
 }  // namespace
--- a/tests/data_path/request_path_model_test.cpp
+++ b/tests/data_path/request_path_model_test.cpp
@@ -24,10 +24,15 @@
   Runs* runs = nullptr;
   Dispatcher dispatcher;
 
-  Task<ForwardReply> run(Forward const forward, SharedCancellation = nullptr) {
+  Task<ForwardReply> run(Forward const forward, SharedCancellation const cancellation = nullptr) {
     std::uint64_t const lot = process->chance()() % 10;
     ForwardReply reply;
     reply.load.slots = 4;
+    if (is_cancelled(cancellation)) {
+      reply.outcome = Outcome::not_run;
+      reply.refusal = Refusal::cancelled;
+      co_return reply;
+    }
     if (lot < 6) {
       reply.outcome = Outcome::not_run;
       reply.refusal = lot % 2 == 0 ? Refusal::busy : Refusal::no_backend;
@@ -46,7 +51,9 @@
 
 class FickleFleet {
  public:
-  explicit FickleFleet(std::uint64_t const seed) : sim_(seed), net_(sim_) {
+  /// With leavers one client in four leaves before its answer.
+  explicit FickleFleet(std::uint64_t const seed, bool const leavers = false)
+      : sim_(seed), net_(sim_), leavers_(leavers) {
     sim_.weather = true;
     own_.runs = &runs;
     own_.process = start("own");
@@ -88,7 +95,9 @@
     over_ = true;
     sim_.run_until(sim_.now + 10s);
     EXPECT_EQ(ended_, requests);
+    EXPECT_EQ(path_->in_flight(), 0u);
   }
+  std::uint64_t left() const { return path_->departures().closed + path_->departures().reset; }
 
   Runs runs;
 
@@ -117,7 +126,9 @@
     FickleNode& node = nodes_[name];
     if (node.process) node.process->kill();
     node.process = start(name);
-    node.dispatcher.on<Forward>([&node](Forward f) { return node.run(std::move(f)); });
+    node.dispatcher.on<Forward>([&node](Forward f, SharedCancellation cancellation) {
+      return node.run(std::move(f), std::move(cancellation));
+    });
     node.process->serve(node.dispatcher);
   }
 
@@ -152,11 +163,22 @@
     question.target = "/thing";
     question.headers = {{"Host", repeatable ? "often.test" : "once.test"}, {"attempt", id}};
     std::shared_ptr<HttpExchange> const exchange = std::make_shared<HttpExchange>();
+    if (leavers_ && sim_.chance() % 4 == 0) leave_soon(exchange);
     HttpReply const reply = co_await path_->handle(std::move(question), exchange);
+    exchange->on_hang_up = nullptr;
     ++ended_;
     judge(id, repeatable, reply);
   }
 
+  void leave_soon(std::shared_ptr<HttpExchange> const& exchange) {
+    sim_.after(std::chrono::milliseconds(sim_.chance() % 400), [this, exchange] {
+      own_.process->run([this, exchange] {
+        exchange->client = sim_.chance() % 2 == 0 ? ClientState::gone : ClientState::finished_sending;
+        if (exchange->on_hang_up) exchange->on_hang_up(exchange->client);
+      });
+    });
+  }
+
   void judge(std::string const& id, bool const repeatable, HttpReply const& reply) {
     bool const promises_no_run = reply.status == 503 || reply.status == 429;
     if (reply.status == 200) {
@@ -191,6 +213,7 @@
   std::uint64_t lives_ = 0;
   unsigned ended_ = 0;
   bool over_ = false;
+  bool const leavers_;
 };
 
 class FickleFleets : public testing::TestWithParam<std::uint64_t> {};
@@ -203,6 +226,14 @@
   EXPECT_GT(fleet.runs.refused, 5u);
   EXPECT_GT(fleet.runs.unknown, 20u);
 }
+
+TEST_P(FickleFleets, clients_that_leave_break_no_promise_to_anybody) {
+  FickleFleet fleet(GetParam(), true);
+  fleet.play(400);
+  fleet.expect_every_promise_kept();
+  EXPECT_GT(fleet.left(), 20u);
+  EXPECT_GT(fleet.runs.answered, 50u);
+}
 INSTANTIATE_TEST_SUITE_P(Seeds, FickleFleets, testing::Range<std::uint64_t>(1, 31));
 
 }  // namespace
--- a/tests/programs/client_leaves_test.cpp
+++ b/tests/programs/client_leaves_test.cpp
@@ -187,5 +187,32 @@
   });
 }
 
+TEST_P(ClientLeavesOnEachWay, a_run_ends_though_the_nodes_are_leaving) {
+  play(GetParam(), 4, [](LeavingTrial& trial) -> Task<void> {
+    std::shared_ptr<TestClient> const client = co_await ask(trial, "orders", "a-1");
+    std::shared_ptr<Peer> const run = co_await run_of(trial, "a-1");
+    trial.taker().node().leave();
+    trial.taker().server().drain();
+    trial.taker().server().close_listener();
+    trial.holder().node().leave();
+    client->close();
+    EXPECT_TRUE(co_await ends(run));
+    EXPECT_TRUE(co_await until([&] { return trial.taker().node().idle() && trial.holder().node().idle(); }));
+  });
+}
+
+// The same way ends a request whose time is over while its client still waits.
+TEST_P(ClientLeavesOnEachWay, what_lasts_longer_than_its_time_is_answered_and_ended) {
+  play(GetParam(), 4, [](LeavingTrial& trial) -> Task<void> {
+    TestClient client(pool_io());
+    co_await client.connect(trial.taker().clients());
+    co_await client.send("GET /thing HTTP/1.1\r\nHost: orders.test\r\nX-Attempt: a-1\r\nX-Remaining: 4000\r\n\r\n");
+    std::shared_ptr<Peer> const run = co_await run_of(trial, "a-1");
+    HttpReply const reply = co_await client.next();
+    EXPECT_EQ(reply.status, 504);
+    EXPECT_TRUE(co_await ends(run));
+  });
+}
+
 }  // namespace
 }  // namespace banktide
--- a/tests/sources/source_rules.cpp
+++ b/tests/sources/source_rules.cpp
@@ -57,6 +57,37 @@
   return std::any_of(word.begin(), word.end(), [](unsigned char const c) { return std::isupper(c) != 0; });
 }
 
+bool part_of_name(char const c) { return part_of_word(c) || c == '_'; }
+
+/// What follows each use of a name, as a whole name, in a text.
+std::vector<std::string_view> behind_uses(std::string_view const text, std::string_view const name) {
+  std::vector<std::string_view> found;
+  for (std::size_t at = text.find(name); at != std::string_view::npos; at = text.find(name, at + 1)) {
+    std::size_t const end = at + name.size();
+    bool const starts = at == 0 || !part_of_name(text[at - 1]);
+    bool const ends = end == text.size() || !part_of_name(text[end]);
+    if (starts && ends) found.push_back(text.substr(end));
+  }
+  return found;
+}
+
+struct CallbackUses {
+  bool set = false;
+  bool called = false;
+};
+
+CallbackUses uses_of(std::string_view const name, std::vector<SourceFile> const& files) {
+  CallbackUses uses;
+  for (SourceFile const& file : files)
+    for (std::string_view const rest : behind_uses(file.text, name)) {
+      bool const moved_in = rest.starts_with("(std::move(");
+      bool const assigned = rest.starts_with(" = ") && !rest.starts_with(" = nullptr");
+      uses.set = uses.set || moved_in || assigned;
+      uses.called = uses.called || (rest.starts_with("(") && !moved_in);
+    }
+  return uses;
+}
+
 std::string read_file(std::filesystem::path const& path) {
   std::ifstream const in(path);
   std::ostringstream text;
@@ -112,6 +143,22 @@
   return words;
 }
 
+std::vector<std::string> idle_callbacks(std::vector<SourceFile> const& files) {
+  static std::regex const member("^ +std::function<.*> ([a-z_]+);");
+  std::vector<std::string> found;
+  for (SourceFile const& file : files) {
+    std::istringstream lines(file.text);
+    for (std::string line; std::getline(lines, line);) {
+      std::smatch match;
+      if (line.find("std::function<") == std::string::npos || !std::regex_search(line, match, member)) continue;
+      CallbackUses const uses = uses_of(match[1].str(), files);
+      if (!uses.set) found.push_back(file.path + ": " + match[1].str() + ", never set");
+      if (!uses.called) found.push_back(file.path + ": " + match[1].str() + ", never called");
+    }
+  }
+  return found;
+}
+
 std::vector<std::string> lines_with(std::vector<SourceFile> const& files, std::vector<std::string> const& words) {
   std::vector<std::string> found;
   for (SourceFile const& file : files)
--- a/tests/sources/source_rules.hpp
+++ b/tests/sources/source_rules.hpp
@@ -32,4 +32,8 @@
 /// Lines, as "path: word", that hold one of the words as a whole.
 std::vector<std::string> lines_with(std::vector<SourceFile> const& files, std::vector<std::string> const& words);
 
+/// Callbacks that a class declares and that nobody sets, or nobody calls, as "path: name, never set" or
+/// "path: name, never called". One that is only ever emptied is not set.
+std::vector<std::string> idle_callbacks(std::vector<SourceFile> const& files);
+
 }  // namespace banktide
--- a/tests/sources/source_rules_test.cpp
+++ b/tests/sources/source_rules_test.cpp
@@ -103,6 +103,24 @@
   EXPECT_EQ(test_lines(files), Lines{});
 }
 
+TEST(CallbackRules, one_that_is_only_called_or_emptied_is_found) {
+  SourceFile const header{"source/transport/a.hpp", "struct A {\n  std::function<void(int)> on_end;\n};\n"};
+  SourceFile const caller{"source/transport/a.cpp", "void f(A& a) {\n  a.on_end(1);\n  a.on_end = nullptr;\n}\n"};
+  EXPECT_EQ(idle_callbacks({header, caller}), Lines{"source/transport/a.hpp: on_end, never set"});
+  SourceFile const setter{"source/programs/b.cpp", "void g(A& a) { a.on_end = [](int) {}; }\n"};
+  EXPECT_EQ(idle_callbacks({header, caller, setter}), Lines{});
+  EXPECT_EQ(idle_callbacks({header, setter}), Lines{"source/transport/a.hpp: on_end, never called"});
+}
+
+TEST(CallbackRules, a_longer_name_is_another_one) {
+  SourceFile const file{"source/transport/a.hpp",
+                        "  std::function<void()> end_;\n void f() { at_end_(); at_end_ = g; end_of(); }\n"};
+  EXPECT_EQ(idle_callbacks({file}),
+            (Lines{"source/transport/a.hpp: end_, never set", "source/transport/a.hpp: end_, never called"}));
+}
+
+TEST(CallbackRules, hold_in_this_repository) { EXPECT_EQ(idle_callbacks(product_and_platform()), Lines{}); }
+
 TEST(PlatformWords, are_those_that_no_other_program_would_use) {
   std::string const constants =
       "inline constexpr std::string_view key_header = \"Mesh-Key\";\n"
