--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-g++ -std=c++20 -O2 -Wall -Wextra -Werror -pthread review/stand_in/trial.cpp -o target/review/trial
+g++ -std=c++20 -O2 -Wall -Wextra -Werror -pthread review/trial.cpp -o target/review/trial
--- a/review/stand_in/run_trial.sh
+++ b/review/run_trial.sh
@@ -2,7 +2,7 @@
 # Plays one trial and puts its record into the case's folder: run_trial.sh CASE NAME.
 # The programs' logs and data are in a temporary folder, removed at the end.
 set -uo pipefail
-root=$(cd "$(dirname "$0")/../.." && pwd)
+root=$(cd "$(dirname "$0")/.." && pwd)
 case_folder=$1
 work=$(mktemp -d)
 cd "$root" || exit 2
