--- a/source/programs/hollow_fleet.cpp
+++ b/source/programs/hollow_fleet.cpp
@@ -1,6 +1,7 @@
 // See hollow_fleet.hpp.
 #include "programs/hollow_fleet.hpp"
 
+#include "protocol/digest.hpp"
 #include "protocol/key_messages.hpp"
 
 #include <algorithm>
@@ -106,7 +107,9 @@
 // ---- making it
 
 HollowFleet::HollowFleet(HollowFleetSettings const& settings)
-    : settings_(settings), network_(settings.delays, settings.seed) {
+    : settings_(settings),
+      network_(settings.delays, settings.seed),
+      interface_([this](std::size_t const routes) { network_.charge_reading(routes); }) {
   for (std::size_t i = 0; i < settings_.services; ++i) services_.push_back(hollow_service_name(i));
   for (std::size_t i = 0; i < settings_.controls; ++i) add_control(i);
   std::vector<Address> seeds = controls_.front()->settings().seeds;
@@ -132,6 +135,7 @@
   c.registry = registry_of(number);
   c.store = address_of(number % settings_.zones, 5000 + number, store_port);
   c.store_port = store_port;
+  c.capacity = settings_.control_capacity;
   for (std::size_t i = 0; i < std::min(seed_count, settings_.controls); ++i) c.seeds.push_back(registry_of(i));
   controls_.push_back(std::make_unique<HollowControl>(network_, interface_, std::move(c)));
 }
@@ -139,13 +143,14 @@
 void HollowFleet::add_node(std::size_t const number, std::vector<Address> const& seeds) {
   std::size_t const zone = number % settings_.zones;
   HollowNodeSettings n;
-  n.id = "node-" + std::to_string(number);
+  n.id = node_id(number);
   n.place = place_of_zone(zone);
   n.address = address_of(zone, number / settings_.zones, node_port);
   n.seeds = seeds;
   n.store_port = store_port;
   if (number < settings_.backends) n.service = services_[number % services_.size()];
   n.load_changes = number < settings_.changing_backends;
+  n.capacity = settings_.node_capacity;
   nodes_.push_back(std::make_unique<HollowNode>(network_, interface_, std::move(n)));
 }
 
@@ -167,18 +172,23 @@
 void HollowFleet::run_for(Duration const d) {
   Instant const end = network_.now() + d;
   while (network_.now() < end) {
-    for (std::size_t i = 0; i < to_start_.size();) {
-      if (to_start_[i].first > network_.now()) {
-        ++i;
-        continue;
-      }
-      nodes_[to_start_[i].second]->start();
-      to_start_.erase(to_start_.begin() + static_cast<std::ptrdiff_t>(i));
-    }
+    end_and_start_nodes();
     network_.run_for(std::min<Duration>(look_every, end - network_.now()));
   }
 }
 
+void HollowFleet::end_and_start_nodes() {
+  auto const is_due = [this](std::pair<Instant, std::size_t> const& planned) {
+    return planned.first <= network_.now();
+  };
+  for (std::pair<Instant, std::size_t> const& planned : to_end_)
+    if (is_due(planned)) nodes_[planned.second]->kill();
+  std::erase_if(to_end_, is_due);
+  for (std::pair<Instant, std::size_t> const& planned : to_start_)
+    if (is_due(planned)) nodes_[planned.second]->start();
+  std::erase_if(to_start_, is_due);
+}
+
 std::optional<Duration> HollowFleet::run_until(std::function<bool()> const& holds, Duration const most) {
   Instant const begun = network_.now();
   while (network_.now() - begun < most) {
@@ -303,6 +313,22 @@
   return times;
 }
 
+std::size_t HollowFleet::nodes_behind() const {
+  return static_cast<std::size_t>(
+      std::count_if(nodes_.begin(), nodes_.end(),
+                    [this](std::unique_ptr<HollowNode> const& node) { return node->alive() && !has_newest(*node); }));
+}
+
+HollowTimes HollowFleet::times_to_first_force() const {
+  HollowTimes times;
+  for (std::unique_ptr<HollowNode> const& node : nodes_) {
+    if (!node->alive() || node->started() < meters_reset_ || node->in_force().empty()) continue;
+    times.all.push_back(node->in_force().front().at - node->started());
+  }
+  std::sort(times.all.begin(), times.all.end());
+  return times;
+}
+
 // ---- trouble
 
 void HollowFleet::lose_zone(std::size_t const zone) {
@@ -320,6 +346,29 @@
   to_start_.emplace_back(network_.now() + down, node);
 }
 
+std::size_t HollowFleet::keeper_of(std::size_t const zone) const {
+  std::size_t first = zone;
+  for (std::size_t i = zone; i < controls_.size(); i += settings_.zones)
+    if (digest_of(controls_[i]->settings().registry) < digest_of(controls_[first]->settings().registry)) first = i;
+  return first;
+}
+
+void HollowFleet::isolate_control(std::size_t const control) {
+  std::set<Address> others;
+  for (std::size_t i = 0; i < controls_.size(); ++i) {
+    if (i == control) continue;
+    others.insert(controls_[i]->settings().registry);
+    others.insert(controls_[i]->settings().store);
+  }
+  network_.isolate(controls_.at(control)->settings().registry, std::move(others));
+}
+
+void HollowFleet::restart_node_in_order(std::size_t const node, Duration const grace, Duration const down) {
+  nodes_.at(node)->leave();
+  to_end_.emplace_back(network_.now() + grace, node);
+  to_start_.emplace_back(network_.now() + grace + down, node);
+}
+
 void HollowFleet::cut_region(std::size_t const region) {
   for (std::size_t other = 0; other < settings_.regions; ++other)
     if (other != region) network_.cut(region, other);
--- a/source/programs/hollow_fleet.hpp
+++ b/source/programs/hollow_fleet.hpp
@@ -21,6 +21,8 @@
   std::size_t services = 20;          ///< backend i belongs to service i modulo this
   std::size_t keyed_services = 0;     ///< the first so many services are keyed
   std::size_t routes = 100;
+  HollowCapacity node_capacity;     ///< of each node's machine
+  HollowCapacity control_capacity;  ///< of each registry, and of each store
   HollowDelays delays;
   std::uint64_t seed = 1;
 };
@@ -76,15 +78,27 @@
   HollowTimes times_to_acknowledge() const;
   /// From being acknowledged until in force, for each such version and node that ran throughout.
   HollowTimes times_to_force() const;
+  /// Nodes that run and don't have the newest acknowledged version in force.
+  std::size_t nodes_behind() const;
+  /// From a node's start, of those started since the meters were reset, until a configuration is in force there.
+  HollowTimes times_to_first_force() const;
 
   void lose_zone(std::size_t zone);
   void bring_back_zone(std::size_t zone);
   void restart_node(std::size_t node, Duration down);
+  /// Told to go, ended `grace` later and started again after `down`.
+  void restart_node_in_order(std::size_t node, Duration grace, Duration down);
+  void kill_control(std::size_t control) { controls_.at(control)->kill(); }
+  /// The control whose registry keeps the zone, if nobody is down: the first of its own.
+  std::size_t keeper_of(std::size_t zone) const;
+  /// Cuts a registry off from all other machines for control; its zone's nodes still reach it.
+  void isolate_control(std::size_t control);
   /// Cuts a region off from all others.
   void cut_region(std::size_t region);
   void heal() { network_.heal(); }
 
   HollowFleetSettings const& settings() const { return settings_; }
+  static std::string node_id(std::size_t node) { return "node-" + std::to_string(node); }
   std::string zone_name(std::size_t zone) const { return "zone-" + std::to_string(zone); }
   std::size_t region_of_control(std::size_t control) const { return control % settings_.zones % settings_.regions; }
 
@@ -98,6 +112,7 @@
   HollowPlace place_of_zone(std::size_t zone) const;
   void add_control(std::size_t number);
   void add_node(std::size_t number, std::vector<Address> const& seeds);
+  void end_and_start_nodes();
   std::vector<std::size_t> samples() const;
   bool has_newest(HollowNode const& node) const;
 
@@ -107,6 +122,7 @@
   std::vector<std::string> services_;
   std::vector<std::unique_ptr<HollowControl>> controls_;
   std::vector<std::unique_ptr<HollowNode>> nodes_;
+  std::vector<std::pair<Instant, std::size_t>> to_end_;
   std::vector<std::pair<Instant, std::size_t>> to_start_;
   std::vector<Version> versions_;
   std::uint64_t newest_acknowledged_ = 0;
--- a/source/programs/hollow_fleet_control.cpp
+++ b/source/programs/hollow_fleet_control.cpp
@@ -20,7 +20,7 @@
   Result<VoterRecord> load() { return record; }
   Task<Result<bool>> keep(VoterRecord const& next) {
     VoterRecord const kept = next;
-    HollowMeter& meter = *process->meter();
+    HollowMeter& meter = process->meter();
     ++meter.disk_writes;
     meter.disk_bytes += pack(kept).size();
     co_await sleep_for(*process, sync_time);
@@ -34,9 +34,9 @@
 
   Life(HollowControl& owner, bool const initial_start)
       : registry_process(std::make_shared<HollowProcess>(owner.network_, owner.settings_.registry,
-                                                         owner.settings_.place, owner.registry_meter_)),
+                                                         owner.settings_.place, owner.registry_machine_)),
         store_process(std::make_shared<HollowProcess>(owner.network_, owner.settings_.store, owner.settings_.place,
-                                                      owner.store_meter_)),
+                                                      owner.store_machine_)),
         registry(*registry_process, registry_settings(owner.settings_)),
         mesh(*registry_process, registry, owner.interface_.adapter(), KeySettings{}),
         acceptor(*store_process, *owner.disk_, owner.settings_.store),
@@ -90,8 +90,8 @@
     : network_(network),
       interface_(interface),
       settings_(std::move(settings)),
-      registry_meter_(std::make_shared<HollowMeter>()),
-      store_meter_(std::make_shared<HollowMeter>()),
+      registry_machine_(std::make_shared<HollowMachine>(settings_.capacity)),
+      store_machine_(std::make_shared<HollowMachine>(settings_.capacity)),
       disk_(std::make_unique<Disk>()) {}
 
 HollowControl::~HollowControl() { kill(); }
@@ -113,6 +113,7 @@
   life_.reset();
 }
 
+bool HollowControl::alive() const { return life_ != nullptr; }
 bool HollowControl::vouched() const { return life_ && life_->registry.vouched(); }
 std::size_t HollowControl::voters() const { return life_ ? life_->acceptor.set().voters.size() : 0; }
 
--- a/source/programs/hollow_fleet_control.hpp
+++ b/source/programs/hollow_fleet_control.hpp
@@ -15,6 +15,7 @@
   Address store;
   std::uint16_t store_port = 0;
   std::vector<Address> seeds;  ///< registries; the stores beside them found the register
+  HollowCapacity capacity;     ///< of the registry, and of the store
 };
 
 class HollowControl {
@@ -25,6 +26,7 @@
 
   void start();
   void kill();
+  bool alive() const;
   /// Whether its registry has a recent reading of a majority.
   bool vouched() const;
   /// How many voters the register has, as this store knows.
@@ -33,8 +35,8 @@
   using Written = std::function<void(bool acknowledged)>;
   void write_configuration(HollowConfiguration const& configuration, Written done);
 
-  HollowMeter& registry_meter() { return *registry_meter_; }
-  HollowMeter& store_meter() { return *store_meter_; }
+  HollowMeter& registry_meter() { return registry_machine_->meter; }
+  HollowMeter& store_meter() { return store_machine_->meter; }
   HollowControlSettings const& settings() const { return settings_; }
 
  private:
@@ -44,7 +46,7 @@
   HollowNetwork& network_;
   HollowInterface& interface_;
   HollowControlSettings const settings_;
-  std::shared_ptr<HollowMeter> const registry_meter_, store_meter_;
+  std::shared_ptr<HollowMachine> const registry_machine_, store_machine_;
   std::unique_ptr<Disk> disk_;
   std::unique_ptr<Life> life_;
   bool started_before_ = false;
--- a/source/programs/hollow_fleet_interface.cpp
+++ b/source/programs/hollow_fleet_interface.cpp
@@ -1,6 +1,7 @@
 // See hollow_fleet_interface.hpp.
 #include "programs/hollow_fleet_interface.hpp"
 
+#include <random>
 #include <sstream>
 
 namespace banktide {
@@ -21,6 +22,17 @@
   return reply;
 }
 
+// One line, with as many letters drawn for each route as users' names of hosts, paths and classes bring.
+void append_route(std::string& bytes, std::uint64_t const number, std::uint64_t const edition) {
+  constexpr std::size_t drawn_letters = 24;
+  std::minstd_rand draw(static_cast<std::uint32_t>(number * 7919 + edition + 1));
+  std::size_t const end = bytes.size() + hollow_bytes_per_route;
+  bytes += "route-" + std::to_string(number) + " ";
+  for (std::size_t i = 0; i < drawn_letters; ++i) bytes += static_cast<char>('a' + draw() / 7 % 26);
+  bytes.resize(end - 1, '.');
+  bytes += '\n';
+}
+
 std::string grant_text(HeartbeatGrant const& grant) {
   std::ostringstream out;
   out << grant.hold.count() << "\n";
@@ -36,7 +48,9 @@
   std::ostringstream out;
   out << format_name << " " << c.version << " " << c.routes << " " << c.services << " " << c.keyed_services << "\n";
   std::string bytes = out.str();
-  bytes.resize(c.routes * hollow_bytes_per_route + c.services * hollow_bytes_per_service + bytes.size(), '.');
+  std::uint64_t const changed = c.routes == 0 ? 0 : c.version % c.routes;
+  for (std::uint64_t i = 0; i < c.routes; ++i) append_route(bytes, i, i == changed ? c.version : 0);
+  bytes.append(c.services * hollow_bytes_per_service, '.');
   return bytes;
 }
 
@@ -68,8 +82,12 @@
   return c;
 }
 
-HollowInterface::HollowInterface() {
-  adapter_.read_configuration = read_hollow_configuration;
+HollowInterface::HollowInterface(std::function<void(std::size_t routes)> on_read) {
+  adapter_.read_configuration = [on_read = std::move(on_read)](std::string_view const bytes) {
+    Result<ServiceConfiguration> configuration = read_hollow_configuration(bytes);
+    if (configuration) on_read(configuration->routes.size());
+    return configuration;
+  };
   adapter_.interpret = [this](HttpRequest const& q) -> tl::expected<InterfaceOperation, InterfaceReply> {
     auto const it = waiting_.find(q.target);
     if (it == waiting_.end()) return tl::unexpected<InterfaceReply>(reply_with("no such request"));
--- a/source/programs/hollow_fleet_interface.hpp
+++ b/source/programs/hollow_fleet_interface.hpp
@@ -20,7 +20,8 @@
 inline constexpr std::size_t hollow_bytes_per_route = 200;
 inline constexpr std::size_t hollow_bytes_per_service = 100;
 
-/// Bytes as long as an operator's configuration of that size.
+/// Bytes as long as an operator's configuration of that size, which compress about as well. Two versions differ in
+/// their number and in one route.
 std::string hollow_configuration_bytes(HollowConfiguration const& configuration);
 /// The routes and services that the bytes stand for. Its limit on header bytes is its version, so that a node tells
 /// which one came into force.
@@ -30,7 +31,8 @@
 /// Requests of hollow backends and operators, each waiting under its target to be interpreted.
 class HollowInterface {
  public:
-  HollowInterface();
+  /// `on_read` is told how many routes a configuration has that is being read.
+  explicit HollowInterface(std::function<void(std::size_t routes)> on_read);
   HollowInterface(HollowInterface const&) = delete;
 
   InterfaceAdapter const& adapter() const { return adapter_; }
--- a/source/programs/hollow_fleet_node.cpp
+++ b/source/programs/hollow_fleet_node.cpp
@@ -29,7 +29,7 @@
   Life(HollowNode& owner, std::uint64_t const number)
       : node(owner),
         process(std::make_shared<HollowProcess>(owner.network_, owner.settings_.address, owner.settings_.place,
-                                                owner.meter_)),
+                                                owner.machine_)),
         mesh(*process, mesh_settings(owner.settings_), owner.interface_.adapter(),
              [&owner](Address const& address, std::size_t const limit) {
                return std::make_unique<BackendConnections>(owner.network_.io(), address, limit);
@@ -87,13 +87,14 @@
     : network_(network),
       interface_(interface),
       settings_(std::move(settings)),
-      meter_(std::make_shared<HollowMeter>()) {}
+      machine_(std::make_shared<HollowMachine>(settings_.capacity)) {}
 
 HollowNode::~HollowNode() { kill(); }
 
 void HollowNode::start() {
   kill();
   in_force_.clear();
+  started_ = network_.now();
   life_ = std::make_unique<Life>(*this, ++lives_);
   network_.add(life_->process);
   life_->process->serve(life_->dispatcher);
@@ -108,6 +109,10 @@
   life_.reset();
 }
 
+void HollowNode::leave() {
+  if (life_) life_->mesh.leave();
+}
+
 bool HollowNode::alive() const { return life_ != nullptr; }
 bool HollowNode::ready() const { return life_ && life_->mesh.ready(); }
 
--- a/source/programs/hollow_fleet_node.hpp
+++ b/source/programs/hollow_fleet_node.hpp
@@ -15,6 +15,7 @@
   std::uint16_t store_port = 0;
   std::string service;        ///< of the backend beside it; empty: there is none
   bool load_changes = false;  ///< whether each beat of the backend tells another load
+  HollowCapacity capacity;
 };
 
 /// When a version came into force at a node.
@@ -32,14 +33,18 @@
   void start();
   /// As if its process was killed.
   void kill();
+  /// As if its process was told to go: it says so, and serves on.
+  void leave();
   bool alive() const;
   bool ready() const;
   /// How many endpoints of these services it knows.
   std::size_t endpoints(std::vector<std::string> const& services) const;
   std::vector<HollowInForce> const& in_force() const { return in_force_; }
+  /// When this life began.
+  Instant started() const { return started_; }
   /// Rows of keys that its backend holds.
   std::size_t rows_held() const;
-  HollowMeter& meter() { return *meter_; }
+  HollowMeter& meter() { return machine_->meter; }
   HollowNodeSettings const& settings() const { return settings_; }
 
  private:
@@ -48,9 +53,10 @@
   HollowNetwork& network_;
   HollowInterface& interface_;
   HollowNodeSettings const settings_;
-  std::shared_ptr<HollowMeter> const meter_;
+  std::shared_ptr<HollowMachine> const machine_;
   std::vector<HollowInForce> in_force_;
   std::unique_ptr<Life> life_;
+  Instant started_{};
   std::uint64_t lives_ = 0;
 };
 
--- a/source/programs/hollow_fleet_world.cpp
+++ b/source/programs/hollow_fleet_world.cpp
@@ -39,6 +39,30 @@
 
 }  // namespace
 
+// ---- a machine
+
+void HollowMachine::charge(Duration const work) {
+  if (capacity.processor_share <= 0) return;
+  charged += std::chrono::duration_cast<Duration>(work / capacity.processor_share);
+}
+
+Instant HollowLink::pass(Address const& peer, Instant const from, std::size_t const bytes) {
+  if (bytes_per_second_ <= 0) return from;
+  std::chrono::duration<double> const exact(static_cast<double>(bytes) / bytes_per_second_);
+  Duration const takes = std::chrono::duration_cast<Duration>(exact);
+  Instant& way_until = way_until_[peer];
+  Instant const ready = std::max(from, way_until);
+  if (bytes > large_above) {
+    large_until_ = std::max(ready, large_until_) + takes;
+    way_until = large_until_;
+  } else {
+    small_until_ = std::max(ready, small_until_) + takes;
+    way_until = small_until_;
+    if (large_until_ > from) large_until_ += takes;
+  }
+  return way_until;
+}
+
 // ---- the network
 
 HollowNetwork::HollowNetwork(HollowDelays const delays, std::uint64_t const seed)
@@ -50,8 +74,12 @@
   settle();
 }
 
-void HollowNetwork::at(Instant const when, std::shared_ptr<HollowMeter> meter, std::function<void()> f) {
-  queue_.push(Event{std::max(when, now_), ++last_event_, std::move(meter), std::move(f)});
+void HollowNetwork::at(Instant const when, std::shared_ptr<HollowMachine> machine, std::function<void()> f) {
+  queue_.push(Event{std::max(when, now_), ++last_event_, std::move(machine), std::move(f)});
+}
+
+void HollowNetwork::charge_reading(std::size_t const routes) {
+  if (running_) running_->charge(costs_.route_read * static_cast<Duration::rep>(routes));
 }
 
 void HollowNetwork::run_for(Duration const d) {
@@ -61,18 +89,28 @@
     Event event = queue_.top();
     queue_.pop();
     now_ = event.at;
-    run(event);
+    if (event.machine->busy_until > now_) {
+      event.at = event.machine->busy_until;  // in the order of their numbers, once it is free
+      queue_.push(std::move(event));
+    } else {
+      run(event);
+    }
   }
   now_ = end;
 }
 
 void HollowNetwork::run(Event& event) {
+  HollowMachine& machine = *event.machine;
+  running_ = event.machine;
+  machine.charged = Duration::zero();
   Duration const begin = thread_processor_time();
   event.run();
   settle();
   Duration const took = thread_processor_time() - begin - clock_cost_;
-  ++event.meter->events;
-  event.meter->processor += std::max(took, Duration::zero());
+  running_ = nullptr;
+  machine.busy_until = now_ + std::exchange(machine.charged, Duration::zero());
+  ++machine.meter.events;
+  machine.meter.processor += std::max(took, Duration::zero());
 }
 
 void HollowNetwork::settle() {
@@ -97,27 +135,51 @@
   return from.zone == to.zone ? delays_.in_zone : delays_.in_region;
 }
 
-bool HollowNetwork::open(HollowPlace const& from, HollowPlace const& to) const {
-  return cuts_.empty() || !cuts_.contains({from.region, to.region});
+bool HollowNetwork::open(HollowProcess const& from, HollowProcess const& to) const {
+  auto const cut_off = [this](HollowProcess const& one, HollowProcess const& other) {
+    auto const it = isolated_.find(one.address());
+    return it != isolated_.end() && it->second.contains(other.address());
+  };
+  if (!isolated_.empty() && (cut_off(from, to) || cut_off(to, from))) return false;
+  return cuts_.empty() || !cuts_.contains({from.place().region, to.place().region});
+}
+
+void HollowNetwork::isolate(Address const& process, std::set<Address> from) { isolated_[process] = std::move(from); }
+
+Instant HollowNetwork::arrival(HollowProcess& from, HollowProcess& to, std::size_t const payload) {
+  std::size_t const bytes = payload + frame_head_bytes;
+  Duration const work = costs_.message + costs_.kilobyte * static_cast<Duration::rep>(bytes) / 1024;
+  HollowMachine& sender = *from.machine();
+  HollowMachine& receiver = *to.machine();
+  sender.charge(work);
+  Instant const sent = sender.sending.pass(to.address(), now_ + sender.charged, bytes);
+  Instant const at_link = sent + delay(from.place(), to.place());
+  return receiver.receiving.pass(from.address(), at_link, bytes);
 }
 
 void HollowNetwork::send(HollowProcess& from, Address const& to, std::uint8_t const kind, Bytes payload, Done done) {
   std::shared_ptr<HollowProcess> const target = find(to);
   std::weak_ptr<HollowProcess> const sender = from.weak_from_this();
   if (!target || !target->alive()) return refuse(sender, to, delays_.in_region, done);
-  if (!open(from.place(), target->place())) return refuse(sender, to, connect_patience, done);
-  count_sent(*from.meter(), kind, payload.size());
+  if (!open(from, *target)) return refuse(sender, to, connect_patience, done);
+  count_sent(from.meter(), kind, payload.size());
+  Instant const arrives = arrival(from, *target, payload.size());
   Payload const kept = std::make_shared<Bytes>(std::move(payload));
-  at(now_ + delay(from.place(), target->place()), target->meter(),
+  at(arrives, target->machine(),
      [this, sender, target, kind, kept, done = std::move(done)] { arrive(sender, target, kind, kept, done); });
 }
 
+void HollowNetwork::charge_receipt(HollowProcess& to, std::size_t const payload) {
+  to.machine()->charge(costs_.message + costs_.kilobyte * static_cast<Duration::rep>(payload) / 1024);
+}
+
 void HollowNetwork::arrive(std::weak_ptr<HollowProcess> const& from, std::shared_ptr<HollowProcess> const& to,
                            std::uint8_t const kind, Payload const& payload, Done const& done) {
   std::shared_ptr<HollowProcess> const sender = from.lock();
   if (!to->alive()) return refuse(from, to->address(), delays_.in_region, done);
-  if (sender && !open(sender->place(), to->place())) return;
-  count_received(*to->meter(), kind, payload->size());
+  if (sender && !open(*sender, *to)) return;
+  count_received(to->meter(), kind, payload->size());
+  charge_receipt(*to, payload->size());
   if (to->dispatcher() == nullptr || !to->dispatcher()->handlers[kind]) return;
   spawn(*to, handle(from, to, kind, payload, done));
 }
@@ -132,13 +194,15 @@
 void HollowNetwork::answer(std::weak_ptr<HollowProcess> const& to, HollowProcess& from, std::uint8_t const kind,
                            Result<Bytes> reply, Done const& done) {
   std::shared_ptr<HollowProcess> const asker = to.lock();
-  if (!asker || !asker->alive() || !open(from.place(), asker->place())) return;
+  if (!asker || !asker->alive() || !open(from, *asker)) return;
   std::size_t const size = reply ? reply->size() : 0;
-  count_sent(*from.meter(), kind, size);
+  count_sent(from.meter(), kind, size);
+  Instant const arrives = arrival(from, *asker, size);
   std::shared_ptr<Result<Bytes>> const kept = std::make_shared<Result<Bytes>>(std::move(reply));
-  at(now_ + delay(from.place(), asker->place()), asker->meter(), [asker, kind, size, kept, done] {
+  at(arrives, asker->machine(), [this, asker, kind, size, kept, done] {
     if (!asker->alive()) return;
-    count_received(*asker->meter(), kind, size);
+    count_received(asker->meter(), kind, size);
+    charge_receipt(*asker, size);
     done(std::move(*kept));
   });
 }
@@ -147,7 +211,7 @@
                            Done const& done) {
   std::shared_ptr<HollowProcess> const sender = from.lock();
   if (!done || !sender || !sender->alive()) return;
-  at(now_ + wait, sender->meter(), [sender, peer, done] {
+  at(now_ + wait, sender->machine(), [sender, peer, done] {
     if (sender->alive()) done(make_error("connect", peer, "refused", Proof::not_run));
   });
 }
@@ -167,7 +231,7 @@
         waiting->handler = [kept](bool const v) { std::move (*kept)(v); };
         std::weak_ptr<Waiting> const weak = waiting;
         std::weak_ptr<HollowProcess> const owner = process->weak_from_this();
-        process->network_.at(when, process->meter_, [weak, owner, number] {
+        process->network_.at(when, process->machine_, [weak, owner, number] {
           std::shared_ptr<HollowProcess> const alive = owner.lock();
           if (!alive || !alive->alive()) return;
           if (std::shared_ptr<Waiting> const still = weak.lock()) fire(still, number, true);
--- a/source/programs/hollow_fleet_world.hpp
+++ b/source/programs/hollow_fleet_world.hpp
@@ -43,6 +43,51 @@
   std::uint64_t disk_bytes = 0;
 };
 
+/// What a hollow process may use of its machine. 0: as much as it likes.
+struct HollowCapacity {
+  double processor_share = 0;        ///< of a core
+  double link_bytes_per_second = 0;  ///< in each direction
+};
+
+/// What work costs a whole core; charged only where the processor's share is bounded.
+struct HollowCosts {
+  Duration message = 10us;       ///< sent or received
+  Duration kilobyte = 2us;       ///< of a message, sent or received
+  Duration route_read = 5500ns;  ///< to make a route of a configuration's compressed text ready for use
+};
+
+/// One direction of a machine's link. Messages between two machines keep their order; a small one doesn't wait for
+/// large ones on other ways, as connections share a link.
+class HollowLink {
+ public:
+  explicit HollowLink(double bytes_per_second) : bytes_per_second_(bytes_per_second) {}
+  /// When the last byte has passed of a message that is ready at `from`.
+  Instant pass(Address const& peer, Instant from, std::size_t bytes);
+
+ private:
+  static constexpr std::size_t large_above = 8u << 10;
+
+  double const bytes_per_second_;
+  Instant small_until_{};
+  Instant large_until_{};
+  std::map<Address, Instant> way_until_;
+};
+
+/// The machine of a hollow process: its capacity, what of it is taken, and the process's meter.
+struct HollowMachine {
+  explicit HollowMachine(HollowCapacity const& c)
+      : capacity(c), sending(c.link_bytes_per_second), receiving(c.link_bytes_per_second) {}
+  /// Charges work that takes a whole core so long.
+  void charge(Duration work);
+
+  HollowCapacity const capacity;
+  Instant busy_until{};
+  Duration charged{};  ///< time on the share, by the event that runs now
+  HollowLink sending;
+  HollowLink receiving;
+  HollowMeter meter;
+};
+
 class HollowProcess;
 
 /// Virtual time, and the way of messages.
@@ -56,8 +101,10 @@
   std::mt19937_64& chance() { return chance_; }
   asio::io_context& io() { return io_; }
 
-  /// Runs `f` at that time, on the account of the meter's process.
-  void at(Instant when, std::shared_ptr<HollowMeter> meter, std::function<void()> f);
+  /// Runs `f` at that time, or once the machine's processor is free.
+  void at(Instant when, std::shared_ptr<HollowMachine> machine, std::function<void()> f);
+  /// Charges the process whose event runs now with reading a configuration.
+  void charge_reading(std::size_t routes);
   void run_for(Duration d);
   /// Runs what is ready now.
   void settle();
@@ -67,7 +114,12 @@
 
   /// Regions that lose each other; what is on its way is lost, and so is what is sent.
   void cut(std::size_t region, std::size_t other);
-  void heal() { cuts_.clear(); }
+  void heal() {
+    cuts_.clear();
+    isolated_.clear();
+  }
+  /// Cuts a process off from the others named, in both directions.
+  void isolate(Address const& process, std::set<Address> from);
 
   using Done = std::function<void(Result<Bytes>)>;
   /// Sends one message. `done` gets the reply, or why there can be none; empty: nobody waits for one.
@@ -77,7 +129,7 @@
   struct Event {
     Instant at;
     std::uint64_t number = 0;
-    std::shared_ptr<HollowMeter> meter;
+    std::shared_ptr<HollowMachine> machine;
     std::function<void()> run;
     bool operator<(Event const& o) const { return std::pair(at, number) > std::pair(o.at, o.number); }
   };
@@ -85,7 +137,10 @@
 
   void run(Event& event);
   Duration delay(HollowPlace const& from, HollowPlace const& to) const;
-  bool open(HollowPlace const& from, HollowPlace const& to) const;
+  bool open(HollowProcess const& from, HollowProcess const& to) const;
+  /// When a message that is sent now has arrived, past both machines' links.
+  Instant arrival(HollowProcess& from, HollowProcess& to, std::size_t payload);
+  void charge_receipt(HollowProcess& to, std::size_t payload);
   void arrive(std::weak_ptr<HollowProcess> const& from, std::shared_ptr<HollowProcess> const& to, std::uint8_t kind,
               Payload const& payload, Done const& done);
   Task<void> handle(std::weak_ptr<HollowProcess> from, std::shared_ptr<HollowProcess> to, std::uint8_t kind,
@@ -102,6 +157,9 @@
   std::priority_queue<Event> queue_;
   tsl::robin_map<Address, std::shared_ptr<HollowProcess>> processes_;
   std::set<std::pair<std::size_t, std::size_t>> cuts_;
+  std::map<Address, std::set<Address>> isolated_;
+  HollowCosts const costs_;
+  std::shared_ptr<HollowMachine> running_;  // the machine of the event that runs now
   Duration clock_cost_{};
 };
 
@@ -135,11 +193,11 @@
     std::uint64_t const number_;
   };
 
-  HollowProcess(HollowNetwork& network, Address address, HollowPlace place, std::shared_ptr<HollowMeter> meter)
+  HollowProcess(HollowNetwork& network, Address address, HollowPlace place, std::shared_ptr<HollowMachine> machine)
       : network_(network),
         address_(std::move(address)),
         place_(std::move(place)),
-        meter_(std::move(meter)),
+        machine_(std::move(machine)),
         chance_(network.chance()()) {}
   ~HollowProcess() { kill(); }
 
@@ -159,13 +217,14 @@
   Address const& address() const { return address_; }
   HollowPlace const& place() const { return place_; }
   HollowNetwork& network() { return network_; }
-  std::shared_ptr<HollowMeter> const& meter() const { return meter_; }
+  std::shared_ptr<HollowMachine> const& machine() const { return machine_; }
+  HollowMeter& meter() const { return machine_->meter; }
 
  private:
   HollowNetwork& network_;
   Address const address_;
   HollowPlace const place_;
-  std::shared_ptr<HollowMeter> const meter_;
+  std::shared_ptr<HollowMachine> const machine_;
   std::mt19937_64 chance_;
   Dispatcher* desk_ = nullptr;
   bool alive_ = true;
--- a/source/programs/hollow_main.cpp
+++ b/source/programs/hollow_main.cpp
@@ -1,6 +1,7 @@
 // banktide-hollow: measures the mesh at sizes that no machine at hand can run for
 // real. It makes one hollow fleet, has one thing happen to it, and prints what was
 // counted as lines of "trial,x,role,metric,mean,highest".
+#include "programs/hollow_delivery.hpp"
 #include "programs/hollow_fleet.hpp"
 #include "programs/hollow_fleet_objects.hpp"
 #include "programs/settings.hpp"
@@ -17,7 +18,7 @@
 constexpr Duration restart_takes = 1s;
 
 void define(Settings& s) {
-  s.text("measure", "fleet", "fleet, objects or frames");
+  s.text("measure", "fleet", "fleet, objects, frames or delivery");
   s.text("trial", "one", "name of the trial in the lines printed");
   s.text("x", "0", "what was varied, in the lines printed");
   s.number("nodes", 50, 1, 20000, "nodes, all zones together");
@@ -35,6 +36,9 @@
   s.number("seed", 1, 0, 1u << 30, "seed of everything drawn");
   s.number("changes-per-minute", 0, 0, 6000, "configurations written while measuring");
   s.number("restarts-per-minute", 0, 0, 6000, "nodes restarted while measuring");
+  s.text(
+      "trouble", "none",
+      "with --measure delivery: none, storm, relays_killed, half_killed, rolling_restarts, keepers_killed, writer_killed, keeper_cut_off or all");
   s.text("event", "none", "afterwards: none, zone (lost and back) or region (cut and healed)");
 }
 
@@ -194,6 +198,31 @@
   std::size_t changed_ = 0, restarted_ = 0;
 };
 
+void print_delivery(DeliveryTrouble const trouble, std::size_t const routes, DeliveryFigures const& figures) {
+  auto const line = [&](std::string const& metric, double const value) {
+    std::cout << to_text(trouble) << "," << routes << "," << metric << "," << value << std::endl;
+  };
+  line("formed", figures.formed);
+  line("acknowledged", static_cast<double>(figures.acknowledged));
+  for (double const share : {0.5, 0.9, 0.99, 0.999, 1.0})
+    line("in_force_ms_" + std::to_string(share).substr(0, 5), figures.to_force.milliseconds(share));
+  line("first_in_force_ms_median", figures.to_first_force.milliseconds(0.5));
+  line("first_in_force_ms_max", figures.to_first_force.milliseconds(1));
+  line("behind", static_cast<double>(figures.behind));
+  for (HollowMeasurement const& m : figures.load)
+    if (m.metric.ends_with("_bytes") || m.metric == "sent_messages")
+      line(m.role + "_" + m.metric + "_mean", m.mean), line(m.role + "_" + m.metric + "_highest", m.highest);
+}
+
+void measure_deliveries(Settings const& s) {
+  for (DeliveryTrouble const trouble : delivery_troubles) {
+    if (s.text("trouble") != "all" && s.text("trouble") != to_text(trouble)) continue;
+    HollowFleetSettings settings = large_site(s.number("routes"));
+    settings.seed = s.number("seed");
+    print_delivery(trouble, settings.routes, measure_delivery(settings, trouble));
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -206,6 +235,8 @@
     measure_objects(std::cout);
   } else if (s.text("measure") == "frames") {
     measure_frames(std::cout);
+  } else if (s.text("measure") == "delivery") {
+    measure_deliveries(s);
   } else {
     code = std::make_unique<Trial>(s)->run();
   }
