Nodes that leave or are suspected stand last in the relay tree

What callers saw: acknowledged configurations that weren't in force in time. Cause, one of three: a node kept its place among the relays until it was taken for dead, 1.2 to 3.7 s after it had ended, and for planned restarts as well, which say so seconds before. A third of a zone hung on each first relay. Change: members that are fit come first in the order of the tree, the others behind them: they get the news and nobody depends on them. A change of standing now counts as a change of the membership, as places depend on it.

--- a/source/coordination/ring_places.hpp
+++ b/source/coordination/ring_places.hpp
@@ -8,7 +8,8 @@
 
 namespace banktide {
 
-/// The places around one member (or registry) of a zone.
+/// The places around one member (or registry) of a zone. Who leaves or is suspected stands last in the relay tree: it
+/// still gets the news, and nobody depends on it for them.
 class RingPlaces {
  public:
   explicit RingPlaces(std::string id) : id_(std::move(id)) {}
@@ -18,13 +19,15 @@
     if (known_ && seen_ == view.membership()) return;
     known_ = true;
     seen_ = view.membership();
-    std::vector<std::string> all, nodes;
+    std::vector<std::string> all, fit, others;
     for (auto const& [id, m] : view.members) {
       all.push_back(id);
-      if (m.role != Role::registry) nodes.push_back(id);
+      if (m.role != Role::registry) (m.standing == Standing::fit ? fit : others).push_back(id);
     }
     std::vector<std::string> const order = ring_order(std::move(all));
-    nodes_ = ring_order(std::move(nodes));
+    nodes_ = ring_order(std::move(fit));
+    std::vector<std::string> const last = ring_order(std::move(others));
+    nodes_.insert(nodes_.end(), last.begin(), last.end());
     watchers_ = watchers_of(id_, order);
     watched_.clear();
     auto const me = std::find(order.begin(), order.end(), id_);
--- a/source/state/cell_view.hpp
+++ b/source/state/cell_view.hpp
@@ -16,14 +16,14 @@
   std::map<std::pair<std::string, std::string>, BackendRecord> backends;
   std::map<std::string, CellEntry> cells;
 
-  /// Counts how often members came, went or changed their role.
+  /// Counts how often members came, went or changed their role or standing.
   std::uint64_t membership() const { return membership_; }
 
   void fold(Change const& c) {
     if (c.member) {
       auto const known = members.find(c.member->id);
       bool const dead = c.member->standing == Standing::dead;
-      if (known == members.end() ? !dead : dead || known->second.role != c.member->role) ++membership_;
+      if (known == members.end() ? !dead : dead || changes_place(known->second, *c.member)) ++membership_;
       if (dead) {
         members.erase(c.member->id);
         std::erase_if(backends, [&](auto const& b) { return b.second.node == c.member->id; });
@@ -67,6 +67,9 @@
   }
 
  private:
+  static bool changes_place(Member const& before, Member const& after) {
+    return before.role != after.role || before.standing != after.standing;
+  }
   void fold_entry(CellEntryDelta const& delta) {
     auto const known = cells.find(delta.cell);
     if (known != cells.end()) apply_entry_delta(known->second, delta);
--- a/tests/coordination/zone_feed_test.cpp
+++ b/tests/coordination/zone_feed_test.cpp
@@ -211,6 +211,39 @@
   }
 }
 
+TEST(ZoneFeed, who_leaves_or_is_suspected_stands_last_in_the_relay_tree_and_stays_on_the_ring) {
+  CellView view;
+  RingPlaces places("");
+  auto const fold = [&](std::string const& id, Standing const standing) {
+    view.fold(Change{0, Member{id, "a", id, Role::node, 1, standing}, std::nullopt, std::nullopt});
+    places.follow(view);
+  };
+  std::vector<std::string> ids;
+  for (int i = 0; i < 13; ++i) ids.push_back("n" + std::to_string(i));
+  for (std::string const& id : ids) fold(id, Standing::fit);
+  std::vector<std::string> const first = places.first_relays();
+  ASSERT_EQ(first.size(), 3u);
+  fold(first[0], Standing::leaving);
+  fold(first[1], Standing::suspected);
+  std::vector<std::string> const then = places.first_relays();
+  EXPECT_EQ(then.front(), first[2]);
+  std::set<std::string> reached(then.begin(), then.end());
+  for (std::string const& id : ids) {
+    RingPlaces of_member(id);
+    of_member.follow(view);
+    std::vector<std::string> const below = of_member.relays();
+    reached.insert(below.begin(), below.end());
+    EXPECT_EQ(of_member.watchers(), watchers_of(id, ring_order(ids)));
+    if (id == first[0] || id == first[1]) {
+      EXPECT_TRUE(below.empty()) << id;
+    }
+  }
+  EXPECT_EQ(reached.size(), ids.size());
+  fold(first[0], Standing::fit);
+  fold(first[1], Standing::fit);
+  EXPECT_EQ(places.first_relays(), first);
+}
+
 // ---- what zones tell each other
 
 CellEntry entry_with(std::size_t const gateways) {
