A node that lost its way to the news asks one registry, not all of them

Cause: a node without a pulse for 0.6 s asked all 21 registries for all that is newer, used no answer before the slowest had come, and began again at once. With 1,520 routes each answer is 35 KB, one round more than its link carries in a second, and the answers held up pulses, heartbeats and each other. Ruled out: late registries (0.06 s at the most). Change: the own registry is asked; if it doesn't answer or vouch, three others and then the rest tell revisions only, and the values come from the first that vouches. An answer that is vouched for counts like a pulse. Heartbeats tell revisions, so who lost its relay learns of a newer version in 0.2 s, and asks if the news haven't come 60 ms later. News are passed on before their values are taken. Tests: Zones.nodes_that_lost_their_registry_ask_one_other..., Zones.who_hears_a_neighbours_heartbeat...

--- a/source/coordination/zone_feed.hpp
+++ b/source/coordination/zone_feed.hpp
@@ -297,7 +297,8 @@
   void tell_watchers() {
     if (places_.watchers().empty()) return;
     Position const at = warm() ? position() : Position{};
-    SharedBytes const raw = pack_shared(Beat{s_.registry_id, s_.registry_address, 1, at, s_.zone});
+    SharedBytes const raw =
+        pack_shared(Beat{s_.registry_id, s_.registry_address, 1, at, s_.zone, sources_.revisions()});
     for (std::string const& id : places_.watchers()) w_.tell_raw(view_.members.at(id).address, Beat::kind, raw);
   }
 
--- a/source/coordination/zone_follower.hpp
+++ b/source/coordination/zone_follower.hpp
@@ -6,11 +6,11 @@
 #pragma once
 
 #include "coordination/feed_timing.hpp"
+#include "coordination/held_values.hpp"
 #include "coordination/registry_directory.hpp"
 #include "coordination/ring_places.hpp"
 #include "protocol/digest.hpp"
 #include "state/cell_view.hpp"
-#include "state/key_table_delta.hpp"
 
 namespace banktide {
 
@@ -75,7 +75,7 @@
   Address own_registry() const { return directory_.registry_of(s_.zone, w_.now()); }
   /// How many registries there are, as they say themselves.
   std::uint32_t cores() const { return cores_; }
-  Held const& held(Register const r) const { return held_.at(static_cast<std::size_t>(r)); }
+  Held const& held(Register const r) const { return values_.of(r); }
   /// There was a reading that a majority vouched for.
   bool fresh() const { return fresh_; }
   /// There was a view of the zone.
@@ -96,19 +96,17 @@
       co_await ask_for_values(own_registry(), own_until);
       if (keys().revision < wanted) co_await sleep_for(w_, ask_keys_again);
     }
-    std::vector<Address> const others = askable().others;
+    std::vector<Address> const others = live_others(own_registry());
     if (keys().revision < wanted && !others.empty())
       co_await ask_for_values(others[w_.chance()() % others.size()], w_.now() + other_keys_patience);
     co_return keys().revision >= wanted;
   }
 
   /// Asks for a reading that confirms the routing register's value here, or brings a newer one: the own registry, and
-  /// all others if that doesn't vouch. False if none did.
+  /// others if that doesn't vouch. False if none did.
   Task<bool> confirm_routing() {
-    Askable const registries = askable();
-    bool const by_own = co_await catch_up_values(registries.own);
-    if (by_own || registries.others.empty()) co_return by_own;
-    co_return co_await catch_up_values(registries.others);
+    Address const own = own_registry();
+    co_return co_await catch_up_values(own);
   }
 
   /// The registry is to be told anew what this node has.
@@ -228,70 +226,44 @@
 
   // ---- values of the registers
 
-  void take_values(std::vector<std::pair<Register, Held>> const& newer) {
-    std::vector<Register> taken;
-    for (auto const& [r, h] : newer) {
-      std::size_t const i = static_cast<std::size_t>(r);
-      if (i >= held_.size()) continue;
-      if (broken_on_purpose("old_catalogue") && r == Register::catalogue && held_[i].revision > 0) continue;
-      if (h.revision <= held_[i].revision || digest_of(h.bytes) != h.digest) continue;
-      held_[i] = h;
-      if (r == Register::keys) keys_doubtful_ = false;
-      taken.push_back(r);
-    }
+  void take_values(std::vector<std::pair<Register, Held>> newer) {
+    if (broken_on_purpose("old_catalogue") && held(Register::catalogue).revision > 0)
+      std::erase_if(newer, [](auto const& value) { return value.first == Register::catalogue; });
+    tell_taken(values_.take(newer));
+  }
+  void take_key_deltas(std::vector<KeyDelta> const& deltas) { tell_taken(values_.take_key_deltas(deltas)); }
+  void tell_taken(std::vector<Register> const& taken) {
     if (!events_.value) return;
     for (Register const r : taken) events_.value(r, held(r));
   }
-
-  // Deltas made from another version than is here change nothing; the next question
-  // to a registry tells it which one is.
-  void take_key_deltas(std::vector<KeyDelta> const& deltas) {
-    if (deltas.empty() || deltas.back().to <= keys().revision) return;
-    Result<Held> const next = apply_key_deltas(keys(), deltas);
-    if (next) return take(Register::keys, *next);
-    bool const from_here = std::any_of(deltas.begin(), deltas.end(),
-                                       [this](KeyDelta const& delta) { return delta.from == keys().revision; });
-    if (!from_here) return;
-    log_warn("key_delta_refused", {{"reason", next.error().reason}});
-    keys_doubtful_ = true;
-  }
   Held const& keys() const { return held(Register::keys); }
 
-  Revisions revisions() const {
-    Revisions all{};
-    for (std::size_t i = 0; i < all.size(); ++i) all[i] = held_[i].revision;
-    return all;
-  }
-  // Of a table that deltas don't fit the whole is asked for.
-  LayoutsAsk question_for_values(bool const fresh, bool const without_keys) const {
-    LayoutsAsk question{revisions(), fresh, without_keys};
-    if (keys_doubtful_) question.have[static_cast<std::size_t>(Register::keys)] = 0;
-    return question;
-  }
-  bool is_newer(Revisions const& told) const {
-    for (std::size_t i = 0; i < told.size(); ++i)
-      if (told[i] > held_[i].revision) return true;
-    return false;
-  }
-
   // ---- news of the zone
 
+  // What is to be passed on goes first: reading a value takes long on a small machine, on each level of the tree.
   Task<Told> news(News q) {
     last_contact_ = w_.now();
-    take_values(q.layouts);
+    bool const current = is_current(q);
+    if (current) pass_on(q);
+    take_values(std::move(q.layouts));
     take_key_deltas(q.key_deltas);
-    // A registry that has kept the zone before may not know yet that it doesn't.
+    if (!current) co_return Told{};
+    fold(q.at, q.changes);
+    if (!q.vouched || !(q.at == at_) || values_.lack(q.revisions)) behind();
+    co_return Told{};
+  }
+
+  // Whether the news come from the zone's registry, and are the latest. A registry that has kept the zone before may
+  // not know yet that it doesn't.
+  bool is_current(News const& q) {
     Address const own = own_registry();
-    if (!own.empty() && q.root != own) co_return Told{};
+    if (!own.empty() && q.root != own) return false;
     directory_.heard(q.root, w_.now() - news_may_be_late);
-    if (q.at.epoch == pulse_epoch_ && q.pulse <= pulse_) co_return Told{};
+    if (q.at.epoch == pulse_epoch_ && q.pulse <= pulse_) return false;
     pulse_epoch_ = q.at.epoch;
     pulse_ = q.pulse;
     if (q.vouched) vouched_ = w_.now();
-    pass_on(q);
-    fold(q.at, q.changes);
-    if (!q.vouched || !(q.at == at_) || is_newer(q.revisions)) behind();
-    co_return Told{};
+    return true;
   }
 
   void pass_on(News const& q) {
@@ -326,11 +298,15 @@
     fresh_alarm_.wake();
   }
 
-  Task<bool> catch_up(Address const from) {
+  enum class Followed : std::uint8_t { no_answer, not_kept_there, followed };
+
+  Task<Followed> catch_up_view(Address const from) {
+    if (from.empty()) co_return Followed::no_answer;
     Follow const question{at_, s_.zone};
     Result<FollowReply> const r = co_await ask(w_, from, question, w_.now() + 250ms);
-    if (r) heard(from);
-    if (!r || !r->known) co_return false;
+    if (!r) co_return Followed::no_answer;
+    heard(from);
+    if (!r->known) co_return Followed::not_kept_there;
     if (r->snapshot) {
       view_.replace(*r->snapshot);
       at_ = r->snapshot->at;
@@ -344,76 +320,85 @@
       viewed_ = true;
       status_changed();
     }
-    co_return true;
-  }
-
-  // Values from every registry asked that vouches for them. The table of keys is
-  // large: of several registries one is asked for it.
-  Task<bool> catch_up_values(std::vector<Address> const from) {
-    bool const first = !fresh_;
-    LayoutsAsk const question = question_for_values(first, from.size() > 1);
+    co_return Followed::followed;
+  }
+
+  Duration values_patience() const { return fresh_ ? Duration(400ms) : Duration(1000ms); }
+
+  // The newest values that a quorum vouches for: from the registry named, if it answers and vouches for its own, else
+  // from others. False if nobody vouched.
+  Task<bool> catch_up_values(Address const first) {
+    if (!first.empty() && co_await ask_for_values(first, w_.now() + values_patience())) co_return true;
+    if (broken_on_purpose("own_registry_only")) co_return false;
+    std::vector<Address> others = live_others(first);
+    std::shuffle(others.begin(), others.end(), w_.chance());
+    std::size_t const few = std::min(asked_at_first, others.size());
+    std::vector<Address> const rest(others.begin() + static_cast<std::ptrdiff_t>(few), others.end());
+    others.resize(few);
+    if (co_await catch_up_from_one_of(others)) co_return true;
+    co_return co_await catch_up_from_one_of(rest);
+  }
+
+  // Each tells its revisions only. The first that a quorum vouches for is the one whose values are fetched, if they
+  // are newer: whole values of many registries would fill the links.
+  Task<bool> catch_up_from_one_of(std::vector<Address> const from) {
+    if (from.empty()) co_return false;
+    LayoutsAsk question = values_.question();
+    question.fresh = !fresh_;
+    question.revisions_only = true;
     Instant const asked = w_.now();
-    auto const replies = co_await ask_all<LayoutsAsk>(w_, from, question, w_.now() + (first ? 1000ms : 400ms),
-                                                      [](auto const&) { return false; });
-    bool known = false;
-    Revision newest_keys = 0;
-    Address has_keys;
-    for (auto const& [i, r] : replies) {
+    auto const vouches = [](auto const& reply) { return reply.second && reply.second->known; };
+    auto const one_vouches = [vouches](auto const& replies) { return vouches(replies.back()); };
+    auto const replies = co_await ask_all<LayoutsAsk>(w_, from, question, asked + values_patience(), one_vouches);
+    for (auto const& [i, r] : replies)
       if (r) heard(from[i]);
-      if (!r || !r->known) continue;
-      take_reply(*r);
-      note_confirmed(*r, asked);
-      known = true;
-      Revision const of_keys = r->revisions[static_cast<std::size_t>(Register::keys)];
-      if (of_keys <= newest_keys) continue;
-      newest_keys = of_keys;
-      has_keys = from[i];
-    }
-    if (newest_keys > keys().revision) co_await ask_for_values(has_keys, w_.now() + 400ms);
-    if (known && !fresh_) {
-      fresh_ = true;
-      status_changed();
+    auto const vouching = std::find_if(replies.begin(), replies.end(), vouches);
+    if (vouching == replies.end()) co_return false;
+    LayoutsReply const& told = *vouching->second;
+    if (!values_.lack(told.revisions)) {
+      take_vouched_reply(told, asked);
+      co_return true;
     }
-    co_return known;
+    Address const newest = from[vouching->first];
+    co_return co_await ask_for_values(newest, w_.now() + values_patience());
   }
 
-  // What one registry has is chosen even if it can't vouch that it's the newest.
-  Task<void> ask_for_values(Address const from, Instant const deadline) {
-    LayoutsAsk const question = question_for_values(false, false);
+  // Takes whatever that registry has, which is chosen even if it can't vouch that it's the newest. Whether it vouches.
+  Task<bool> ask_for_values(Address const from, Instant const deadline) {
+    LayoutsAsk question = values_.question();
+    question.fresh = !fresh_;
+    Instant const asked = w_.now();
     Result<LayoutsReply> const r = co_await ask(w_, from, question, deadline);
-    if (!r) co_return;
+    if (!r) co_return false;
     heard(from);
-    take_reply(*r);
-  }
-
-  void take_reply(LayoutsReply const& reply) {
-    take_values(reply.newer);
-    take_key_deltas(reply.key_deltas);
+    take_values(r->newer);
+    take_key_deltas(r->key_deltas);
+    if (r->known) take_vouched_reply(*r, asked);
+    co_return r->known;
   }
 
   // The reply was made after the question was sent, and its reading was begun at most its age before that.
-  void note_confirmed(LayoutsReply const& reply, Instant const asked) {
+  void take_vouched_reply(LayoutsReply const& reply, Instant const asked) {
+    vouched_ = w_.now();
     bool const here = held(Register::routing).revision >= reply.revisions[static_cast<std::size_t>(Register::routing)];
     if (here && events_.routing_confirmed)
       events_.routing_confirmed(asked - std::chrono::milliseconds(reply.reading_age_ms));
+    if (fresh_) return;
+    fresh_ = true;
+    status_changed();
   }
 
-  struct Askable {
-    std::vector<Address> own, others;
-  };
-  Askable askable() const {
-    Askable all;
-    std::vector<Address> const live = directory_.live(w_.now());
-    Address const mine = own_registry();
-    for (RegistryEntry const& e : directory_.entries()) {
-      if (!live.empty() && std::find(live.begin(), live.end(), e.address) == live.end()) continue;
-      (e.cell == s_.zone || e.address == mine ? all.own : all.others).push_back(e.address);
-    }
+  // Registries of any zone that were heard lately, or all that are known if none was.
+  std::vector<Address> live_others(Address const& but) const {
+    std::vector<Address> all = directory_.live(w_.now());
+    if (all.empty())
+      for (RegistryEntry const& e : directory_.entries()) all.push_back(e.address);
+    std::erase(all, but);
     return all;
   }
 
-  // Behind or without a pulse, a node asks its registry. While that is gone, or
-  // has no majority to vouch for its values, every other zone's is asked for
+  // Behind or without a pulse that is vouched for, a node asks its registry. While that is gone, or
+  // has no majority to vouch for its values, it asks another zone's for
   // them too: the one way in which zones lean on each other's control planes.
   Task<void> keep_fresh() {
     while (true) {
@@ -422,14 +407,13 @@
       if (!is_behind_ && !unvouched && fresh_ && viewed_) continue;
       is_behind_ = false;
       Address const own = own_registry();
-      bool const followed = !own.empty() && co_await catch_up(own);
-      Askable const registries = askable();
-      std::vector<Address> from = registries.own;
-      if ((!followed || unvouched) && !broken_on_purpose("own_registry_only"))
-        from.insert(from.end(), registries.others.begin(), registries.others.end());
-      bool const values = co_await catch_up_values(from);
-      if (!followed && !viewed_ && !registries.others.empty() && w_.now() - started_ > 3s)
-        co_await borrow_view(registries.others[w_.chance()() % registries.others.size()]);
+      Followed const view = co_await catch_up_view(own);
+      Address const first = view == Followed::no_answer ? Address() : own;
+      bool const values = co_await catch_up_values(first);
+      bool const followed = view == Followed::followed;
+      std::vector<Address> const others = live_others(own);
+      if (!followed && !viewed_ && !others.empty() && w_.now() - started_ > 3s)
+        co_await borrow_view(others[w_.chance()() % others.size()]);
       if (values) ask_pause_ = shortest_ask_pause;
       co_await sleep_for(w_, followed && values ? Duration(20ms) : jittered(ask_pause_));
       if (!values) ask_pause_ = std::min(2 * ask_pause_, longest_ask_pause);
@@ -462,10 +446,24 @@
   Task<Told> beaten(Beat q) {
     last_contact_ = w_.now();
     heard_[q.id] = w_.now();
-    if (q.at.epoch == at_.epoch && q.at.seq > at_.seq) behind();
+    if (is_ahead(q.at, q.revisions) && !checking_) {
+      checking_ = true;
+      spawn(w_, ask_if_still_behind(q.at, q.revisions));
+    }
     co_return Told{};
   }
 
+  bool is_ahead(Position const at, Revisions const& revisions) const {
+    return (at.epoch == at_.epoch && at.seq > at_.seq) || values_.lack(revisions);
+  }
+
+  // The news that the sender has already may be on their way here.
+  Task<void> ask_if_still_behind(Position const at, Revisions const revisions) {
+    co_await sleep_for(w_, news_are_on_their_way);
+    checking_ = false;
+    if (is_ahead(at, revisions)) behind();
+  }
+
   Task<void> keep_beating() {
     Instant last = w_.now();
     while (true) {
@@ -481,7 +479,7 @@
 
   void tell_watchers() {
     if (places_.watchers().empty()) return;
-    SharedBytes const raw = pack_shared(Beat{s_.id, s_.address, incarnation_, at_, s_.zone});
+    SharedBytes const raw = pack_shared(Beat{s_.id, s_.address, incarnation_, at_, s_.zone, values_.revisions()});
     for (std::string const& id : places_.watchers()) w_.tell_raw(view_.members.at(id).address, Beat::kind, raw);
   }
 
@@ -507,7 +505,9 @@
   static constexpr Duration own_keys_patience = 150ms;
   static constexpr Duration other_keys_patience = 300ms;
   static constexpr Duration ask_keys_again = 25ms;
-  static constexpr Duration meet_often_for = 3s;  // from the start, until all registries had time to be heard of
+  static constexpr Duration news_are_on_their_way = 60ms;
+  static constexpr std::size_t asked_at_first = 3;  // registries, when the own one doesn't vouch
+  static constexpr Duration meet_often_for = 3s;    // from the start, until all registries had time to be heard of
   // Frames between processes are given up long before they are this old.
   static constexpr Duration news_may_be_late = 3s;
 
@@ -522,7 +522,7 @@
   Instant const started_;
   Instant last_contact_;
   ZoneView view_;
-  std::array<Held, register_count> held_;
+  HeldValues values_;
   Position at_;
   std::map<std::string, Instant> heard_;
   Duration ask_pause_ = shortest_ask_pause;  // doubles while nobody vouches for values
@@ -530,7 +530,7 @@
   std::uint64_t incarnation_ = 1, pulse_ = 0, pulse_epoch_ = 0;
   Instant vouched_{};
   bool fresh_ = false, viewed_ = false, leaving_ = false, left_ = false, dirty_ = true, is_behind_ = false;
-  bool keys_doubtful_ = false;  // a delta from this very version didn't fit
+  bool checking_ = false;  // whether this node is behind one that it heard a beat of
 };
 
 }  // namespace banktide
--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -260,12 +260,13 @@
     reply.known = vouched();
     if (reply.known) reply.reading_age_ms = static_cast<std::uint32_t>(as_ms(*reading_age()) + 1);  // rounded up
     reply.revisions = revisions();
+    if (q.revisions_only) co_return reply;
     for (Register const r : told_registers) {
       std::size_t const i = static_cast<std::size_t>(r);
       if (reply.revisions[i] <= q.have[i]) continue;
       if (r != Register::keys) {
         reply.newer.emplace_back(r, held_[i]);
-      } else if (!q.without_keys) {
+      } else {
         add_keys(reply, q.have[i]);
       }
     }
--- a/source/protocol/zone_messages.hpp
+++ b/source/protocol/zone_messages.hpp
@@ -171,9 +171,9 @@
   static constexpr std::uint8_t kind = 12;
   using Reply = LayoutsReply;
   Revisions have{};
-  bool fresh = false;         // a new majority reading, not the last known
-  bool without_keys = false;  // of the table of keys its revision will do
-  BANKTIDE_FIELDS(have, fresh, without_keys)
+  bool fresh = false;           // a new majority reading, not the last known
+  bool revisions_only = false;  // no values: the asker fetches them from one of those that it asks
+  BANKTIDE_FIELDS(have, fresh, revisions_only)
 };
 
 struct JoinReply {
@@ -220,7 +220,8 @@
   std::uint64_t incarnation = 0;
   Position at;
   std::string zone;
-  BANKTIDE_FIELDS(id, address, incarnation, at, zone)
+  Revisions revisions{};  // of the registers' values that the sender has
+  BANKTIDE_FIELDS(id, address, incarnation, at, zone, revisions)
 };
 
 struct Suspect {
--- a/tests/coordination/zone_feed_test.cpp
+++ b/tests/coordination/zone_feed_test.cpp
@@ -416,6 +416,80 @@
   EXPECT_EQ(t.registry("ra").held(Register::keys).revision, 1000u);
 }
 
+// What nodes ask registries for, seen on the network.
+struct ValueQuestions {
+  std::map<Address, std::size_t> for_values;  // by asker: questions that are answered with whole values
+  std::size_t for_revisions = 0;
+
+  void watch(ZoneTrial& t) {
+    t.net.tap = [this](SimProcess const& from, Address const&, std::uint8_t const kind, Bytes const& raw) {
+      if (kind != LayoutsAsk::kind) return;
+      bool const revisions_only = unpack<LayoutsAsk>(raw)->revisions_only;
+      revisions_only ? ++for_revisions : ++for_values[from.address];
+    };
+  }
+};
+
+Task<void> write_routing(ZoneTrial& trial, std::string const registry_id, Revision const revision) {
+  Registry<SimProcess>& registry = trial.registry(registry_id);
+  std::string const bytes = "value " + std::to_string(revision);
+  auto const step = [bytes, revision](Held const&) -> Result<Held> {
+    return Held{revision, bytes, digest_of(bytes), {}};
+  };
+  Instant const deadline = trial.controls.at(registry_id).process->now() + 3s;
+  Result<Held> const done = co_await registry.registers().change(Register::routing, "", deadline, step);
+  if (done) registry.announce(Register::routing, *done);
+}
+
+// Guards against CONFIG: nodes without their registry asked all others for whole values, again and again, which filled
+// their links for seconds.
+TEST(Zones, nodes_that_lost_their_registry_ask_one_other_for_a_value_whatever_the_number_of_registries) {
+  ZoneTrial t(8);
+  for (int i = 0; i < 12; ++i) t.seeds.push_back("r" + std::to_string(i));
+  for (std::string const& id : t.seeds) t.add_registry(id, "zone-of-" + id);
+  for (int i = 0; i < 6; ++i) t.add_node("a" + std::to_string(i), "zone-of-r0", "s");
+  ASSERT_TRUE(t.run_until([&] { return t.nodes_seen("a5") == 6; }, 15s));
+  t.run_for(3s);
+  t.kill("r0:1");
+  t.run_for(2s);
+  ValueQuestions questions;
+  questions.watch(t);
+  spawn(*t.controls.at("r3").process, write_routing(t, "r3", 1000));
+  EXPECT_TRUE(t.run_until(
+      [&] {
+        return std::all_of(t.nodes.begin(), t.nodes.end(), [](auto const& n) {
+          return n.second.values.contains(Register::routing) && n.second.values.at(Register::routing) == "value 1000";
+        });
+      },
+      2s));
+  for (auto const& [asker, count] : questions.for_values) EXPECT_LE(count, 2u) << asker;
+  EXPECT_GT(questions.for_revisions, 0u);
+}
+
+// Guards against CONFIG: a node below a relay that was gone knew nothing of a newer version until it had missed pulses
+// for long.
+TEST(Zones, who_hears_a_neighbours_heartbeat_asks_for_the_newer_version_that_it_tells) {
+  ZoneTrial t(9);
+  t.seeds = {"ra"};
+  t.add_registry("ra", "a");
+  for (int i = 0; i < 13; ++i) t.add_node("a" + std::to_string(i), "a", "s");
+  ASSERT_TRUE(t.run_until([&] { return t.nodes_seen("a12") == 13; }, 15s));
+  t.run_for(3s);
+  std::vector<std::string> ids;
+  for (auto const& [id, n] : t.nodes) ids.push_back(id);
+  std::vector<std::string> const first = relays_below("", ring_order(ids));
+  ASSERT_EQ(first.size(), 3u);
+  t.kill(first[0] + ":1");
+  spawn(*t.controls.at("ra").process, write_routing(t, "ra", 1000));
+  EXPECT_TRUE(t.run_until(
+      [&] {
+        return std::all_of(t.nodes.begin(), t.nodes.end(), [&](auto const& n) {
+          return n.first == first[0] || n.second.values.contains(Register::routing);
+        });
+      },
+      FeedTiming{}.pulse_missed - 100ms));
+}
+
 TEST(Zones, one_of_the_live_registries_is_the_first_and_another_when_it_is_gone) {
   ZoneTrial t(6);
   t.seeds = {"ra", "rb", "rc"};
