Configurations travel by what has changed

A delta that doesn't lead to the text that was meant is refused by name, and the whole asked for. fetch_keys asks for keys alone, as each repetition brought the configuration again. Programs of before can't be mixed with these.

--- a/source/coordination/held_values.cpp
+++ b/source/coordination/held_values.cpp
@@ -2,9 +2,11 @@
 
 #include "protocol/digest.hpp"
 #include "state/key_table_delta.hpp"
+#include "state/text_delta.hpp"
 #include "transport/log.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace banktide {
 
@@ -27,29 +29,53 @@
     if (i >= held_.size()) continue;
     if (h.revision <= held_[i].revision || digest_of(h.bytes) != h.digest) continue;
     held_[i] = h;
-    if (r == Register::keys) keys_doubtful_ = false;
+    doubtful_[i] = false;
     taken.push_back(r);
   }
   return taken;
 }
 
+template <class Delta>
+bool HeldValues::begins_here(Register const r, std::vector<Delta> const& deltas) const {
+  return std::any_of(deltas.begin(), deltas.end(),
+                     [here = of(r).revision](Delta const& delta) { return delta.from == here; });
+}
+
 std::vector<Register> HeldValues::take_key_deltas(std::vector<KeyDelta> const& deltas) {
-  Held const& keys = of(Register::keys);
-  if (deltas.empty() || deltas.back().to <= keys.revision) return {};
-  Result<Held> next = apply_key_deltas(keys, deltas);
+  if (deltas.empty() || deltas.back().to <= of(Register::keys).revision) return {};
+  Result<Held> next = apply_key_deltas(of(Register::keys), deltas);
   if (next) return take({{Register::keys, std::move(*next)}});
-  bool const from_here =
-      std::any_of(deltas.begin(), deltas.end(), [&](KeyDelta const& delta) { return delta.from == keys.revision; });
-  if (!from_here) return {};
+  if (!begins_here(Register::keys, deltas)) return {};
   log_warn("key_delta_refused", {{"reason", next.error().reason}});
-  keys_doubtful_ = true;
+  doubtful_[static_cast<std::size_t>(Register::keys)] = true;
+  return {};
+}
+
+std::vector<Register> HeldValues::take_routing_deltas(std::vector<TextDelta> const& deltas) {
+  if (deltas.empty() || deltas.back().to <= of(Register::routing).revision) return {};
+  Result<Held> next = apply_text_deltas(of(Register::routing), deltas);
+  if (next) {
+    slot(Register::routing) = std::move(*next);
+    return {Register::routing};
+  }
+  if (!begins_here(Register::routing, deltas)) return {};
+  log_warn("configuration_delta_refused", {{"reason", next.error().reason}});
+  doubtful_[static_cast<std::size_t>(Register::routing)] = true;
   return {};
 }
 
+LayoutsAsk HeldValues::question_for(Register const r) const {
+  LayoutsAsk question;
+  question.have.fill(std::numeric_limits<Revision>::max());
+  question.have[static_cast<std::size_t>(r)] = this->question().have[static_cast<std::size_t>(r)];
+  return question;
+}
+
 LayoutsAsk HeldValues::question() const {
   LayoutsAsk question;
   question.have = revisions();
-  if (keys_doubtful_) question.have[static_cast<std::size_t>(Register::keys)] = 0;
+  for (std::size_t i = 0; i < held_.size(); ++i)
+    if (doubtful_[i]) question.have[i] = 0;
   return question;
 }
 
--- a/source/coordination/held_values.hpp
+++ b/source/coordination/held_values.hpp
@@ -19,12 +19,22 @@
   /// and don't the whole table is asked for.
   std::vector<Register> take_key_deltas(std::vector<KeyDelta> const& deltas);
 
+  /// The same of the configuration.
+  std::vector<Register> take_routing_deltas(std::vector<TextDelta> const& deltas);
+
   /// For all that is newer than here.
   LayoutsAsk question() const;
+  /// For this register's value alone.
+  LayoutsAsk question_for(Register r) const;
 
  private:
+  Held& slot(Register const r) { return held_[static_cast<std::size_t>(r)]; }
+  /// Whether a delta begins at the value here, so that it should have fitted.
+  template <class Delta>
+  bool begins_here(Register r, std::vector<Delta> const& deltas) const;
+
   std::array<Held, register_count> held_;
-  bool keys_doubtful_ = false;  // a delta from this very version didn't fit
+  std::array<bool, register_count> doubtful_{};  // a delta from this very version didn't fit
 };
 
 }  // namespace banktide
--- a/source/coordination/zone_feed.hpp
+++ b/source/coordination/zone_feed.hpp
@@ -133,6 +133,13 @@
     send_down(n);
   }
 
+  /// A newer configuration, by what has changed.
+  void send_routing_delta(TextDelta const& delta) {
+    News n = next_news();
+    n.routing_deltas.push_back(delta);
+    send_down(n);
+  }
+
   /// What another zone offers.
   void take_entry(CellEntry const& entry) {
     if (entry.cell == s_.zone) return;
--- a/source/coordination/zone_follower.hpp
+++ b/source/coordination/zone_follower.hpp
@@ -93,12 +93,12 @@
   Task<bool> fetch_keys(Revision const wanted) {
     Instant const own_until = w_.now() + own_keys_patience;
     while (w_.now() < own_until && keys().revision < wanted && !own_registry().empty()) {
-      co_await ask_for_values(own_registry(), own_until);
+      co_await ask_for_keys(own_registry(), own_until);
       if (keys().revision < wanted) co_await sleep_for(w_, ask_keys_again);
     }
     std::vector<Address> const others = live_others(own_registry());
     if (keys().revision < wanted && !others.empty())
-      co_await ask_for_values(others[w_.chance()() % others.size()], w_.now() + other_keys_patience);
+      co_await ask_for_keys(others[w_.chance()() % others.size()], w_.now() + other_keys_patience);
     co_return keys().revision >= wanted;
   }
 
@@ -231,7 +231,10 @@
       std::erase_if(newer, [](auto const& value) { return value.first == Register::catalogue; });
     tell_taken(values_.take(newer));
   }
-  void take_key_deltas(std::vector<KeyDelta> const& deltas) { tell_taken(values_.take_key_deltas(deltas)); }
+  void take_deltas(std::vector<KeyDelta> const& of_keys, std::vector<TextDelta> const& of_routing) {
+    tell_taken(values_.take_key_deltas(of_keys));
+    tell_taken(values_.take_routing_deltas(of_routing));
+  }
   void tell_taken(std::vector<Register> const& taken) {
     if (!events_.value) return;
     for (Register const r : taken) events_.value(r, held(r));
@@ -246,7 +249,7 @@
     bool const current = is_current(q);
     if (current) pass_on(q);
     take_values(std::move(q.layouts));
-    take_key_deltas(q.key_deltas);
+    take_deltas(q.key_deltas, q.routing_deltas);
     if (!current) co_return Told{};
     fold(q.at, q.changes);
     if (!q.vouched || !(q.at == at_) || values_.lack(q.revisions)) behind();
@@ -363,18 +366,30 @@
     co_return co_await ask_for_values(newest, w_.now() + values_patience());
   }
 
-  // Takes whatever that registry has, which is chosen even if it can't vouch that it's the newest. Whether it vouches.
+  // Takes whatever newer values that registry has. Whether it vouches for them.
   Task<bool> ask_for_values(Address const from, Instant const deadline) {
     LayoutsAsk question = values_.question();
     question.fresh = !fresh_;
     Instant const asked = w_.now();
+    std::optional<LayoutsReply> const reply = co_await ask_registry(from, question, deadline);
+    if (reply && reply->known) take_vouched_reply(*reply, asked);
+    co_return reply && reply->known;
+  }
+
+  Task<void> ask_for_keys(Address const from, Instant const deadline) {
+    LayoutsAsk const question = values_.question_for(Register::keys);
+    co_await ask_registry(from, question, deadline);
+  }
+
+  // What one registry has is chosen even if it can't vouch that it's the newest.
+  Task<std::optional<LayoutsReply>> ask_registry(Address const from, LayoutsAsk const question,
+                                                 Instant const deadline) {
     Result<LayoutsReply> const r = co_await ask(w_, from, question, deadline);
-    if (!r) co_return false;
+    if (!r) co_return std::nullopt;
     heard(from);
     take_values(r->newer);
-    take_key_deltas(r->key_deltas);
-    if (r->known) take_vouched_reply(*r, asked);
-    co_return r->known;
+    take_deltas(r->key_deltas, r->routing_deltas);
+    co_return *r;
   }
 
   // The reply was made after the question was sent, and its reading was begun at most its age before that.
--- a/source/programs/registry.hpp
+++ b/source/programs/registry.hpp
@@ -12,8 +12,10 @@
 #include "coordination/zone_entries.hpp"
 #include "coordination/zone_feed.hpp"
 #include "programs/operator_interface.hpp"
+#include "state/delta_history.hpp"
 #include "state/key_table_delta.hpp"
 #include "state/mishaps.hpp"
+#include "state/text_delta.hpp"
 
 #include <map>
 
@@ -118,21 +120,13 @@
   void take(Register const r, Held const& h) {
     Held& mine = held_.at(static_cast<std::size_t>(r));
     if (h.revision <= mine.revision) return;
-    std::optional<KeyDelta> delta;
-    if (r == Register::keys) delta = make_key_delta(mine, h);
+    remember_delta(r, mine, h);
     mine = h;
     mine.requests.clear();  // only changes need them, which take them from the voters
-    if (r == Register::keys) remember(delta);
     // Written every few seconds of a window; its phases are logged where they are counted.
     if (r != Register::maintenance)
       log_info("revision_known", {{"register", register_name(r)}, {"revision", std::to_string(h.revision)}});
-    for (auto const& [zone, feed] : feeds_) {
-      if (delta) {
-        feed->send_key_delta(*delta);
-      } else {
-        feed->send_value(r, mine);
-      }
-    }
+    for (auto const& [zone, feed] : feeds_) send_down(*feed, r);
   }
   /// The same, and tells the other registries.
   void announce(Register const r, Held const& h) {
@@ -246,11 +240,22 @@
     co_return Told{};
   }
 
-  void remember(std::optional<KeyDelta> const& delta) {
-    if (delta) {
-      key_deltas_.add(*delta);
+  void remember_delta(Register const r, Held const& before, Held const& after) {
+    if (r == Register::keys) key_deltas_.add_or_clear(make_key_delta(before, after));
+    if (r == Register::routing) routing_deltas_.add_or_clear(make_text_delta(before, after));
+  }
+
+  // To a zone's nodes goes what has changed of a large value, where that is known.
+  void send_down(ZoneFeed<W>& feed, Register const r) {
+    Held const& newest = held(r);
+    KeyDelta const* const of_keys = key_deltas_.newest();
+    TextDelta const* const of_routing = routing_deltas_.newest();
+    if (r == Register::keys && of_keys != nullptr && of_keys->to == newest.revision) {
+      feed.send_key_delta(*of_keys);
+    } else if (r == Register::routing && of_routing != nullptr && of_routing->to == newest.revision) {
+      feed.send_routing_delta(*of_routing);
     } else {
-      key_deltas_.clear();
+      feed.send_value(r, newest);
     }
   }
 
@@ -264,23 +269,20 @@
     for (Register const r : told_registers) {
       std::size_t const i = static_cast<std::size_t>(r);
       if (reply.revisions[i] <= q.have[i]) continue;
-      if (r != Register::keys) {
-        reply.newer.emplace_back(r, held_[i]);
-      } else {
-        add_keys(reply, q.have[i]);
-      }
+      std::size_t const whole = held_[i].bytes.size();
+      bool const by_delta =
+          (r == Register::keys && add_chain(reply.key_deltas, key_deltas_.since(q.have[i], whole))) ||
+          (r == Register::routing && add_chain(reply.routing_deltas, routing_deltas_.since(q.have[i], whole)));
+      if (!by_delta) reply.newer.emplace_back(r, held_[i]);
     }
     co_return reply;
   }
 
-  void add_keys(LayoutsReply& reply, Revision const have) const {
-    Held const& keys = held(Register::keys);
-    std::optional<std::vector<KeyDelta>> chain = key_deltas_.since(have, keys.bytes.size());
-    if (chain) {
-      reply.key_deltas = std::move(*chain);
-    } else {
-      reply.newer.emplace_back(Register::keys, keys);
-    }
+  template <class Delta>
+  static bool add_chain(std::vector<Delta>& to, std::optional<std::vector<Delta>> chain) {
+    if (!chain) return false;
+    to = std::move(*chain);
+    return true;
   }
 
   Revisions revisions() const {
@@ -513,7 +515,8 @@
   Mishaps mishaps_;
   RegistryDirectory directory_;
   std::array<Held, register_count> held_;
-  KeyDeltaHistory key_deltas_;  // up to the table held, if any
+  DeltaHistory<KeyDelta> key_deltas_;       // up to the table held, if any
+  DeltaHistory<TextDelta> routing_deltas_;  // up to the configuration held, if any
   bool leaving_ = false;
   std::shared_ptr<ZoneFeed<W>> own_feed_;
   std::map<std::string, std::shared_ptr<ZoneFeed<W>>> feeds_;
--- a/source/protocol/zone_messages.hpp
+++ b/source/protocol/zone_messages.hpp
@@ -128,7 +128,16 @@
   bool operator==(KeyDelta const&) const = default;
   BANKTIDE_FIELDS(from, to, digest, bytes)
 };
-inline constexpr std::size_t key_delta_frame = 28;  // what the fields add to its bytes
+
+// What turns the configuration's text of one revision into that of a later one; made and applied by
+// state/text_delta.hpp.
+struct TextDelta {
+  Revision from = 0;
+  Revision to = 0;
+  std::string bytes;
+  bool operator==(TextDelta const&) const = default;
+  BANKTIDE_FIELDS(from, to, bytes)
+};
 
 struct News {
   static constexpr std::uint8_t kind = 10;
@@ -141,7 +150,8 @@
   Revisions revisions{};
   std::vector<std::pair<Register, Held>> layouts;
   std::vector<KeyDelta> key_deltas;  // each from where the one before ends
-  BANKTIDE_FIELDS(at, pulse, vouched, root, changes, revisions, layouts, key_deltas)
+  std::vector<TextDelta> routing_deltas;
+  BANKTIDE_FIELDS(at, pulse, vouched, root, changes, revisions, layouts, key_deltas, routing_deltas)
 };
 
 struct FollowReply {
@@ -163,9 +173,10 @@
   bool known = false;  // vouched for by a majority reading
   std::vector<std::pair<Register, Held>> newer;
   Revisions revisions{};
-  std::vector<KeyDelta> key_deltas;  // from the asker's revision, in place of the whole table
-  std::uint32_t reading_age_ms = 0;  // when known: the reading was begun at most so long before this reply
-  BANKTIDE_FIELDS(known, newer, revisions, key_deltas, reading_age_ms)
+  std::vector<KeyDelta> key_deltas;       // from the asker's revision, in place of the whole table
+  std::vector<TextDelta> routing_deltas;  // the same of the configuration
+  std::uint32_t reading_age_ms = 0;       // when known: the reading was begun at most so long before this reply
+  BANKTIDE_FIELDS(known, newer, revisions, key_deltas, routing_deltas, reading_age_ms)
 };
 struct LayoutsAsk {
   static constexpr std::uint8_t kind = 12;
--- a/source/state/compressed_text.cpp
+++ b/source/state/compressed_text.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::size_t length_bytes = 4;
-constexpr int level = 6;
+constexpr int usual_level = 6;
 // zlib can't make a text more than about a thousand times longer than its input.
 constexpr std::size_t greatest_ratio = 1100;
 
@@ -19,9 +19,7 @@
   return length;
 }
 
-}  // namespace
-
-std::string compress(std::string_view const text) {
+std::string with_level(std::string_view const text, int const level) {
   uLongf size = compressBound(static_cast<uLong>(text.size()));
   std::string bytes(length_bytes + size, '\0');
   for (std::size_t i = 0; i < length_bytes; ++i) bytes[i] = static_cast<char>(text.size() >> (8 * i) & 0xff);
@@ -32,6 +30,12 @@
   return bytes;
 }
 
+}  // namespace
+
+std::string compress(std::string_view const text) { return with_level(text, usual_level); }
+
+std::string store_uncompressed(std::string_view const text) { return with_level(text, Z_NO_COMPRESSION); }
+
 Result<std::string> decompress(std::string_view const bytes, std::size_t const longest) {
   if (bytes.size() <= length_bytes) return make_error("decompress", "", "shorter than its head");
   std::size_t const length = told_length(bytes);
--- a/source/state/compressed_text.hpp
+++ b/source/state/compressed_text.hpp
@@ -17,6 +17,9 @@
 /// The text in zlib's format, behind its length (4 bytes, little endian).
 std::string compress(std::string_view text);
 
+/// The same form without compression, for a process that keeps a text to itself.
+std::string store_uncompressed(std::string_view text);
+
 /// The text again, byte for byte. Bytes that `compress` can't have made, and texts
 /// over `longest`, are an error of the step "decompress".
 Result<std::string> decompress(std::string_view bytes, std::size_t longest = longest_decompressed_text);
--- a/source/state/key_table_delta.cpp
+++ b/source/state/key_table_delta.cpp
@@ -253,30 +253,4 @@
   return target;
 }
 
-void KeyDeltaHistory::add(KeyDelta delta) {
-  if (!deltas_.empty() && deltas_.back().to != delta.from) clear();
-  bytes_ += delta.bytes.size();
-  deltas_.push_back(std::move(delta));
-  while (deltas_.size() > most_deltas || bytes_ > most_bytes) {
-    bytes_ -= deltas_.front().bytes.size();
-    deltas_.pop_front();
-  }
-}
-
-void KeyDeltaHistory::clear() {
-  deltas_.clear();
-  bytes_ = 0;
-}
-
-std::optional<std::vector<KeyDelta>> KeyDeltaHistory::since(Revision const from, std::size_t const bytes_limit) const {
-  std::deque<KeyDelta>::const_iterator const first =
-      std::find_if(deltas_.begin(), deltas_.end(), [from](KeyDelta const& delta) { return delta.from == from; });
-  if (first == deltas_.end()) return std::nullopt;
-  std::vector<KeyDelta> const chain(first, deltas_.end());
-  std::size_t bytes = 0;
-  for (KeyDelta const& delta : chain) bytes += delta.bytes.size() + key_delta_frame;
-  if (bytes >= bytes_limit) return std::nullopt;
-  return chain;
-}
-
 }  // namespace banktide
--- a/source/state/key_table_delta.hpp
+++ b/source/state/key_table_delta.hpp
@@ -7,8 +7,6 @@
 
 #include "state/key_table.hpp"
 
-#include <deque>
-
 namespace banktide {
 
 /// The delta between two values of the register of keys. None if one of them is no
@@ -22,24 +20,4 @@
 /// or if the result isn't the value that the last delta was made for.
 Result<Held> apply_key_deltas(Held const& base, std::vector<KeyDelta> const& deltas);
 
-/// The last deltas, bounded by count and by bytes, for those who missed some.
-class KeyDeltaHistory {
- public:
-  /// One that doesn't begin where the last ends makes the earlier ones useless.
-  void add(KeyDelta delta);
-  void clear();
-  /// The chain from one revision to the newest; none if it isn't kept or its bytes
-  /// are not below the limit.
-  std::optional<std::vector<KeyDelta>> since(Revision from, std::size_t bytes_limit) const;
-  /// The last one added.
-  KeyDelta const* newest() const { return deltas_.empty() ? nullptr : &deltas_.back(); }
-
- private:
-  static constexpr std::size_t most_deltas = 64;
-  static constexpr std::size_t most_bytes = 256 * 1024;
-
-  std::deque<KeyDelta> deltas_;
-  std::size_t bytes_ = 0;
-};
-
 }  // namespace banktide
--- a/tests/coordination/key_table_feed_test.cpp
+++ b/tests/coordination/key_table_feed_test.cpp
@@ -7,6 +7,8 @@
 namespace banktide {
 namespace {
 
+constexpr std::size_t delta_frame_bytes = 28;
+
 // Bytes of tables and deltas in all messages and answers.
 struct TableBytes {
   std::size_t whole = 0, deltas = 0, wholes = 0, read_wholes = 0;
@@ -15,7 +17,7 @@
     whole += held.bytes.size();
     wholes += !held.bytes.empty();
   }
-  void add(KeyDelta const& delta) { deltas += delta.bytes.size() + key_delta_frame; }
+  void add(KeyDelta const& delta) { deltas += delta.bytes.size() + delta_frame_bytes; }
   void add_values(std::vector<std::pair<Register, Held>> const& values) {
     for (auto const& [r, held] : values)
       if (r == Register::keys) add(held);
--- /dev/null
+++ b/tests/state/text_delta_test.cpp
@@ -0,0 +1,114 @@
+// Deltas of operators' texts lead to the later text or are refused by name, and are small.
+#include "state/text_delta.hpp"
+
+#include "protocol/digest.hpp"
+#include "state/compressed_text.hpp"
+
+#include <gtest/gtest.h>
+#include <random>
+
+namespace banktide {
+namespace {
+
+std::string text_of_routes(std::size_t const count, std::size_t const changed_route, std::string const& change) {
+  std::mt19937_64 random(5);
+  std::string text = R"({"version":)" + change + R"(,"routes":[)";
+  for (std::size_t i = 0; i < count; ++i)
+    text += R"({"name":"route-)" + std::to_string(random()) + R"(","host":"shop.example","prefix":"/p)" +
+            std::to_string(random() % 100003) + R"(/","service":"orders","timeout":)" +
+            (i == changed_route ? change : "2500") + "},";
+  return text + "]}";
+}
+
+Held held_of(Revision const revision, std::string const& text) {
+  Held held;
+  held.revision = revision;
+  held.bytes = compress(text);
+  held.digest = digest_of(held.bytes);
+  return held;
+}
+
+std::string text_of(Held const& held) { return decompress(held.bytes).value_or("unreadable"); }
+
+TEST(TextDelta, leads_to_the_later_text_byte_for_byte) {
+  for (std::size_t const routes : {1u, 20u, 300u, 3000u}) {
+    Held const before = held_of(7, text_of_routes(routes, 0, "1000"));
+    std::string const text = text_of_routes(routes + 1, routes / 2, "1001");
+    std::optional<TextDelta> const delta = make_text_delta(before, held_of(9, text));
+    ASSERT_TRUE(delta) << routes;
+    Result<Held> const after = apply_text_deltas(before, {*delta});
+    ASSERT_TRUE(after) << after.error().reason;
+    EXPECT_EQ(after->revision, 9u);
+    EXPECT_EQ(text_of(*after), text);
+    EXPECT_EQ(after->digest, digest_of(after->bytes));
+  }
+}
+
+// Guards against CONFIG: whole configurations of many routes filled the links that they travel on.
+TEST(TextDelta, of_one_changed_route_takes_a_hundredth_of_the_whole) {
+  Held const before = held_of(7, text_of_routes(1500, 0, "1000"));
+  Held const after = held_of(8, text_of_routes(1500, 700, "1001"));
+  std::optional<TextDelta> const delta = make_text_delta(before, after);
+  ASSERT_TRUE(delta);
+  EXPECT_LT(delta->bytes.size() * 100, after.bytes.size());
+}
+
+TEST(TextDelta, chains_go_on_from_what_a_delta_made_and_skip_what_is_old) {
+  std::vector<Held> versions;
+  std::vector<TextDelta> deltas;
+  for (Revision n = 1; n <= 6; ++n) {
+    versions.push_back(held_of(n, text_of_routes(100, n * 10, std::to_string(n))));
+    if (n > 1) deltas.push_back(*make_text_delta(versions[n - 2], versions[n - 1]));
+  }
+  Result<Held> const third = apply_text_deltas(versions[0], {deltas[0], deltas[1]});
+  ASSERT_TRUE(third);
+  Result<Held> const last = apply_text_deltas(*third, deltas);
+  ASSERT_TRUE(last);
+  EXPECT_EQ(last->revision, 6u);
+  EXPECT_EQ(text_of(*last), text_of(versions[5]));
+}
+
+TEST(TextDelta, is_refused_by_name_where_it_does_not_fit) {
+  Held const first = held_of(1, text_of_routes(50, 1, "10"));
+  Held const second = held_of(2, text_of_routes(50, 2, "20"));
+  TextDelta const delta = *make_text_delta(first, second);
+  auto const refused = [](Held const& base, std::vector<TextDelta> const& deltas) {
+    Result<Held> const result = apply_text_deltas(base, deltas);
+    return !result && result.error().step == "text delta";
+  };
+  EXPECT_TRUE(refused(second, {delta})) << "nothing newer";
+  EXPECT_TRUE(refused(Held{}, {delta})) << "from another version";
+  Held const impostor = held_of(1, text_of_routes(60, 3, "30"));
+  EXPECT_TRUE(refused(impostor, {delta})) << "the same number with another text";
+  EXPECT_TRUE(refused(first, {delta, delta})) << "out of order";
+}
+
+TEST(TextDelta, spoilt_bytes_never_lead_to_another_text) {
+  Held const first = held_of(1, text_of_routes(30, 1, "10"));
+  Held const second = held_of(2, text_of_routes(30, 2, "20"));
+  TextDelta const delta = *make_text_delta(first, second);
+  for (std::size_t at = 0; at < delta.bytes.size(); ++at) {
+    TextDelta changed = delta;
+    changed.bytes[at] = static_cast<char>(changed.bytes[at] ^ 0x10);
+    Result<Held> const result = apply_text_deltas(first, {changed});
+    if (result) {
+      EXPECT_EQ(text_of(*result), text_of(second)) << at;
+    }
+    TextDelta cut = delta;
+    cut.bytes.resize(at);
+    EXPECT_FALSE(apply_text_deltas(first, {cut})) << at;
+  }
+}
+
+TEST(TextDelta, none_is_made_of_bytes_that_are_no_compressed_text) {
+  Held const text = held_of(1, text_of_routes(30, 1, "10"));
+  Held other;
+  other.revision = 2;
+  other.bytes = "plain";
+  EXPECT_FALSE(make_text_delta(text, other));
+  EXPECT_FALSE(make_text_delta(Held{}, text));
+  EXPECT_FALSE(make_text_delta(held_of(2, "x"), text)) << "older";
+}
+
+}  // namespace
+}  // namespace banktide
