Loads go with the next pulse instead of a message each

Change: what isn't urgent (loads alone) waits for the next pulse, 150 ms at most; everything else goes at once, with all that waits, in its order. A registry's heartbeats tell the position that it has sent, not one that only it knows. Tests: ZoneFeed.loads_go_with_the_next_pulse..., ZoneFeed.its_heartbeats_tell_no_position...

--- a/source/coordination/zone_feed.hpp
+++ b/source/coordination/zone_feed.hpp
@@ -115,10 +115,8 @@
 
   // ---- what is told to them
 
-  /// To be called every `pulse_every`.
-  void pulse() {
-    if (unsent_.empty()) send_down(next_news());
-  }
+  /// To be called every `pulse_every`; what isn't urgent goes along.
+  void pulse() { send_down(next_news()); }
 
   /// A newer value of a register, at once.
   void send_value(Register const reg, Held const& held) {
@@ -144,12 +142,13 @@
   void take_entry(CellEntry const& entry) {
     if (entry.cell == s_.zone) return;
     auto const it = view_.cells.find(entry.cell);
-    if (it == view_.cells.end()) return publish(Change{0, std::nullopt, std::nullopt, entry});
+    if (it == view_.cells.end()) return publish(Change{0, std::nullopt, std::nullopt, entry}, Urgency::at_once);
     if (it->second == entry) return;
     Change change;
     change.entry_delta = make_entry_delta(it->second, entry);
     if (!change.entry_delta) change.cell = entry;
-    publish(std::move(change));
+    bool const loads_only = change.entry_delta && tells_loads_only(*change.entry_delta);
+    publish(std::move(change), loads_only ? Urgency::with_next_pulse : Urgency::at_once);
   }
 
   /// To be called every `beat_every`: beats to the registry's own watchers, and
@@ -235,17 +234,25 @@
       b.node = node;
       named.insert({b.service, b.instance});
       auto const at = view_.backends.find({b.service, b.instance});
-      if (at == view_.backends.end() || !(at->second == b)) publish(Change{0, std::nullopt, b, std::nullopt});
+      if (at != view_.backends.end() && at->second == b) continue;
+      bool const load_only = at != view_.backends.end() && differ_in_load_only(at->second, b);
+      publish(Change{0, std::nullopt, b, std::nullopt}, load_only ? Urgency::with_next_pulse : Urgency::at_once);
     }
     std::vector<BackendRecord> gone;
     for (auto const& [key, b] : view_.backends)
       if (b.node == node && !named.contains(key)) gone.push_back(b);
     for (BackendRecord& b : gone) {
       b.standing = Standing::dead;
-      publish(Change{0, std::nullopt, b, std::nullopt});
+      publish(Change{0, std::nullopt, b, std::nullopt}, Urgency::at_once);
     }
   }
 
+  static bool differ_in_load_only(BackendRecord before, BackendRecord const& after) {
+    before.burden = after.burden;
+    before.waiting = after.waiting;
+    return before == after;
+  }
+
   // ---- news
 
   void journal_and_fold(Change c) {
@@ -263,28 +270,31 @@
     last_node_at_ = w_.now();
   }
 
-  void publish(Change c) {
+  // Loads change all the time, and a message for each would be most of what a node hears.
+  enum class Urgency : std::uint8_t { at_once, with_next_pulse };
+
+  void publish(Change c, Urgency const urgency) {
     if (has_nodes()) last_node_at_ = w_.now();
     journal_and_fold(std::move(c));
-    if (unsent_.empty() || flushing_) return;
+    if (urgency == Urgency::with_next_pulse || unsent_.empty() || flushing_) return;
     flushing_ = true;
     spawn(w_, flush_soon(this->shared_from_this()));
   }
-  void publish_member(Member const& m) { publish(Change{0, m, std::nullopt, std::nullopt}); }
+  void publish_member(Member const& m) { publish(Change{0, m, std::nullopt, std::nullopt}, Urgency::at_once); }
 
   // Changes of one moment go in one piece of news.
   static Task<void> flush_soon(std::shared_ptr<ZoneFeed> const feed) {
     co_await sleep_for(feed->w_, flush_after);
     feed->flushing_ = false;
-    News n = feed->next_news();
-    n.changes = std::move(feed->unsent_);
-    feed->unsent_.clear();
-    feed->send_down(n);
+    if (!feed->unsent_.empty()) feed->send_down(feed->next_news());
   }
 
+  // With all changes that weren't sent yet: whoever gets it has everything up to its position.
   News next_news() {
     News n;
+    n.changes = std::exchange(unsent_, {});
     n.at = position();
+    told_ = n.at;
     n.pulse = ++pulse_;
     n.vouched = sources_.vouched();
     n.root = s_.registry_address;
@@ -303,7 +313,7 @@
 
   void tell_watchers() {
     if (places_.watchers().empty()) return;
-    Position const at = warm() ? position() : Position{};
+    Position const at = warm() ? told_ : Position{};
     SharedBytes const raw =
         pack_shared(Beat{s_.registry_id, s_.registry_address, 1, at, s_.zone, sources_.revisions()});
     for (std::string const& id : places_.watchers()) w_.tell_raw(view_.members.at(id).address, Beat::kind, raw);
@@ -351,6 +361,7 @@
   std::uint64_t pulse_ = 0;
   bool flushing_ = false, had_nodes_ = false;
   std::vector<Change> unsent_;
+  Position told_{};  // by the latest news
   std::map<std::string, Instant> heard_, suspected_, joined_;
 };
 
--- a/source/state/zone_entry_delta.cpp
+++ b/source/state/zone_entry_delta.cpp
@@ -84,6 +84,13 @@
   return delta;
 }
 
+bool tells_loads_only(CellEntryDelta const& delta) {
+  CellEntryDelta loads;
+  loads.cell = delta.cell;
+  loads.loads = delta.loads;
+  return loads == delta;
+}
+
 void apply_entry_delta(CellEntry& entry, CellEntryDelta const& delta) {
   for (OfferLoad const& load : delta.loads) {
     if (load.index >= entry.services.size()) continue;
--- a/tests/coordination/zone_feed_test.cpp
+++ b/tests/coordination/zone_feed_test.cpp
@@ -244,6 +244,50 @@
   EXPECT_EQ(places.first_relays(), first);
 }
 
+TEST(ZoneFeed, loads_go_with_the_next_pulse_and_what_is_urgent_goes_at_once_with_them) {
+  FeedTrial t;
+  std::vector<News> sent;
+  t.net.tap = [&](SimProcess const&, Address const& to, std::uint8_t const kind, Bytes const& raw) {
+    if (kind == News::kind && to == "n1:1") sent.push_back(*unpack<News>(raw));
+  };
+  t.join("n1", {backend("s", "i", 8, 0)});
+  t.run_for(2s);
+  sent.clear();
+  t.join("n1", {backend("s", "i", 8, 5)});
+  t.join("n1", {backend("s", "i", 8, 5, 3)});
+  t.run_for(50ms);
+  EXPECT_TRUE(sent.empty());
+  t.feed->pulse();
+  t.run_for(5ms);
+  ASSERT_EQ(sent.size(), 1u);
+  EXPECT_EQ(sent[0].changes.size(), 2u);
+  EXPECT_EQ(sent[0].at, t.feed->position());
+  t.join("n1", {backend("s", "i", 8, 1)});
+  t.join("n2", {});
+  t.run_for(5ms);
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_EQ(sent[1].changes.size(), 2u) << "in their order, so that nothing is missed";
+  EXPECT_EQ(sent[1].at, t.feed->position());
+}
+
+TEST(ZoneFeed, its_heartbeats_tell_no_position_that_was_not_sent) {
+  FeedTrial t;
+  std::vector<Position> told;
+  t.net.tap = [&](SimProcess const&, Address const&, std::uint8_t const kind, Bytes const& raw) {
+    if (kind == Beat::kind) told.push_back(unpack<Beat>(raw)->at);
+  };
+  t.join("n1", {backend("s", "i", 8, 0)});
+  t.run_for(2s);
+  t.feed->pulse();
+  Position const sent = t.feed->position();
+  t.join("n1", {backend("s", "i", 8, 5)});
+  t.feed->watch();
+  t.run_for(5ms);
+  ASSERT_EQ(told.size(), 1u);
+  EXPECT_EQ(told[0], sent);
+  EXPECT_NE(told[0], t.feed->position());
+}
+
 // ---- what zones tell each other
 
 CellEntry entry_with(std::size_t const gateways) {
