--- a/source/programs/hollow_main.cpp
+++ b/source/programs/hollow_main.cpp
@@ -39,6 +39,7 @@
   s.text(
       "trouble", "none",
       "with --measure delivery: none, storm, relays_killed, half_killed, rolling_restarts, keepers_killed, writer_killed, keeper_cut_off or all");
+  s.number("site-nodes", 279, 7, 20000, "with --measure delivery: nodes, in seven zones");
   s.text("event", "none", "afterwards: none, zone (lost and back) or region (cut and healed)");
 }
 
@@ -219,6 +220,7 @@
     if (s.text("trouble") != "all" && s.text("trouble") != to_text(trouble)) continue;
     HollowFleetSettings settings = large_site(s.number("routes"));
     settings.seed = s.number("seed");
+    settings.nodes = settings.backends = settings.changing_backends = s.number("site-nodes");
     print_delivery(trouble, settings.routes, measure_delivery(settings, trouble));
   }
 }
--- a/tests/programs/hollow_delivery_test.cpp
+++ b/tests/programs/hollow_delivery_test.cpp
@@ -4,7 +4,12 @@
 
 #include <gtest/gtest.h>
 
+#include <ostream>
+
 namespace banktide {
+
+void PrintTo(DeliveryTrouble const trouble, std::ostream* const out) { *out << to_text(trouble); }
+
 namespace {
 
 constexpr double in_force_within_ms = 2500;
