--- a/tests/coordination/held_values_test.cpp
+++ b/tests/coordination/held_values_test.cpp
@@ -1,23 +1,14 @@
 // The newest values are kept, by whatever way they come, and what doesn't fit is asked for whole.
 #include "coordination/held_values.hpp"
 
-#include "protocol/digest.hpp"
-#include "state/compressed_text.hpp"
 #include "state/text_delta.hpp"
+#include "tests/state/compressed_values.hpp"
 
 #include <gtest/gtest.h>
 
 namespace banktide {
 namespace {
 
-Held configuration(Revision const revision, std::string const& text) {
-  Held held;
-  held.revision = revision;
-  held.bytes = compress(text);
-  held.digest = digest_of(held.bytes);
-  return held;
-}
-
 std::string numbered_lines(std::size_t const changed) {
   std::string text;
   for (std::size_t i = 0; i < 200; ++i)
@@ -25,14 +16,12 @@
   return text;
 }
 
-std::string text_here(HeldValues const& values) { return decompress(values.of(Register::routing).bytes).value_or(""); }
-
 TEST(HeldValues, takes_only_what_is_newer_and_whole) {
   HeldValues values;
-  Held const second = configuration(2, "two");
+  Held const second = compressed_value(2, "two");
   EXPECT_EQ(values.take({{Register::routing, second}}), std::vector<Register>{Register::routing});
-  EXPECT_TRUE(values.take({{Register::routing, configuration(1, "one")}}).empty());
-  Held spoilt = configuration(3, "three");
+  EXPECT_TRUE(values.take({{Register::routing, compressed_value(1, "one")}}).empty());
+  Held spoilt = compressed_value(3, "three");
   spoilt.bytes.back() = static_cast<char>(spoilt.bytes.back() ^ 1);
   EXPECT_TRUE(values.take({{Register::routing, spoilt}}).empty());
   EXPECT_EQ(values.of(Register::routing), second);
@@ -40,7 +29,7 @@
 
 TEST(HeldValues, lacks_what_is_told_to_be_newer_of_any_register) {
   HeldValues values;
-  values.take({{Register::routing, configuration(5, "five")}});
+  values.take({{Register::routing, compressed_value(5, "five")}});
   EXPECT_FALSE(values.lack(values.revisions()));
   Revisions told = values.revisions();
   told[static_cast<std::size_t>(Register::maintenance)] = 1;
@@ -51,19 +40,19 @@
 TEST(HeldValues, a_configuration_comes_by_deltas_one_after_the_other) {
   HeldValues values;
   std::vector<Held> versions;
-  for (Revision n = 1; n <= 4; ++n) versions.push_back(configuration(n, numbered_lines(n * 20)));
+  for (Revision n = 1; n <= 4; ++n) versions.push_back(compressed_value(n, numbered_lines(n * 20)));
   values.take({{Register::routing, versions[0]}});
   for (std::size_t i = 1; i < versions.size(); ++i)
     EXPECT_EQ(values.take_routing_deltas({*make_text_delta(versions[i - 1], versions[i])}).size(), 1u);
   EXPECT_EQ(values.of(Register::routing).revision, 4u);
-  EXPECT_EQ(text_here(values), numbered_lines(80));
+  EXPECT_EQ(text_of(values.of(Register::routing)), numbered_lines(80));
   EXPECT_EQ(values.question().have[0], 4u);
 }
 
 TEST(HeldValues, a_delta_from_another_version_changes_nothing_and_a_spoilt_one_has_the_whole_asked_for) {
-  Held const first = configuration(1, numbered_lines(10));
-  Held const second = configuration(2, numbered_lines(20));
-  Held const third = configuration(3, numbered_lines(30));
+  Held const first = compressed_value(1, numbered_lines(10));
+  Held const second = compressed_value(2, numbered_lines(20));
+  Held const third = compressed_value(3, numbered_lines(30));
   HeldValues values;
   values.take({{Register::routing, first}});
   EXPECT_TRUE(values.take_routing_deltas({*make_text_delta(second, third)}).empty());
--- /dev/null
+++ b/tests/state/compressed_values.hpp
@@ -0,0 +1,21 @@
+// Values of the register of configurations, as registries hold them.
+#pragma once
+
+#include "protocol/digest.hpp"
+#include "protocol/zone_messages.hpp"
+#include "state/compressed_text.hpp"
+
+namespace banktide {
+
+inline Held compressed_value(Revision const revision, std::string const& text) {
+  Held held;
+  held.revision = revision;
+  held.bytes = compress(text);
+  held.digest = digest_of(held.bytes);
+  return held;
+}
+
+/// The value's text; empty if it has none.
+inline std::string text_of(Held const& held) { return decompress(held.bytes).value_or(""); }
+
+}  // namespace banktide
