Review: a founder killed at its first start never founds the register

Cause: the founders are recorded only at a start with initialStart, which is false when the killed store comes back.

--- a/review/stage/cases.cpp
+++ b/review/stage/cases.cpp
@@ -331,6 +331,49 @@
   return watch.longest_ms() > 500 ? 1 : 0;
 }
 
+// The store of a seed is killed right after the start of everything and started again. Rule Fault.
+int founder_killed_at_its_start(Record& record, std::string const& folder, std::string const& programs) {
+  constexpr long kill_after_ms = 4, watched_ms = 60000;
+  Site site(record, folder, programs, {"orders", "orders", "orders", "orders"}, 4);
+  Runs runs;
+  Machine const& struck = site.cores[1];
+  if (!site.start_core(struck, true)) return cannot(record, "start");
+  if (trouble()) {
+    sleep_ms(kill_after_ms);
+    site.signal("store", struck, SIGKILL);
+  }
+  for (Machine const& m : site.cores)
+    if (m.id != struck.id && !site.start_core(m, true)) return cannot(record, "start");
+  std::vector<std::shared_ptr<Backend>> backends;
+  for (std::size_t i = 0; i < site.sides.size(); ++i) {
+    if (!site.start_proxy(site.sides[i], true)) return cannot(record, "start");
+    backends.push_back(std::make_shared<Backend>(record, runs, site.sides[i],
+                                                 BackendSettings{"i-" + std::to_string(i), "orders", false},
+                                                 ports.control));
+  }
+  if (trouble()) {
+    sleep_ms(300);
+    site.start_store(struck, false);
+  }
+  Json const routes = Json::array({route("r-pay", "shop.example", "/pay/", false, "orders", 1)});
+  long const since = now_ms();
+  bool const taken =
+      site.configure(configuration(1, routes, Json::array({service("orders", false)})), since + watched_ms - 15000);
+  Load load(record, site.sides, "POST", "shop.example", "/pay/1", false, 1000, 200);
+  sleep_ms(taken ? 8000 : since + watched_ms - now_ms());
+  load.stop();
+  bool all_run = true;
+  for (Machine const& m : site.cores)
+    all_run = all_run && !site.has_ended("store", m) && !site.has_ended("registry", m);
+  record.line(std::string("configuration acknowledged: ") + (taken ? "yes" : "never") + "; requests served: " +
+                  std::to_string(load.served()) + " of " + std::to_string(load.answers().size()) +
+                  "; all processes of the core run: " + (all_run ? "yes" : "no") + "; watched for " +
+                  std::to_string(now_ms() - since) + " ms",
+              true);
+  if (load.answers().empty()) return cannot(record, "no request was sent");
+  return !taken && load.served() == 0 ? 1 : 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -344,6 +387,7 @@
   if (name == "late-beat-of-a-former-life") outcome = late_beat_of_a_former_life(record, folder, argv[3]);
   if (name == "late-beat-after-signing-off") outcome = late_beat_after_signing_off(record, folder, argv[3]);
   if (name == "late-beats-of-a-crashed-backend") outcome = late_beats_of_a_crashed_backend(record, folder, argv[3]);
+  if (name == "founder-killed-at-its-start") outcome = founder_killed_at_its_start(record, folder, argv[3]);
   record.line(outcome == 1 ? "the rule is broken" : outcome == 0 ? "the rule holds" : "the case could not run", true);
   if (getenv("KEEP") == nullptr) std::filesystem::remove_all(folder);
   else fprintf(stderr, "%s\n", folder);
--- a/review/stage/site.hpp
+++ b/review/stage/site.hpp
@@ -273,6 +273,7 @@
   bool start_core(Machine const& m, bool const first) {
     return run("store", m, store_settings(m, first)) && run("registry", m, registry_settings(m, first));
   }
+  bool start_store(Machine const& m, bool const first) { return run("store", m, store_settings(m, first)); }
   bool start_proxy(Machine const& m, bool const first = false) { return run("proxy", m, proxy_settings(m, first)); }
 
   /// Sends a signal to a process that this site started; SIGKILL also waits for its end.
