Review: large answers end the proxy beside their backend for its memory

A script that shows rule LOST broken without any disruption: a backend with 12 slots answers 12 requests at once with 24 MB each, its proxy has over 260 MiB of private memory and is killed by the platform, and the once-only requests of that machine's clients end without an answer.

Cause: nothing bounds the answers that a proxy reads from its backend.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../stage/run_case.sh" "$here" late-beat-after-signing-off
+exec "$here/../stage/run_case.sh" "$here" late-beat-of-a-former-life
--- a/review/stage/cases.cpp
+++ b/review/stage/cases.cpp
@@ -374,6 +374,118 @@
   return !taken && load.served() == 0 ? 1 : 0;
 }
 
+// Twelve large answers at once from one backend. The proxy beside it holds more than its machine's memory and is killed
+// for that. Rule LOST.
+int large_answers(Record& record, std::string const& folder, std::string const& programs) {
+  constexpr long memory_kib = 260 * 1024, slots = 12, payers = 12;
+  std::size_t const answer_bytes = trouble() ? std::size_t{24} << 20 : 2000;
+  Site site(record, folder, programs, {"catalogue", "orders", "orders", "orders"}, 4);
+  Runs runs;
+  if (!site.start()) return cannot(record, "start");
+  std::vector<std::shared_ptr<Backend>> backends;
+  for (std::size_t i = 0; i < site.sides.size(); ++i)
+    backends.push_back(std::make_shared<Backend>(
+        record, runs, site.sides[i],
+        BackendSettings{"i-" + std::to_string(i), site.sides[i].service, false, slots, i == 0 ? 100 : 300, 1500,
+                        i == 0 ? answer_bytes : 0},
+        ports.control));
+  Json const routes = Json::array({route("r-browse", "shop.example", "/browse/", true, "catalogue", 3),
+                                   route("r-pay", "shop.example", "/pay/", false, "orders", 1)});
+  if (!site.configure(configuration(1, routes, Json::array({service("catalogue", false), service("orders", false)})),
+                      20000))
+    return cannot(record, "no configuration");
+  for (Machine const& m : site.sides)
+    if (!site.await_ready(m, 30000)) return cannot(record, "not ready");
+  sleep_ms(4000);
+
+  // The platform: a process over its memory is killed, and started again.
+  Machine const& crowded = site.sides[0];
+  std::atomic<bool> stopped = false;
+  std::atomic<long> most_kib = 0;
+  std::atomic<int> kills = 0;
+  std::thread platform([&] {
+    while (!stopped) {
+      long const now = site.private_kib("proxy", crowded);
+      most_kib = std::max<long>(most_kib, now);
+      if (now > memory_kib) {
+        record.line("the platform: proxy on " + crowded.id + " has " + std::to_string(now) + " KiB of private memory",
+                    true);
+        site.signal("proxy", crowded, SIGKILL);
+        ++kills;
+        sleep_ms(300);
+        site.start_proxy(crowded);
+      }
+      sleep_ms(2);
+    }
+  });
+
+  // The clients of that machine pay, on kept connections.
+  std::mutex mutex;
+  std::vector<std::string> cut;
+  std::atomic<long> paid = 0;
+  std::vector<std::thread> clients;
+  for (long p = 0; p < payers; ++p)
+    clients.emplace_back([&, p] {
+      std::unique_ptr<Connection> kept;
+      long served_on_it = 0;
+      for (long n = 0; !stopped; ++n) {
+        if (!kept) {
+          kept = Connection::open(crowded.ip, ports.outbound, 1500);
+          served_on_it = 0;
+          if (!kept) {
+            sleep_ms(50);
+            continue;
+          }
+        }
+        std::string const attempt = "pay-" + std::to_string(p) + "-" + std::to_string(n);
+        bool const sent = kept->write(request_text("POST", "shop.example", "/pay/1", attempt, 1000, "some body"));
+        long const at = now_ms();
+        std::optional<Message> const r = sent ? kept->read() : std::nullopt;
+        record.line("answer " + attempt + " sent " + std::to_string(at) + " status " +
+                    (r ? std::to_string(r->status()) : std::string("none, the connection has ended")) +
+                    ", answered before on this connection: " + std::to_string(served_on_it));
+        if (r && r->status() == 200) ++paid;
+        if (r) ++served_on_it;
+        if (!r && served_on_it > 0) {
+          std::lock_guard const guard(mutex);
+          cut.push_back(attempt);
+        }
+        if (!r || strcasecmp(r->header("Connection").c_str(), "close") == 0) kept.reset();
+      }
+    });
+  sleep_ms(3000);
+
+  std::vector<std::thread> readers;
+  std::atomic<int> whole = 0;
+  for (long i = 0; i < slots; ++i)
+    readers.emplace_back([&, i] {
+      Answer const a = request(site.sides[1 + static_cast<std::size_t>(i) % 3], "GET", "shop.example", "/browse/1",
+                               "browse-" + std::to_string(i), -1, 3000);
+      record.line("answer " + a.attempt + " sent " + std::to_string(a.sent) + " status " + std::to_string(a.status) +
+                  " bytes " + std::to_string(a.body.size()));
+      whole += a.status == 200;
+    });
+  for (std::thread& t : readers) t.join();
+  sleep_ms(3000);
+  stopped = true;
+  for (std::thread& t : clients) t.join();
+  platform.join();
+
+  std::set<std::string> ran;
+  for (Run const& r : runs.all())
+    if (r.ran) ran.insert(r.attempt);
+  std::size_t lost = 0;
+  for (std::string const& attempt : cut) lost += ran.contains(attempt);
+  record.line("requests on kept connections that were passed on to a sound backend and got no answer: " +
+                  std::to_string(lost) + " (allowed 3); paid: " + std::to_string(paid) + "; kills for memory: " +
+                  std::to_string(kills) + "; most private memory: " + std::to_string(most_kib) + " KiB of " +
+                  std::to_string(memory_kib) + "; large answers that came whole: " + std::to_string(whole) + " of " +
+                  std::to_string(slots),
+              true);
+  if (paid == 0) return cannot(record, "nothing was paid");
+  return lost > 3 ? 1 : 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -388,6 +500,7 @@
   if (name == "late-beat-after-signing-off") outcome = late_beat_after_signing_off(record, folder, argv[3]);
   if (name == "late-beats-of-a-crashed-backend") outcome = late_beats_of_a_crashed_backend(record, folder, argv[3]);
   if (name == "founder-killed-at-its-start") outcome = founder_killed_at_its_start(record, folder, argv[3]);
+  if (name == "large-answers") outcome = large_answers(record, folder, argv[3]);
   record.line(outcome == 1 ? "the rule is broken" : outcome == 0 ? "the rule holds" : "the case could not run", true);
   if (getenv("KEEP") == nullptr) std::filesystem::remove_all(folder);
   else fprintf(stderr, "%s\n", folder);
--- a/review/stage/site.hpp
+++ b/review/stage/site.hpp
@@ -276,6 +276,15 @@
   bool start_store(Machine const& m, bool const first) { return run("store", m, store_settings(m, first)); }
   bool start_proxy(Machine const& m, bool const first = false) { return run("proxy", m, proxy_settings(m, first)); }
 
+  /// The private memory of a process that this site started, in KiB; 0: it doesn't run.
+  long private_kib(std::string const& role, Machine const& m) const {
+    auto const found = processes_.find(role + "/" + m.id);
+    if (found == processes_.end() || found->second <= 0) return 0;
+    std::ifstream status("/proc/" + std::to_string(found->second) + "/status");
+    for (std::string line; std::getline(status, line);)
+      if (line.starts_with("RssAnon:")) return atol(line.c_str() + 8);
+    return 0;
+  }
   /// Sends a signal to a process that this site started; SIGKILL also waits for its end.
   void signal(std::string const& role, Machine const& m, int const what) {
     pid_t const pid = processes_[role + "/" + m.id];
@@ -522,6 +531,7 @@
   int circuits = 8;
   long work_ms = 60;
   long report_ms = 1500;
+  std::size_t answer_bytes = 0;  // of each answer, beside its text
 };
 
 /// One life of a backend, as the pages describe it.
@@ -683,7 +693,8 @@
       sleep_ms(settings_.work_ms);
       if (ended_) return;
       runs_.end(at);
-      std::string const body = "ran " + run.attempt + " at " + settings_.id;
+      std::string body = "ran " + run.attempt + " at " + settings_.id;
+      body.append(settings_.answer_bytes, 'y');
       std::string const leaving = quiescing_ ? "Connection: close\r\n" : "";
       std::string const answer = "HTTP/1.1 200 OK\r\n" + common + leaving + "Banktide-Server-Seal: seal." + run.attempt +
                                  "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -749,6 +760,14 @@
   return a;
 }
 
+/// The text of one request.
+inline std::string request_text(std::string const& method, std::string const& host, std::string const& path,
+                                std::string const& attempt, long const remaining_ms, std::string const& body) {
+  return method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nBanktide-Attempt-Id: " + attempt +
+         "\r\nBanktide-Time-Remaining: " + std::to_string(remaining_ms) + "\r\n" +
+         (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" + body;
+}
+
 /// The routes and services of a configuration in the forms of deploy/wire.toml.
 inline Json route(std::string const& name, std::string const& host, std::string const& prefix, bool const repeatable,
                   std::string const& service, double const release_s) {
