--- a/review/stage/cases.cpp
+++ b/review/stage/cases.cpp
@@ -13,6 +13,11 @@
   return word == nullptr || std::string(word) != "0";
 }
 
+/// The same service on so many machines.
+std::vector<std::string> machines_of(std::string const& service, std::size_t const count) {
+  return std::vector<std::string>(count, service);
+}
+
 int cannot(Record& record, std::string const& why) {
   record.line("could not run: " + why, true);
   return 2;
@@ -129,7 +134,7 @@
 // A proxy is killed and started again; its first beat is a late one of the backend's former life, which said that it
 // was leaving. Rule OWNER.
 int late_beat_of_a_former_life(Record& record, std::string const& folder, std::string const& programs) {
-  Site site(record, folder, programs, {"catalogue", "catalogue", "catalogue", "catalogue"}, 4);
+  Site site(record, folder, programs, machines_of("catalogue", 10), 4);
   Runs runs;
   if (!site.start()) return cannot(record, "start");
   std::mutex mutex;
@@ -209,7 +214,7 @@
 // A backend signs off without draining first and serves on; its node is killed and started again and then hears a late
 // beat. Rule DRAIN.
 int late_beat_after_signing_off(Record& record, std::string const& folder, std::string const& programs) {
-  Site site(record, folder, programs, {"orders", "orders", "orders", "orders"}, 4);
+  Site site(record, folder, programs, machines_of("orders", 10), 4);
   Runs runs;
   if (!site.start()) return cannot(record, "start");
   BeatPath path(record, site.sides[0]);
@@ -272,7 +277,7 @@
 
 // A backend that is leaving crashes, and its last two beats are late. Rule OWNER.
 int late_beats_of_a_crashed_backend(Record& record, std::string const& folder, std::string const& programs) {
-  Site site(record, folder, programs, {"catalogue", "catalogue", "catalogue", "catalogue"}, 4);
+  Site site(record, folder, programs, machines_of("catalogue", 8), 4);
   Runs runs;
   if (!site.start()) return cannot(record, "start");
   std::mutex mutex;
