--- a/review/stage/cases.cpp
+++ b/review/cases-2.cpp
@@ -1,6 +1,6 @@
-// The cases of the second review that are scripts. Usage: cases NAME RECORD PROGRAMS; exits with 1 if the rule was
+// The cases of the second review that are scripts. Usage: cases-2 NAME RECORD PROGRAMS; exits with 1 if the rule was
 // broken, with 0 if it held, and with 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
-#include "site.hpp"
+#include "site-2.hpp"
 
 using namespace stage;
 
