Log why a holder of keys was reported as ended

Change: a node logs each end that it reports once (`key_holder_ended`, with the instance and the reason).

--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -11,6 +11,7 @@
 #include "protocol/interface_adapter.hpp"
 #include "protocol/message_names.hpp"
 #include "state/compressed_text.hpp"
+#include "state/recent_ids.hpp"
 
 namespace banktide {
 
@@ -457,11 +458,19 @@
       if (!keys_) continue;
       KeyReport report = keys_->report(last, static_cast<float>(load_average_), backend_capacity());
       if (graceful_shutdown_.leaving()) report.state = KeyHolderState::draining;
+      log_new_ends(report.ended);
       for (Address const& registry : registry_addresses()) tell(env_, registry, report);
       co_await sleep_for(env_, 10ms);
     }
   }
 
+  // A report repeats the latest ends; each is logged once.
+  void log_new_ends(std::vector<KeyEnd> const& ends) {
+    for (KeyEnd const& end : ends)
+      if (logged_ends_.insert(end.instance))
+        log_info("key_holder_ended", {{"instance", end.instance}, {"reason", end.reason}});
+  }
+
   // Requests per second that the backend's slots can complete, estimated from recent run times.
   float backend_capacity() const {
     EndpointLoad const load = local_.load();
@@ -545,6 +554,7 @@
   typename Env::Alarm grant_alarm_;        // has one waiter: the handler of the latest heartbeat
   typename Env::Alarm report_alarm_;
   typename Env::Alarm configuration_alarm_;
+  RecentIds logged_ends_;
   double load_average_ = 0;
   Instant counts_logged_at_{};
 };
