Simulator: a new wait on an alarm ends the one before it, as on real sockets

A node holds back the answer to a heartbeat on one alarm. If a second heartbeat was held back meanwhile, the simulated alarm dropped the waiter of the first, so that it was never answered and the simulated backend fell silent for good. A real timer ends the earlier wait when it is set anew, so programs don't show this. Change: a new wait resumes the one before it. Measured: SimWorld.a_new_wait_on_an_alarm_ends_the_one_before_it failed before (the first waiter was never resumed).

--- a/source/simulation/sim_world.hpp
+++ b/source/simulation/sim_world.hpp
@@ -105,6 +105,8 @@
       std::uint64_t const own_wait = ++state_->wait;
       bool const ran_out = co_await asio::async_initiate<asio::use_awaitable_t<> const, void(bool)>(
           [](auto handler, SimProcess* p, std::shared_ptr<Pending> s, Instant t, std::uint64_t n) {
+            // As with a real timer, a new wait ends the one before it.
+            if (s->handler) asio::post(p->sim.io, [ended = std::move(s->handler)] { ended(false); });
             auto shared_handler = std::make_shared<decltype(handler)>(std::move(handler));
             s->handler = [shared_handler](bool const v) { std::move (*shared_handler)(v); };
             std::weak_ptr<Pending> weak = s;
