--- a/source/coordination/key_granter.cpp
+++ b/source/coordination/key_granter.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::size_t released_limit = 256;
 constexpr std::size_t ended_limit = 8;
+constexpr std::size_t replaced_limit = 16;
 constexpr std::size_t pending_leases_limit = 8;
 constexpr Duration suspension_gap = 1s;  // no report for longer than this: the process was suspended
 constexpr float hot_row_share = 0.15F;   // of the capacity, or else of the load: the cuts of rows above it are reported
@@ -44,21 +45,24 @@
                                    scaled(std::min(settings_.term, settings_.hold_limit), 1 + settings_.clock_drift)) {}
 
 void KeyGranter::start_instance(std::string const& instance) {
-  if (!instance_.empty())
-    await_end(PendingEnd{instance_, granted_until_, heartbeat_arrived_ + settings_.revoke_after,
-                         "another instance sends heartbeats to the same node"});
+  if (!instance_.empty()) add_replaced(ReplacedInstance{instance_, granted_until_});
+  Instant const may_hold_until = held_until(instance);
   reset_instance();
   instance_ = instance;
-  granted_until_ = previous_process_grants_end_;
-  // This instance may have been replaced by mistake, and still hold what it was granted before.
-  for (PendingEnd const& pending : pending_ends_)
-    if (pending.instance == instance) granted_until_ = std::max(granted_until_, pending.held_until);
-  std::erase_if(pending_ends_, [&](PendingEnd const& pending) { return pending.instance == instance; });
+  granted_until_ = may_hold_until;
+  std::erase_if(replaced_, [&](ReplacedInstance const& replaced) { return replaced.instance == instance; });
   urgent_report_ = true;
   end_instances_replaced_in_table();
   update_moving_rows();
 }
 
+// An instance that this process granted nothing to may still hold what the previous process granted.
+Instant KeyGranter::held_until(std::string const& instance) const {
+  if (instance == instance_) return granted_until_;
+  ReplacedInstance const* const replaced = find_replaced(instance);
+  return replaced == nullptr ? previous_process_grants_end_ : replaced->held_until;
+}
+
 void KeyGranter::reset_instance() {
   instance_.clear();
   sequence_ = 0;
@@ -73,28 +77,31 @@
 }
 
 void KeyGranter::end_instance(std::string const& instance, std::string const& reason) {
-  if (!ended_ids_.insert(instance).second) return;
-  std::erase_if(pending_ends_, [&](PendingEnd const& pending) { return pending.instance == instance; });
+  if (!ended_ids_.insert(instance)) return;
+  std::erase_if(replaced_, [&](ReplacedInstance const& replaced) { return replaced.instance == instance; });
   ended_.push_back(KeyEnd{instance, reason});
   if (ended_.size() > ended_limit) ended_.erase(ended_.begin());
   urgent_report_ = true;
   if (instance == instance_) reset_instance();
 }
 
-bool KeyGranter::is_pending(std::string const& instance) const {
-  return std::any_of(pending_ends_.begin(), pending_ends_.end(),
-                     [&](PendingEnd const& pending) { return pending.instance == instance; });
+KeyGranter::ReplacedInstance const* KeyGranter::find_replaced(std::string const& instance) const {
+  std::vector<ReplacedInstance>::const_iterator const found =
+      std::find_if(replaced_.begin(), replaced_.end(),
+                   [&](ReplacedInstance const& replaced) { return replaced.instance == instance; });
+  return found == replaced_.end() ? nullptr : &*found;
 }
 
-void KeyGranter::await_end(PendingEnd end) {
-  if (is_pending(end.instance) || ended_ids_.contains(end.instance)) return;
-  pending_ends_.push_back(std::move(end));
-  urgent_report_ = true;
+void KeyGranter::add_replaced(ReplacedInstance replaced) {
+  if (find_replaced(replaced.instance) != nullptr || ended_ids_.contains(replaced.instance)) return;
+  replaced_.push_back(std::move(replaced));
+  if (replaced_.size() > replaced_limit) replaced_.erase(replaced_.begin());
 }
 
-bool KeyGranter::has_ended(PendingEnd const& end, Instant const now) const {
-  bool const replaced = heartbeats_ > 1 && now >= end.silent_until;
-  return replaced || now >= end.held_until;
+std::vector<std::string> KeyGranter::instances_without_proved_end() const {
+  std::vector<std::string> instances;
+  for (ReplacedInstance const& replaced : replaced_) instances.push_back(replaced.instance);
+  return instances;
 }
 
 void KeyGranter::take_heartbeat(Instant const now, KeyHeartbeat const& heartbeat) {
@@ -272,11 +279,11 @@
 }
 
 // A node has one backend: an instance that the table still lists here while another one sends heartbeats has been
-// replaced. If this process knew it, its hold is waited for.
+// replaced, unless this process knew it as the current one.
 void KeyGranter::end_instances_replaced_in_table() {
   if (instance_.empty()) return;
   for (AssignedRow const& assigned : assigned_)
-    if (assigned.instance != instance_ && !is_pending(assigned.instance))
+    if (assigned.instance != instance_ && find_replaced(assigned.instance) == nullptr)
       end_instance(assigned.instance, "another instance runs on its node");
 }
 
@@ -327,14 +334,18 @@
   urgent_report_ = true;
 }
 
+// Only a sign-off makes an expired hold an end: another instance may hold keys again.
 void KeyGranter::end_expired_holds(Instant const now) {
-  if (signed_off_ && now >= granted_until_) {
-    std::string const instance = instance_;
-    end_instance(instance, "its hold has expired since it signed off");
-  }
-  std::vector<PendingEnd> const pending = pending_ends_;
-  for (PendingEnd const& end : pending)
-    if (has_ended(end, now)) end_instance(end.instance, end.reason);
+  static constexpr char const* reason = "its hold has expired since it signed off";
+  if (signed_off_ && now >= granted_until_) end_instance(std::string(instance_), reason);
+  std::erase_if(replaced_, [&](ReplacedInstance const& replaced) {
+    return now >= replaced.held_until && !is_in_table(replaced.instance);
+  });
+}
+
+bool KeyGranter::is_in_table(std::string const& instance) const {
+  return std::any_of(assigned_.begin(), assigned_.end(),
+                     [&](AssignedRow const& assigned) { return assigned.instance == instance; });
 }
 
 KeyGranter::ServedRow const* KeyGranter::served_row(std::uint16_t const key) const {
--- a/source/coordination/key_granter.hpp
+++ b/source/coordination/key_granter.hpp
@@ -7,9 +7,9 @@
 #include "coordination/key_load.hpp"
 #include "protocol/key_messages.hpp"
 #include "state/key_table.hpp"
+#include "state/recent_ids.hpp"
 
 #include <optional>
-#include <set>
 
 namespace banktide {
 
@@ -56,9 +56,9 @@
              Instant started);
 
   /// Takes in a heartbeat when it arrives. The reply may be delayed while `reply_may_wait` says that it would change
-  /// nothing. The caller decides which instance is the current one. The previous instance may still be running; its
-  /// end is reported once its hold has expired, or once it has been silent for `revoke_after` while the current one
-  /// kept sending heartbeats.
+  /// nothing. The caller decides which instance is the current one. Heartbeats may be seconds late, so another
+  /// instance's heartbeats prove nothing about the previous one: it gets no grants while it isn't current, but its end
+  /// is reported only when it is proved, and it may become current again.
   void take_heartbeat(Instant now, KeyHeartbeat const& heartbeat);
   /// The reply to the heartbeat with this sequence number, which must be the last one taken in.
   KeyHeartbeatReply reply(Instant now, std::string const& instance, std::uint64_t sequence);
@@ -75,6 +75,8 @@
   void on_confirmed(Revision revision, Instant sent);
   /// The process of an instance is proved to have ended, or has shut down gracefully.
   void on_instance_ended(std::string const& instance, std::string const& reason);
+  /// The instances of this node, other than the current one, that may hold keys because nothing proves their end.
+  std::vector<std::string> instances_without_proved_end() const;
   /// An instance has signed off, but its process may keep serving for a while: it gets no more requests, and its end
   /// is reported once its last hold has expired. An instance that was draining before ends at once.
   void on_instance_signed_off(std::string const& instance, Instant now);
@@ -123,12 +125,10 @@
     std::string handover;
   };
 
-  // An instance that gets no more grants, and the end of its last one.
-  struct PendingEnd {
+  // An instance of this node that isn't the current one, though nothing proves that its process has ended.
+  struct ReplacedInstance {
     std::string instance;
-    Instant held_until{};
-    Instant silent_until{};  // if it is silent until then while another one sends heartbeats, its process has ended
-    std::string reason;
+    Instant held_until{};  // by the slowest allowed backend clock
   };
 
   // A confirmed reading whose table hasn't arrived yet.
@@ -142,10 +142,11 @@
   void start_instance(std::string const& instance);
   void end_instance(std::string const& instance, std::string const& reason);
   void reset_instance();
-  void await_end(PendingEnd end);
-  bool is_pending(std::string const& instance) const;
-  bool has_ended(PendingEnd const& end, Instant now) const;
+  void add_replaced(ReplacedInstance replaced);
+  ReplacedInstance const* find_replaced(std::string const& instance) const;
+  Instant held_until(std::string const& instance) const;
   void end_expired_holds(Instant now);
+  bool is_in_table(std::string const& instance) const;
   bool runs_steadily(Instant now) const;
   void record_releases(KeyHeartbeat const& heartbeat);
   void detect_releases(KeyHeartbeat const& heartbeat);
@@ -176,9 +177,9 @@
   Instant granted_until_{};  // by the slowest allowed backend clock
   bool signed_off_ = false;  // the current instance has signed off; it ends at `granted_until_`
   std::vector<MovingRow> moving_away_;
-  std::vector<PendingEnd> pending_ends_;
-  std::vector<KeyEnd> ended_;
-  std::set<std::string> ended_ids_;
+  std::vector<ReplacedInstance> replaced_;
+  std::vector<KeyEnd> ended_;  // the latest, for the reports
+  RecentIds ended_ids_;
 
   Revision table_revision_ = 0;
   std::optional<Instant> lease_until_;
--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -13,6 +13,7 @@
 #include "protocol/data_path_headers.hpp"
 #include "protocol/forward_messages.hpp"
 #include "protocol/http_helpers.hpp"
+#include "state/instance_succession.hpp"
 #include "transport/backend_connections.hpp"
 #include "transport/environment.hpp"
 
@@ -24,8 +25,7 @@
   std::string node;
   /** A backend without a heartbeat for longer is considered gone. */
   Duration silent_after = 6s;
-  /** A backend whose heartbeat is overdue by this age is replaced by another instance at its first heartbeat. */
-  Duration replaceable_after = 1500ms;
+  SuccessionSettings succession{};
   /** After the acknowledgement of a drain, requests in transit are still accepted for this long. */
   Duration drain_grace = 700ms;
   /** After this time no request is sent to a draining backend, not even one that waits. */
@@ -49,6 +49,10 @@
     std::function<void(std::string const& service, std::string const& instance, std::string const& reason)> ended;
     /** An instance has left without draining first: its process may go on serving for a while. */
     std::function<void(std::string const& instance)> left_undrained;
+    /** Returns instances beside those heard here that may hold keys because nothing proves their end. */
+    std::function<std::vector<std::string>()> instances_without_proved_end;
+    /** Returns the path at which a backend of the service tells its health and its ID; empty if it isn't known. */
+    std::function<std::string(std::string const& service)> health_path;
     /** Returns the number of connections that a backend of the service accepts. */
     std::function<std::size_t(std::string const& service)> connection_limit;
   };
@@ -59,22 +63,24 @@
         settings_(std::move(settings)),
         headers_(headers),
         factory_(std::move(factory)),
-        events_(std::move(events)) {}
+        events_(std::move(events)),
+        succession_(settings_.succession) {}
 
-  /** Handles a heartbeat. Returns false if it is older than one already seen, or of an instance not accepted here. */
+  /** Handles a heartbeat. Returns false unless it is of the instance that is the current one afterwards. */
   bool heartbeat(BackendHeartbeat const& heartbeat) {
     Instant const now = env_.now();
-    if (ended_.contains(heartbeat.id) || !is_newest_heartbeat(heartbeat)) return false;
-    bool changed = false;
-    if (!instance_ || instance_->heartbeat.id != heartbeat.id) {
-      if (instance_ && !replaces_current(heartbeat.id, now)) return false;
-      if (instance_) retire("another instance sends heartbeats here");
-      start(heartbeat);
-      changed = true;
-    }
+    HeartbeatVerdict const verdict = succession_.on_heartbeat(now, heartbeat.id, heartbeat.sequence);
+    if (verdict == HeartbeatVerdict::ignored) return false;
+    if (heartbeat.leaving) succession_.leaving_since(heartbeat.id, now);
+    if (verdict == HeartbeatVerdict::contends) return false;
+    bool const starts = verdict == HeartbeatVerdict::replaces;
+    if (starts && instance_) retire("another instance sends heartbeats here");
+    if (starts) start(heartbeat);
+    std::optional<Instant> const draining_since = succession_.known_leaving_since(heartbeat.id);
     Instance& i = *instance_;
-    changed = changed || i.heartbeat.slots != heartbeat.slots || i.refused || (heartbeat.leaving && !i.draining_since);
-    if (heartbeat.leaving && !i.draining_since) i.draining_since = now;
+    bool const changed =
+        starts || i.heartbeat.slots != heartbeat.slots || i.refused || i.draining_since != draining_since;
+    i.draining_since = draining_since;
     i.heartbeat = heartbeat;
     i.last_heartbeat = now;
     i.refused = false;
@@ -84,13 +90,45 @@
     return true;
   }
 
+  /** Whether a heartbeat of the instance was received here before. */
+  bool knows(std::string const& id) const { return succession_.knows(id) || succession_.has_ended(id); }
+
+  /** Whether the instance contends with the current one: it may be a former one or the next one. */
+  bool contends(std::string const& id) const {
+    return instance_ && succession_.knows(id) && succession_.current() != id;
+  }
+
+  /**
+   * Asks the backend's process which instance it is. The instances of a machine follow one another, so its answer
+   * proves the end of every other one that was known before the question. Returns false if nothing was proved.
+   */
+  Task<bool> identify(Address const address, std::string const service) {
+    std::string const path = events_.health_path ? events_.health_path(service) : std::string();
+    if (identifying_ || path.empty()) co_return false;
+    identifying_ = true;
+    std::vector<std::string> const in_question = instances_in_question();
+    std::optional<std::string> const running = co_await ask_for_id(address, path);
+    identifying_ = false;
+    bool const known = running && std::find(in_question.begin(), in_question.end(), *running) != in_question.end();
+    if (!known) co_return false;
+    for (std::string const& id : in_question)
+      if (id != *running) end(id, service);
+    co_return true;
+  }
+
+  /** Asks the same at the address of the current instance. */
+  Task<bool> identify_current() {
+    if (!instance_) co_return false;
+    co_return co_await identify(instance_->heartbeat.address, instance_->heartbeat.service);
+  }
+
   /** Handles the backend's message that it leaves. */
   void leave(std::string const& id) {
     if (!instance_ || instance_->heartbeat.id != id) return;
     bool const drained = instance_->heartbeat.leaving;
     if (!drained) events_.left_undrained(id);
     std::string const service = instance_->heartbeat.service;
-    ended_.insert(id);
+    succession_.on_ended(id);
     retire("it has left");
     if (drained) events_.ended(service, id, "it has left");
     events_.record_changed();
@@ -211,23 +249,41 @@
              {{"service", heartbeat.service}, {"instance", heartbeat.id}, {"address", heartbeat.address}});
   }
 
-  bool is_newest_heartbeat(BackendHeartbeat const& heartbeat) {
-    std::uint64_t& newest = newest_sequences_.try_emplace(heartbeat.id, heartbeat.sequence).first->second;
-    if (heartbeat.sequence < newest) return false;
-    newest = heartbeat.sequence;
-    return true;
+  std::vector<std::string> instances_in_question() const {
+    std::vector<std::string> all = succession_.known();
+    if (!events_.instances_without_proved_end) return all;
+    for (std::string& id : events_.instances_without_proved_end())
+      if (std::find(all.begin(), all.end(), id) == all.end()) all.push_back(std::move(id));
+    return all;
+  }
+
+  // Over a connection of its own: the answer to an earlier request can't be taken for this one's.
+  Task<std::optional<std::string>> ask_for_id(Address const address, std::string const path) {
+    std::unique_ptr<BackendCaller> const connection = factory_(address, 1);
+    BackendCall call;
+    call.request.method = "GET";
+    call.request.target = path;
+    call.deadline = env_.now() + identification_timeout;
+    Result<HttpReply> const reply = co_await connection->call(std::move(call));
+    std::optional<std::string> const id = reply ? answering_instance(*reply) : std::nullopt;
+    log_info("backend_asked_for_id", {{"address", address}, {"answer", id.value_or("")}});
+    co_return id;
+  }
+
+  std::optional<std::string> answering_instance(HttpReply const& reply) const {
+    for (Header const& header : reply.headers)
+      if (same_name(header.name, headers_.answering_instance)) return header.value;
+    return std::nullopt;
   }
 
-  // A late heartbeat of a former incarnation looks like the first one of a new incarnation. So another instance
-  // replaces the current one only if it sends a second heartbeat while the current one sends none, or if the current
-  // one is silent. An instance that was replaced by mistake returns in the same way.
-  bool replaces_current(std::string const& id, Instant const now) {
-    bool const current_is_silent = instance_->refused || now - instance_->last_heartbeat > settings_.replaceable_after;
-    bool const has_returned = contender_ == id && instance_->last_heartbeat < contender_since_;
-    if (current_is_silent || has_returned) return true;
-    contender_ = id;
-    contender_since_ = now;
-    return false;
+  // The process of the instance is proved to have ended.
+  void end(std::string const& id, std::string const& service) {
+    static constexpr char const* reason = "another instance answers at its address";
+    bool const current = instance_ && instance_->heartbeat.id == id;
+    succession_.on_ended(id);
+    if (current) retire(reason);
+    events_.ended(service, id, reason);
+    if (current) events_.record_changed();
   }
 
   void retire(std::string const& reason) {
@@ -237,7 +293,6 @@
     wake_awaiting_keys();
     instance_->connections->close();
     instance_.reset();
-    contender_.clear();
     ++incarnation_;
   }
 
@@ -435,6 +490,7 @@
     bool const nobody_listens = error.step == "connect" && error.reason == "refused";
     if (nobody_listens && instance_ && instance_->heartbeat.id == instance) {
       instance_->refused = true;
+      succession_.on_unreachable();
       instance_->queue.refuse_all();
       apply_queue_decisions();
       log_info("backend_refuses", {{"instance", instance}});
@@ -451,6 +507,7 @@
 
   static constexpr std::size_t max_awaiting_keys = 64;
   static constexpr Duration grant_delivery_time = 5ms;
+  static constexpr Duration identification_timeout = 400ms;
 
   Env& env_;
   LocalBackendSettings const settings_;
@@ -458,11 +515,9 @@
   ConnectionsFactory factory_;
   Events events_;
   KeyGranter* keys_ = nullptr;
-  std::optional<Instance> instance_;
-  std::map<std::string, std::uint64_t> newest_sequences_;  // by instance, of the newest heartbeat
-  std::set<std::string> ended_;                            // instances that have left
-  std::string contender_;  // an instance that sent a heartbeat while another one is current
-  Instant contender_since_{};
+  InstanceSuccession succession_;
+  std::optional<Instance> instance_;  // the current one of `succession_`
+  bool identifying_ = false;
   tsl::robin_map<std::uint64_t, std::shared_ptr<Waiter>> requests_;
   std::map<std::uint64_t, std::shared_ptr<Waiter>> awaiting_keys_;  // in the order of arrival
   std::uint64_t last_id_ = 0;
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -159,6 +159,10 @@
       if (keys_) keys_->on_instance_signed_off(instance, env_.now());
       report_alarm_.wake();
     };
+    e.instances_without_proved_end = [this] {
+      return keys_ ? keys_->instances_without_proved_end() : std::vector<std::string>();
+    };
+    e.health_path = [this](std::string const& service) { return health_path_of(service); };
     e.connection_limit = [this](std::string const& service) -> std::size_t {
       std::shared_ptr<Router const> const& router = path_.router();
       std::optional<std::uint32_t> const i = router ? router->service_index(service) : std::nullopt;
@@ -256,6 +260,7 @@
     table_ = std::make_shared<KeyTable const>(std::move(*read));
     path_.set_keys(table_);
     if (keys_) keys_->on_table(*table_);
+    prove_new_ends();
     grant_alarm_.wake();
     confirm_soon_ = true;
   }
@@ -317,10 +322,30 @@
 
   // ---- heartbeats and keys
 
+  // Whether the heartbeat is of the instance that is the current one afterwards. The backend's process is asked who it
+  // is when another instance contends with the current one.
+  Task<bool> accept_heartbeat(BackendHeartbeat const heartbeat) {
+    if (local_.heartbeat(heartbeat)) co_return true;
+    if (!local_.contends(heartbeat.id)) co_return false;
+    bool const proved = co_await local_.identify(heartbeat.address, heartbeat.service);
+    co_return proved&& local_.heartbeat(heartbeat);
+  }
+
+  // Ends former instances that the key table still names, if the backend's process tells who it is.
+  Task<void> prove_ends() { co_await local_.identify_current(); }
+
+  // Asks at once when an instance comes into question, and else only with the next heartbeat.
+  void prove_new_ends() {
+    std::vector<std::string> in_question = keys_ ? keys_->instances_without_proved_end() : std::vector<std::string>();
+    if (!in_question.empty() && in_question != asked_about_) spawn(env_, prove_ends());
+    asked_about_ = std::move(in_question);
+  }
+
   Task<HeartbeatAnswer> heartbeat(BackendHeartbeat const heartbeat) {
     HeartbeatAnswer answer;
-    if (!local_.heartbeat(heartbeat)) co_return answer;
     Instant const arrived = env_.now();
+    bool const accepted = co_await accept_heartbeat(heartbeat);
+    if (!accepted) co_return answer;
     Instant const until = arrived + settings_.keys.answer_delay_limit;
     std::uint64_t const number = ++heartbeats_received_;
     // A node that has just started has no configuration yet and can't tell whether the service is keyed.
@@ -329,6 +354,7 @@
     if (number != heartbeats_received_ || !keyed(heartbeat.service)) co_return answer;
     prepare_keys(heartbeat.service);
     keys_->take_heartbeat(arrived, key_heartbeat(heartbeat));
+    if (!keys_->instances_without_proved_end().empty()) spawn(env_, prove_ends());
     report_alarm_.wake();
     while (number == heartbeats_received_ && env_.now() < until && keys_->reply_may_wait(env_.now()))
       co_await grant_alarm_.wait(until);
@@ -342,6 +368,12 @@
     co_return answer;
   }
 
+  std::string health_path_of(std::string const& service) const {
+    std::shared_ptr<Router const> const& router = path_.router();
+    std::optional<std::uint32_t> const i = router ? router->service_index(service) : std::nullopt;
+    return i ? router->configuration().services[*i].health_path : std::string();
+  }
+
   bool keyed(std::string const& service) const {
     std::shared_ptr<Router const> const& router = path_.router();
     std::optional<std::uint32_t> const i = router ? router->service_index(service) : std::nullopt;
@@ -541,6 +573,7 @@
   Instant const started_;
   std::unique_ptr<KeyGranter> keys_;
   std::string keys_service_;
+  std::vector<std::string> asked_about_;  // when the backend was last asked for its id because of a table
   std::shared_ptr<KeyTable const> table_;
   MaintenanceView maintenance_;
   Revision parsed_revision_ = 0;  // of the newest configuration that was parsed
