--- a/source/coordination/key_granter.cpp
+++ b/source/coordination/key_granter.cpp
@@ -52,7 +52,7 @@
   granted_until_ = may_hold_until;
   std::erase_if(replaced_, [&](ReplacedInstance const& replaced) { return replaced.instance == instance; });
   urgent_report_ = true;
-  end_instances_replaced_in_table();
+  add_instances_replaced_in_table();
   update_moving_rows();
 }
 
@@ -272,19 +272,18 @@
       assigned_.push_back(AssignedRow{row, table.holders[row.holder].instance});
     }
   }
-  end_instances_replaced_in_table();
+  add_instances_replaced_in_table();
   bind_releases_to_fences();
   update_moving_rows();
   start_pending_leases();
 }
 
-// A node has one backend: an instance that the table still lists here while another one sends heartbeats has been
-// replaced, unless this process knew it as the current one.
-void KeyGranter::end_instances_replaced_in_table() {
+// The table may list a former instance, or a later one if the current one was known by a late heartbeat only: nothing
+// here tells which.
+void KeyGranter::add_instances_replaced_in_table() {
   if (instance_.empty()) return;
   for (AssignedRow const& assigned : assigned_)
-    if (assigned.instance != instance_ && find_replaced(assigned.instance) == nullptr)
-      end_instance(assigned.instance, "another instance runs on its node");
+    if (assigned.instance != instance_) add_replaced(ReplacedInstance{assigned.instance, previous_process_grants_end_});
 }
 
 void KeyGranter::update_moving_rows() {
--- a/source/coordination/key_granter.hpp
+++ b/source/coordination/key_granter.hpp
@@ -151,7 +151,7 @@
   void record_releases(KeyHeartbeat const& heartbeat);
   void detect_releases(KeyHeartbeat const& heartbeat);
   void update_moving_rows();
-  void end_instances_replaced_in_table();
+  void add_instances_replaced_in_table();
   void bind_releases_to_fences();
   std::string released_token(KeyRow const& row) const;
   std::vector<KeyGrant> rows_to_grant() const;
--- a/tests/coordination/key_trial_test.cpp
+++ b/tests/coordination/key_trial_test.cpp
@@ -596,6 +596,27 @@
   EXPECT_GT(rows_merged, 30u);
 }
 
+// Late heartbeats of former instances arrive while machines, nodes and coordinators fail; backends may or may not tell
+// their node which instance runs.
+TEST(KeyTrial, no_key_is_held_twice_and_all_are_held_again_while_heartbeats_come_late) {
+  for (bool const backends_tell_their_id : {true, false})
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+      Trial trial(seed, 5, KeySettings{});
+      trial.loop.run_for(8s);
+      trial.heartbeats_come_late = true;
+      trial.backends_tell_their_id = backends_tell_their_id;
+      trial.inject_fault();
+      trial.loop.run_for(90s);
+      trial.faults_over = true;
+      trial.loop.run_for(20s);
+      trial.heartbeats_come_late = false;
+      trial.loop.run_for(32s);
+      EXPECT_EQ(trial.double_holds, 0u) << "seed " << seed;
+      EXPECT_EQ(trial.refused_for_fence, 0u) << "seed " << seed;
+      EXPECT_EQ(trial.keys_held(), 65536u) << "seed " << seed;
+    }
+}
+
 // Checks the checker: a coordinator that doesn't wait for the end of a lease must be detected.
 TEST(KeyTrial, the_check_finds_a_coordinator_that_does_not_wait) {
   KeySettings no_wait;
--- a/tests/programs/backend_instances_test.cpp
+++ b/tests/programs/backend_instances_test.cpp
@@ -146,6 +146,42 @@
 }
 INSTANTIATE_TEST_SUITE_P(Identification, BackendInstances, testing::Bool(), name_of);
 
+// Guards against OWNER: a restarted node took a late heartbeat of its backend's former instance for the living one, and
+// had the keys of the living one granted to others.
+TEST_P(BackendInstances, a_restarted_node_that_first_hears_a_former_instance_leaves_the_living_one_its_keys) {
+  InstancesTrial t(1, GetParam());
+  t.form();
+  MeshTrial::Machine& machine = t.machine("accounts-0-a");
+  BackendHeartbeat const late = t.replace_in_order(machine);
+  ASSERT_TRUE(t.run_until([&] { return t.holds_keys(machine); }, 15s));
+  t.restart_node(machine);
+  t.run_for(300ms);
+  t.mesh.deliver(machine, late);
+  t.run_for(3500ms);
+  EXPECT_TRUE(t.holds_keys(machine)) << "within two of its heartbeats";
+  t.run_for(10s);
+  EXPECT_TRUE(t.holds_keys(machine));
+  EXPECT_LE(t.longest_double_hold, longest_overlap);
+  EXPECT_GT(t.executions_on(machine.backend->id, t.mesh.sim.now - 5s), 0u);
+}
+
+// The same after a crash: nothing was signed off, and only the key table names the living instance.
+TEST_P(BackendInstances, a_restarted_node_that_first_hears_a_crashed_instance_leaves_the_living_one_its_keys) {
+  InstancesTrial t(2, GetParam());
+  t.form();
+  MeshTrial::Machine& machine = t.machine("accounts-0-a");
+  std::vector<BackendHeartbeat> const late = t.crash(machine, 2);
+  ASSERT_TRUE(t.run_until([&] { return t.holds_keys(machine); }, 20s));
+  t.restart_node(machine);
+  t.run_for(300ms);
+  for (BackendHeartbeat const& heartbeat : late) t.mesh.deliver(machine, heartbeat);
+  t.run_for(4s);
+  EXPECT_TRUE(t.holds_keys(machine));
+  t.run_for(10s);
+  EXPECT_LE(t.longest_double_hold, longest_overlap);
+  EXPECT_GT(t.executions_on(machine.backend->id, t.mesh.sim.now - 5s), 0u);
+}
+
 // Guards against OWNER: late heartbeats of a crashed instance made the node report the living one as ended.
 TEST_P(BackendInstances, late_heartbeats_of_a_crashed_instance_take_no_keys_from_the_living_one) {
   for (Duration const gap : {Duration(10ms), Duration(700ms)}) {
