A sign-off binds also while another instance is the current one

A backend whose node had just taken a late heartbeat of a former instance signed off, got its acknowledgement, and was sent requests again with its next late heartbeat; its keys were not given away when its hold ran out. Cause: LocalBackend::leave ignored a sign-off of an instance that wasn't the current one, though it was acknowledged. Change: both keep such a sign-off: the instance's heartbeats are ignored, and its end is reported once its hold has expired. KeyGranter.an_instance_that_signed_off_and_was_replaced_ends_when_its_hold_has_expired and LocalBackend. a_sign_off_of_an_instance_that_is_not_the_current_one_is_kept are new and weren't run without the change.

--- a/source/coordination/key_granter.cpp
+++ b/source/coordination/key_granter.cpp
@@ -45,7 +45,8 @@
                                    scaled(std::min(settings_.term, settings_.hold_limit), 1 + settings_.clock_drift)) {}
 
 void KeyGranter::start_instance(std::string const& instance) {
-  if (!instance_.empty()) add_replaced(ReplacedInstance{instance_, granted_until_});
+  if (signed_off_) add_signed_off_other(SignedOffInstance{instance_, granted_until_});
+  if (!instance_.empty() && !signed_off_) add_replaced(ReplacedInstance{instance_, granted_until_});
   Instant const may_hold_until = held_until(instance);
   reset_instance();
   instance_ = instance;
@@ -79,6 +80,7 @@
 void KeyGranter::end_instance(std::string const& instance, std::string const& reason) {
   if (!ended_ids_.insert(instance)) return;
   std::erase_if(replaced_, [&](ReplacedInstance const& replaced) { return replaced.instance == instance; });
+  std::erase_if(signed_off_others_, [&](SignedOffInstance const& other) { return other.instance == instance; });
   ended_.push_back(KeyEnd{instance, reason});
   if (ended_.size() > ended_limit) ended_.erase(ended_.begin());
   urgent_report_ = true;
@@ -98,15 +100,26 @@
   if (replaced_.size() > replaced_limit) replaced_.erase(replaced_.begin());
 }
 
+void KeyGranter::add_signed_off_other(SignedOffInstance other) {
+  signed_off_others_.push_back(std::move(other));
+  if (signed_off_others_.size() > replaced_limit) signed_off_others_.erase(signed_off_others_.begin());
+}
+
+bool KeyGranter::has_signed_off(std::string const& instance) const {
+  if (instance == instance_) return signed_off_;
+  return std::any_of(signed_off_others_.begin(), signed_off_others_.end(),
+                     [&](SignedOffInstance const& other) { return other.instance == instance; });
+}
+
 std::vector<std::string> KeyGranter::instances_without_proved_end() const {
   std::vector<std::string> instances;
   for (ReplacedInstance const& replaced : replaced_) instances.push_back(replaced.instance);
+  for (SignedOffInstance const& other : signed_off_others_) instances.push_back(other.instance);
   return instances;
 }
 
 void KeyGranter::take_heartbeat(Instant const now, KeyHeartbeat const& heartbeat) {
-  if (ended_ids_.contains(heartbeat.instance)) return;
-  if (signed_off_ && heartbeat.instance == instance_) return;
+  if (has_signed_off(heartbeat.instance) || ended_ids_.contains(heartbeat.instance)) return;
   if (heartbeat.instance != instance_) {
     if (!instance_.empty() && !runs_steadily(now)) return;
     start_instance(heartbeat.instance);
@@ -325,8 +338,14 @@
 }
 
 void KeyGranter::on_instance_signed_off(std::string const& instance, Instant const now) {
-  bool const may_hold_on = instance == instance_ && holder_state_ == KeyHolderState::serving && now < granted_until_;
+  bool const current = instance == instance_;
+  bool const may_hold_on = now < held_until(instance) && !(current && holder_state_ == KeyHolderState::draining);
+  if (has_signed_off(instance)) return;
   if (!may_hold_on) return end_instance(instance, "it signed off");
+  if (!current) {
+    add_signed_off_other(SignedOffInstance{instance, held_until(instance)});
+    return;
+  }
   signed_off_ = true;
   holder_state_ = KeyHolderState::draining;  // so that the coordinator chooses other holders for its rows meanwhile
   served_.clear();
@@ -337,6 +356,9 @@
 void KeyGranter::end_expired_holds(Instant const now) {
   static constexpr char const* reason = "its hold has expired since it signed off";
   if (signed_off_ && now >= granted_until_) end_instance(std::string(instance_), reason);
+  std::vector<SignedOffInstance> const others = signed_off_others_;
+  for (SignedOffInstance const& other : others)
+    if (now >= other.held_until) end_instance(other.instance, reason);
   std::erase_if(replaced_, [&](ReplacedInstance const& replaced) {
     return now >= replaced.held_until && !is_in_table(replaced.instance);
   });
--- a/source/coordination/key_granter.hpp
+++ b/source/coordination/key_granter.hpp
@@ -77,8 +77,9 @@
   void on_instance_ended(std::string const& instance, std::string const& reason);
   /// The instances of this node, other than the current one, that may hold keys because nothing proves their end.
   std::vector<std::string> instances_without_proved_end() const;
-  /// An instance has signed off, but its process may keep serving for a while: it gets no more requests, and its end
-  /// is reported once its last hold has expired. An instance that was draining before ends at once.
+  /// An instance, the current one or another, has signed off, but its process may keep serving for a while: it gets no
+  /// more requests, and its end is reported once its last hold has expired. A current instance that was draining before
+  /// ends at once.
   void on_instance_signed_off(std::string const& instance, Instant now);
 
   /// The fence of the key's row if a request may be sent to the backend now, that is, if work of the expected length
@@ -130,6 +131,11 @@
     std::string instance;
     Instant held_until{};  // by the slowest allowed backend clock
   };
+  // An instance other than the current one that signed off, and may hold keys until then.
+  struct SignedOffInstance {
+    std::string instance;
+    Instant held_until{};
+  };
 
   // A confirmed reading whose table hasn't arrived yet.
   struct PendingLease {
@@ -143,6 +149,8 @@
   void end_instance(std::string const& instance, std::string const& reason);
   void reset_instance();
   void add_replaced(ReplacedInstance replaced);
+  void add_signed_off_other(SignedOffInstance other);
+  bool has_signed_off(std::string const& instance) const;
   ReplacedInstance const* find_replaced(std::string const& instance) const;
   Instant held_until(std::string const& instance) const;
   void end_expired_holds(Instant now);
@@ -178,6 +186,7 @@
   bool signed_off_ = false;  // the current instance has signed off; it ends at `granted_until_`
   std::vector<MovingRow> moving_away_;
   std::vector<ReplacedInstance> replaced_;
+  std::vector<SignedOffInstance> signed_off_others_;
   std::vector<KeyEnd> ended_;  // the latest, for the reports
   RecentIds ended_ids_;
 
--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -122,13 +122,15 @@
     co_return co_await identify(instance_->heartbeat.address, instance_->heartbeat.service);
   }
 
-  /** Handles the backend's message that it leaves. */
+  /** Handles the backend's message that it leaves. An instance that isn't the current one may be alive all the same. */
   void leave(std::string const& id) {
-    if (!instance_ || instance_->heartbeat.id != id) return;
-    bool const drained = instance_->heartbeat.leaving;
-    if (!drained) events_.left_undrained(id);
-    std::string const service = instance_->heartbeat.service;
+    if (succession_.has_ended(id)) return;
+    bool const current = instance_ && instance_->heartbeat.id == id;
+    bool const drained = current && instance_->heartbeat.leaving;
+    std::string const service = current ? instance_->heartbeat.service : std::string();
     succession_.on_ended(id);
+    if (!drained) events_.left_undrained(id);
+    if (!current) return;
     retire("it has left");
     if (drained) events_.ended(service, id, "it has left");
     events_.record_changed();
--- a/tests/coordination/key_granter_test.cpp
+++ b/tests/coordination/key_granter_test.cpp
@@ -246,6 +246,45 @@
   EXPECT_EQ(after.instance, "");
 }
 
+// Guards against two holders of one key: an instance signed off while a late heartbeat of a former one was taken for
+// the current one's.
+TEST(KeyGranter, an_instance_that_signs_off_while_another_is_current_ends_when_its_hold_has_expired) {
+  GranterTrial t;
+  t.confirm_table();
+  for (int i = 0; i < 4; ++i, t.now += 500ms) t.granter.report(t.now, 0);
+  KeyHeartbeatReply const granted = t.granter.handle_heartbeat(t.now, t.heartbeat());
+  ASSERT_TRUE(granted.renews);
+  Instant const end_of_hold = t.now + std::chrono::duration_cast<Duration>(granted.hold * 1.02);
+  KeyHeartbeat late = t.heartbeat();
+  late.instance = "i-0";
+  t.granter.handle_heartbeat(t.now + 100ms, late);
+  t.granter.on_instance_signed_off("i-1", t.now + 200ms);
+  EXPECT_FALSE(t.granter.handle_heartbeat(t.now + 300ms, t.heartbeat()).renews);
+  EXPECT_TRUE(t.granter.report(end_of_hold - 10ms, 0).ended.empty());
+  KeyReport const after = t.granter.report(end_of_hold + 1ms, 0);
+  ASSERT_EQ(after.ended.size(), 1u);
+  EXPECT_EQ(after.ended[0].instance, "i-1");
+}
+
+// Guards against keys that stay with nobody: an instance signed off, and the next one came before its hold had expired.
+TEST(KeyGranter, an_instance_that_signed_off_and_was_replaced_ends_when_its_hold_has_expired) {
+  GranterTrial t;
+  t.confirm_table();
+  for (int i = 0; i < 4; ++i, t.now += 500ms) t.granter.report(t.now, 0);
+  KeyHeartbeatReply const granted = t.granter.handle_heartbeat(t.now, t.heartbeat());
+  ASSERT_TRUE(granted.renews);
+  Instant const end_of_hold = t.now + std::chrono::duration_cast<Duration>(granted.hold * 1.02);
+  t.granter.on_instance_signed_off("i-1", t.now + 100ms);
+  KeyHeartbeat next = t.heartbeat();
+  next.instance = "i-9";
+  t.granter.handle_heartbeat(t.now + 200ms, next);
+  EXPECT_EQ(t.granter.instance(), "i-9");
+  EXPECT_TRUE(t.granter.report(end_of_hold - 10ms, 0).ended.empty());
+  KeyReport const after = t.granter.report(end_of_hold + 1ms, 0);
+  ASSERT_EQ(after.ended.size(), 1u);
+  EXPECT_EQ(after.ended[0].instance, "i-1");
+}
+
 TEST(KeyGranter, names_the_instances_whose_end_is_not_proved_and_forgets_them_over_thousands_of_them) {
   GranterTrial t;
   t.confirm_table();
--- a/tests/data_path/local_backend_test.cpp
+++ b/tests/data_path/local_backend_test.cpp
@@ -323,6 +323,18 @@
   EXPECT_TRUE(t.backend->contends("i-2"));
 }
 
+// Guards against requests after an acknowledged sign-off: that of an instance that wasn't the current one was
+// forgotten.
+TEST(LocalBackend, a_sign_off_of_an_instance_that_is_not_the_current_one_is_kept) {
+  LocalTrial t;
+  t.backend->leave("i-2");
+  EXPECT_EQ(t.left_undrained, std::vector<std::string>{"i-2"});
+  EXPECT_EQ(t.current_instance(), "i-1");
+  t.run_for(7s);
+  EXPECT_FALSE(t.handle(LocalTrial::heartbeat_of("i-2", 1)));
+  t.run_for(100ms);
+  EXPECT_FALSE(t.handle(LocalTrial::heartbeat_of("i-2", 2)));
+}
 // Guards against requests after an acknowledged drain: the drain began anew when another instance had been current.
 TEST(LocalBackend, a_drain_goes_on_when_another_instance_was_current_meanwhile) {
   LocalTrial t;
