--- a/source/coordination/zone_follower.hpp
+++ b/source/coordination/zone_follower.hpp
@@ -69,6 +69,8 @@
   std::vector<RegistryEntry> const& directory() const { return directory_.entries(); }
   /// Registries heard from recently.
   std::vector<Address> live_registries() const { return directory_.live(env_.now()); }
+  /// All registries heard of lately, including those that don't answer at the moment.
+  std::vector<Address> recent_registries() const { return directory_.live(env_.now(), RegistryDirectory::kept_for); }
   Address own_registry() const { return directory_.registry_of(settings_.zone, env_.now()); }
   /// The configured number of registries, as the registries report it.
   std::uint32_t registry_count() const { return registry_count_; }
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -5,6 +5,7 @@
 
 #include "coordination/maintenance_view.hpp"
 #include "coordination/register_client.hpp"
+#include "coordination/sign_off_recorder.hpp"
 #include "coordination/zone_follower.hpp"
 #include "data_path/request_path.hpp"
 #include "programs/graceful_shutdown.hpp"
@@ -38,6 +39,10 @@
         local_(env, local_settings(), adapter.headers, std::move(factory), local_events()),
         path_(env, path_settings(), adapter.headers, local_),
         follower_(env, settings_.follower, follower_events()),
+        sign_offs_(env,
+                   [this] {
+                     return SignOffRegistries{follower_.recent_registries(), follower_.registry_count()};
+                   }),
         graceful_shutdown_(shutdown_notice, settings_.shutdown_timeout),
         started_(env.now()),
         grant_alarm_(env),
@@ -56,6 +61,7 @@
     spawn(env_, configuration_loop());
     spawn(env_, confirmation_loop());
     spawn(env_, report_loop());
+    spawn(env_, sign_offs_.repeat_loop());
     if (settings_.bounds.revocation_limit) spawn(env_, access_confirmation_loop());
     spawn(env_, tick_loop());
   }
@@ -111,8 +117,9 @@
       co_return http_reply(adapter_.heartbeat_reply(answer));
     }
     if (LeaveOperation const* const leave = std::get_if<LeaveOperation>(&*operation)) {
-      local_.leave(leave->id);
-      co_return http_reply(adapter_.acknowledgement_reply());
+      bool const recorded = co_await sign_off(leave->id);
+      co_return http_reply(recorded ? adapter_.acknowledgement_reply()
+                                    : adapter_.unavailable_reply("the sign-off can't be recorded now"));
     }
     co_return http_reply(adapter_.unavailable_reply("this process doesn't serve control"));
   }
@@ -125,6 +132,7 @@
   static constexpr Duration isolated_after = 1500ms;
   static constexpr Duration silent_after = 100ms;  // a ping is answered within a few milliseconds
   static constexpr double load_smoothing = 0.15;
+  static constexpr Duration sign_off_timeout = 800ms;  // the backend waits for a second
   static constexpr Duration confirm_timeout = 1s;
   static constexpr Duration first_confirm_timeout = 150ms;
   static constexpr Duration first_confirm_period = 250ms;
@@ -322,13 +330,37 @@
 
   // ---- heartbeats and keys
 
+  bool has_control_plane() const { return !settings_.follower.seeds.empty(); }
+
+  // Acknowledged only once a later process of this node would learn of it.
+  Task<bool> sign_off(std::string const instance) {
+    local_.leave(instance);
+    if (!has_control_plane()) co_return true;
+    co_return co_await sign_offs_.record(instance, env_.now() + sign_off_timeout);
+  }
+
+  // A heartbeat that arrives soon after this process's start may have been sent to the previous process, and its
+  // instance may have signed off there since. False if it has, or if nobody can tell now.
+  Task<bool> is_in_service(std::string const instance, Instant const deadline) {
+    bool const sent_to_this_process = env_.now() - started_ >= max_heartbeat_delay;
+    if (sent_to_this_process || local_.knows(instance) || !has_control_plane()) co_return true;
+    std::optional<bool> const signed_off = co_await sign_offs_.has_signed_off(instance, deadline);
+    if (!signed_off) co_return false;
+    if (!*signed_off) co_return true;
+    log_info("sign_off_kept", {{"instance", instance}});
+    local_.leave(instance);
+    co_return false;
+  }
+
   // Whether the heartbeat is of the instance that is the current one afterwards. The backend's process is asked who it
   // is when another instance contends with the current one.
   Task<bool> accept_heartbeat(BackendHeartbeat const heartbeat) {
+    if (!co_await is_in_service(heartbeat.id, env_.now() + settings_.keys.answer_delay_limit)) co_return false;
     if (local_.heartbeat(heartbeat)) co_return true;
     if (!local_.contends(heartbeat.id)) co_return false;
     bool const proved = co_await local_.identify(heartbeat.address, heartbeat.service);
-    co_return proved&& local_.heartbeat(heartbeat);
+    if (!proved) co_return false;
+    co_return local_.heartbeat(heartbeat);
   }
 
   // Ends former instances that the key table still names, if the backend's process tells who it is.
@@ -568,6 +600,7 @@
   LocalBackend<Env> local_;
   RequestPath<Env, LocalBackend<Env>> path_;
   ZoneFollower<Env> follower_;
+  SignOffRecorder<Env> sign_offs_;
   GracefulShutdown graceful_shutdown_;
   std::size_t forwards_in_flight_ = 0;  // requests of other nodes in flight here
   Instant const started_;
--- a/source/programs/mesh_registry.hpp
+++ b/source/programs/mesh_registry.hpp
@@ -1,9 +1,10 @@
 // The mesh registry: adds the operator interface (through an adapter),
-// maintenance windows and the key coordinator to a Registry, which holds the
-// register values and serves its zone's feed.
+// maintenance windows, the key coordinator and the record of backends that signed
+// off to a Registry, which holds the register values and serves its zone's feed.
 #pragma once
 
 #include "coordination/key_coordinator.hpp"
+#include "coordination/sign_off_log.hpp"
 #include "programs/configuration_interface.hpp"
 #include "programs/control_status.hpp"
 #include "programs/maintenance_interface.hpp"
@@ -31,6 +32,7 @@
 
   void start(Dispatcher& dispatcher) {
     coordinator_.attach(dispatcher);
+    sign_offs_.attach(dispatcher);
     spawn(env_, coordinator_.run());
     spawn(env_, windows_.run());
     spawn(env_, maintenance_.run());
@@ -61,6 +63,7 @@
   ConfigurationInterface<Env> configuration_;
   ControlStatus<Env> status_;
   KeyCoordinator<Env, RegisterClient<Env>> coordinator_;
+  SignOffLog sign_offs_;
   Windows windows_;
   MaintenanceInterface<Env, Registry<Env>, Windows> maintenance_;
 };
--- a/source/protocol/backend_heartbeat.hpp
+++ b/source/protocol/backend_heartbeat.hpp
@@ -36,6 +36,9 @@
   bool operator==(HeartbeatGrantedRow const&) const = default;
 };
 
+/// A heartbeat arrives at most this long after it was sent.
+inline constexpr Duration max_heartbeat_delay = 10s;
+
 /// One heartbeat.
 struct BackendHeartbeat {
   std::string id;  ///< new at each start of the backend
--- a/source/protocol/message_names.cpp
+++ b/source/protocol/message_names.cpp
@@ -3,6 +3,7 @@
 
 #include "protocol/forward_messages.hpp"
 #include "protocol/key_messages.hpp"
+#include "protocol/sign_off_messages.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -30,6 +31,8 @@
     {ChosenValue::kind, "chosen"},
     {Forward::kind, "forward"},
     {KeyReport::kind, "key_report"},
+    {SignOffRecord::kind, "sign_off"},
+    {SignOffQuery::kind, "sign_off_query"},
 };
 
 }  // namespace
