--- a/tests/days/aimed_days.py
+++ b/tests/days/aimed_days.py
@@ -200,6 +200,19 @@
     day.choose_closing_fault()
 
 
+def crash_and_restart(day):
+    """Backends crash and are replaced while the nodes beside them and the core are killed or frozen."""
+    day.add_changes(3.0)
+    for start in (2, 9, 16):
+        day.add_fault(day.between(start, start + 4), "srv_crash", share=0.15, for_s=day.between(0.5, 4.5))
+        day.add_fault(day.between(start + 1, start + 6), "node_kill", share=0.1)
+    day.add_planned(day.between(4, 10), "release", share=0.5, x=1.0, gap_s=0.8)
+    day.add_planned(day.between(14, 20), "replace_with_reuse", share=0.3, how=day.rng.choice(["", "drain", "dark"]))
+    day.add_fault(day.between(6, 20), "node_freeze", share=0.25, for_s=day.between(0.5, 4))
+    day.add_fault(day.between(8, 22), "node_kill", on="core", count=day.rng.choice([1, 2]), for_s=day.between(0.5, 3))
+    day.choose_closing_fault()
+
+
 def impatient_clients(day):
     """Clients disconnect early or retry at once while backends and machines become slow."""
     day.add_changes(3.0)
@@ -305,8 +318,9 @@
 
 
 AIMS = [replace_then_lose, replace_and_cut, wipes_in_a_row, cut_off_leader, halves, races, storm_and_restart,
-        storm_and_cut, silence_and_resets, reuse_and_freeze, impatient_clients, few_leave_slow_backends,
-        few_leave_while_rolled, many_leave_while_rolled, keys_revoked_in_cuts, keys_revoked_without_core, anything]
+        storm_and_cut, silence_and_resets, reuse_and_freeze, crash_and_restart, impatient_clients,
+        few_leave_slow_backends, few_leave_while_rolled, many_leave_while_rolled, keys_revoked_in_cuts,
+        keys_revoked_without_core, anything]
 
 
 def main():
