--- a/source/coordination/key_granter.cpp
+++ b/source/coordination/key_granter.cpp
@@ -68,6 +68,7 @@
   instance_.clear();
   sequence_ = 0;
   heartbeats_ = 0;
+  unreachable_ = false;
   signed_off_ = false;
   granted_until_ = Instant{};
   holder_state_ = KeyHolderState::serving;
@@ -128,6 +129,8 @@
   sequence_ = heartbeat.sequence;
   ++heartbeats_;
   heartbeat_arrived_ = now;
+  urgent_report_ = urgent_report_ || unreachable_;
+  unreachable_ = false;
   slots_ = heartbeat.slots;
   urgent_report_ = urgent_report_ || heartbeat.state != holder_state_;
   holder_state_ = heartbeat.state;
@@ -220,7 +223,7 @@
 
 KeyHeartbeatReply KeyGranter::reply(Instant const now, std::string const& instance, std::uint64_t const sequence) {
   KeyHeartbeatReply reply;
-  if (instance.empty() || instance != instance_ || sequence != sequence_ || signed_off_) return reply;
+  if (instance.empty() || instance != instance_ || sequence != sequence_ || signed_off_ || unreachable_) return reply;
   for (MovingRow& moving_away : moving_away_)
     if (moving_away.omitted_at == 0) moving_away.omitted_at = sequence;
   if (!leased(now)) return reply;
@@ -314,6 +317,12 @@
   moving_away_ = std::move(moving_away);
 }
 
+// An unreachable instance may still hold what it was granted, but is granted nothing more.
+void KeyGranter::release_expired_moving_rows(Instant const now) {
+  if (!unreachable_ || now < granted_until_) return;
+  for (MovingRow& moving_away : moving_away_) moving_away.released = true;
+}
+
 void KeyGranter::on_confirmed(Revision const revision, Instant const sent) {
   Instant const until = sent + settings_.term;
   if (revision <= table_revision_) return extend_lease(until);
@@ -333,6 +342,13 @@
   });
 }
 
+void KeyGranter::on_instance_unreachable(std::string const& instance) {
+  if (instance != instance_ || unreachable_) return;
+  unreachable_ = true;
+  served_.clear();
+  urgent_report_ = true;
+}
+
 void KeyGranter::on_instance_ended(std::string const& instance, std::string const& reason) {
   end_instance(instance, reason);
 }
@@ -428,6 +444,7 @@
 KeyReport KeyGranter::report(Instant const now, float const busy, float const capacity) {
   measure(now);
   end_expired_holds(now);
+  release_expired_moving_rows(now);
   if (now - last_report_ > suspension_gap) running_since_ = now;
   last_report_ = now;
   urgent_report_ = false;
@@ -437,7 +454,7 @@
   report.node = node_;
   report.address = address_;
   report.zone = zone_;
-  report.state = holder_state_;
+  report.state = unreachable_ ? KeyHolderState::draining : holder_state_;
   report.leased = leased(now);
   report.slots = slots_;
   report.busy = busy;
--- a/source/coordination/key_granter.hpp
+++ b/source/coordination/key_granter.hpp
@@ -73,6 +73,9 @@
   /// once a table of at least that revision has arrived; a running lease continues meanwhile, because its own reading
   /// is still valid.
   void on_confirmed(Revision revision, Instant sent);
+  /// Nobody accepts connections at the current instance's address: its process has ended, or doesn't listen at the
+  /// moment. Until its next heartbeat it is granted nothing, and its keys go to others once its hold has expired.
+  void on_instance_unreachable(std::string const& instance);
   /// The process of an instance is proved to have ended, or has shut down gracefully.
   void on_instance_ended(std::string const& instance, std::string const& reason);
   /// The instances of this node, other than the current one, that may hold keys because nothing proves their end.
@@ -159,6 +162,7 @@
   void record_releases(KeyHeartbeat const& heartbeat);
   void detect_releases(KeyHeartbeat const& heartbeat);
   void update_moving_rows();
+  void release_expired_moving_rows(Instant now);
   void add_instances_replaced_in_table();
   void bind_releases_to_fences();
   std::string released_token(KeyRow const& row) const;
@@ -182,8 +186,9 @@
   std::vector<ReleasedToken> released_;  // tokens of rows that were released and not granted again
   std::vector<ServedRow> served_;        // by the last reply that renewed
   Instant hold_end_{};
-  Instant granted_until_{};  // by the slowest allowed backend clock
-  bool signed_off_ = false;  // the current instance has signed off; it ends at `granted_until_`
+  Instant granted_until_{};   // by the slowest allowed backend clock
+  bool unreachable_ = false;  // since the last heartbeat of the current instance
+  bool signed_off_ = false;   // the current instance has signed off; it ends at `granted_until_`
   std::vector<MovingRow> moving_away_;
   std::vector<ReplacedInstance> replaced_;
   std::vector<SignedOffInstance> signed_off_others_;
--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -45,6 +45,8 @@
   struct Events {
     /** The backend's record for the zone's feed has changed. */
     std::function<void()> record_changed;
+    /** Nobody listens at the current instance's address; its process may run all the same. */
+    std::function<void(std::string const& instance)> unreachable;
     /** An instance's process is proved to have ended. */
     std::function<void(std::string const& service, std::string const& instance, std::string const& reason)> ended;
     /** An instance has left without draining first: its process may go on serving for a while. */
@@ -496,7 +498,7 @@
       instance_->queue.refuse_all();
       apply_queue_decisions();
       log_info("backend_refuses", {{"instance", instance}});
-      events_.ended(instance_->heartbeat.service, instance, "nobody listens at its port");
+      events_.unreachable(instance);
       events_.record_changed();
     }
     if (error.proof == Proof::not_run) return refuse(Refusal::no_backend, error.step + ": " + error.reason, 100ms);
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -159,6 +159,10 @@
       rebuild_endpoints();
       report_alarm_.wake();
     };
+    e.unreachable = [this](std::string const& instance) {
+      if (keys_) keys_->on_instance_unreachable(instance);
+      report_alarm_.wake();
+    };
     e.ended = [this](std::string const&, std::string const& instance, std::string const& reason) {
       if (keys_) keys_->on_instance_ended(instance, reason);
       report_alarm_.wake();
--- a/tests/coordination/key_granter_test.cpp
+++ b/tests/coordination/key_granter_test.cpp
@@ -368,6 +368,38 @@
   }
 }
 
+// Guards against OWNER: a refused connection had the keys of a backend that still ran granted to others.
+TEST(KeyGranter, an_unreachable_instance_gives_up_its_rows_only_when_its_hold_has_expired) {
+  GranterTrial t;
+  t.confirm_table();
+  KeyHeartbeatReply const granted = t.granter.handle_heartbeat(t.now, t.heartbeat());
+  ASSERT_TRUE(granted.renews);
+  t.granter.on_instance_unreachable("i-1");
+  EXPECT_FALSE(t.granter.fence_to_run(0, t.now, 1ms));
+  EXPECT_TRUE(t.granter.has_urgent_report());
+  EXPECT_EQ(t.granter.report(t.now, 0).state, KeyHolderState::draining) << "its rows are to be moved";
+  t.first_row().moving = t.table.revision + 1;
+  t.receive_table();
+  Instant const expired = t.now + std::chrono::duration_cast<Duration>(granted.hold * 1.02);
+  EXPECT_TRUE(t.granter.report(expired - 1ms, 0).released.empty());
+  KeyReport const after = t.granter.report(expired + 1ms, 0);
+  ASSERT_EQ(after.released.size(), 1u);
+  EXPECT_EQ(after.released[0].moving, t.table.revision);
+  EXPECT_TRUE(after.ended.empty()) << "it may live";
+}
+
+TEST(KeyGranter, an_unreachable_instance_is_granted_its_rows_again_with_its_next_heartbeat) {
+  GranterTrial t;
+  t.confirm_table();
+  t.granter.handle_heartbeat(t.now, t.heartbeat());
+  t.granter.on_instance_unreachable("i-1");
+  t.now += 1s;
+  KeyHeartbeatReply const answer = t.granter.handle_heartbeat(t.now, t.heartbeat({{0, 99, 5}}));
+  EXPECT_TRUE(answer.renews);
+  EXPECT_EQ(answer.rows, (std::vector<KeyGrant>{{0, 99, 5, ""}}));
+  EXPECT_EQ(t.granter.report(t.now, 0).state, KeyHolderState::serving);
+}
+
 TEST(KeyGranter, runs_requests_on_held_keys_that_end_within_the_hold) {
   GranterTrial t;
   t.confirm_table();
--- a/tests/data_path/local_backend_model_test.cpp
+++ b/tests/data_path/local_backend_model_test.cpp
@@ -68,6 +68,7 @@
     LocalBackend<SimProcess>::Events events;
     events.record_changed = [] {};
     events.ended = [](std::string const&, std::string const&, std::string const&) {};
+    events.unreachable = [](std::string const&) {};
     events.left_undrained = [](std::string const&) {};
     events.connection_limit = [](std::string const&) { return std::size_t{10}; };
     ConnectionsFactory factory = [this](Address const&, std::size_t) {
--- a/tests/data_path/local_backend_test.cpp
+++ b/tests/data_path/local_backend_test.cpp
@@ -54,6 +54,7 @@
     events.ended = [this](std::string const&, std::string const& instance, std::string const&) {
       ended.push_back(instance);
     };
+    events.unreachable = [](std::string const&) {};
     events.left_undrained = [this](std::string const& instance) { left_undrained.push_back(instance); };
     events.health_path = [](std::string const&) { return std::string("/health"); };
     events.instances_without_proved_end = [this] { return listed; };
--- a/tests/programs/backend_instances_test.cpp
+++ b/tests/programs/backend_instances_test.cpp
@@ -73,6 +73,35 @@
   }
 }
 
+// Guards against OWNER: a refused connection ended a backend that still ran and held keys, and it got no keys ever
+// again.
+TEST_P(BackendInstances, a_living_instance_that_refuses_connections_keeps_its_keys_while_it_may_hold_them) {
+  for (Duration const refusing : {Duration(300ms), Duration(3s), Duration(9s)}) {
+    InstancesTrial t(9, GetParam());
+    t.form();
+    MeshTrial::Machine& machine = t.machine("accounts-0-a");
+    std::string const instance = machine.backend->id;
+    machine.backend->listens = false;
+    t.run_for(refusing);
+    machine.backend->listens = true;
+    t.run_for(15s);
+    EXPECT_LE(t.longest_double_hold, longest_overlap) << as_ms(refusing);
+    EXPECT_TRUE(t.holds_keys(machine)) << as_ms(refusing);
+    EXPECT_EQ(t.mesh.keys_held(), 65536u) << as_ms(refusing);
+    EXPECT_GT(t.executions_on(instance, t.mesh.sim.now - 5s), 0u) << as_ms(refusing);
+  }
+}
+
+// The other side of it: the keys of an instance whose process has gone are held by others once its hold has run out.
+TEST_P(BackendInstances, keys_of_a_crashed_instance_that_refuses_connections_move_when_its_hold_has_run_out) {
+  InstancesTrial t(10, GetParam());
+  t.form();
+  MeshTrial::Machine& machine = t.machine("accounts-0-a");
+  t.end(*machine.backend);
+  EXPECT_TRUE(t.run_until([&] { return t.mesh.keys_held() == 65536; }, 8s));
+  EXPECT_LE(t.longest_double_hold, longest_overlap);
+}
+
 // Guards against DRAIN: a node that was restarted after it had acknowledged a sign-off took a late heartbeat of that
 // instance for one of an instance in service.
 TEST_P(BackendInstances, a_restarted_node_sends_nothing_to_an_instance_that_signed_off_before) {
@@ -158,7 +187,7 @@
     MeshTrial::Machine& of = any_machine();
     if (of.process->frozen) of.process->thaw();
     MeshTrial::Core& core = mesh.cores.at("core-" + of.zone);
-    switch (below(8)) {
+    switch (below(9)) {
       case 0:
         of.backend->leaving = true;
         run_for(drain_limit);
@@ -189,6 +218,11 @@
         run_for(std::chrono::milliseconds(below(1000)));
         mesh.start_machine(of);
         break;
+      case 8:
+        of.backend->listens = false;
+        run_for(std::chrono::milliseconds(below(4000)));
+        of.backend->listens = true;
+        break;
     }
   }
   // Signs off, serves on, and is followed by the next instance; a restart of the node may come in between.
--- a/tests/programs/mesh_trial.hpp
+++ b/tests/programs/mesh_trial.hpp
@@ -48,6 +48,7 @@
   std::string id, service, zone;
   bool up = true;  // its process runs
   bool sends_heartbeats = true;
+  bool listens = true;   // its process accepts connections
   bool leaving = false;  // its heartbeats say so
   bool tells_id = true;  // its answer to a question about its health names it
   std::vector<Row> rows;
@@ -338,7 +339,7 @@
         : trial_(trial), process_(process), machine_(machine) {}
     Task<Result<HttpReply>> call(BackendCall call) override {
       std::shared_ptr<FakeBackend> const backend = machine_.backend;
-      if (!backend->up) co_return make_error("connect", "backend", "refused", Proof::not_run);
+      if (!backend->up || !backend->listens) co_return make_error("connect", "backend", "refused", Proof::not_run);
       HttpReply reply;
       if (call.request.target == health_path) {
         reply.status = 200;
