--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -92,6 +92,11 @@
     return true;
   }
 
+  /** The answer to a heartbeat has been sent. */
+  void answered(BackendHeartbeat const& heartbeat, HeartbeatAnswer const& answer) {
+    succession_.on_replied(env_.now(), heartbeat.id, releases_keys(heartbeat, answer));
+  }
+
   /** Whether a heartbeat of the instance was received here before. */
   bool knows(std::string const& id) const { return succession_.knows(id) || succession_.has_ended(id); }
 
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -114,6 +114,7 @@
     if (std::holds_alternative<ReadinessOperation>(*operation)) co_return http_reply(adapter_.readiness_reply(ready()));
     if (HeartbeatOperation const* const heartbeat_operation = std::get_if<HeartbeatOperation>(&*operation)) {
       HeartbeatAnswer const answer = co_await heartbeat(heartbeat_operation->heartbeat);
+      local_.answered(heartbeat_operation->heartbeat, answer);
       co_return http_reply(adapter_.heartbeat_reply(answer));
     }
     if (LeaveOperation const* const leave = std::get_if<LeaveOperation>(&*operation)) {
--- a/source/protocol/backend_heartbeat.hpp
+++ b/source/protocol/backend_heartbeat.hpp
@@ -4,6 +4,7 @@
 
 #include "transport/result.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -66,4 +67,14 @@
   std::string next_address;  ///< where to send later heartbeats; empty: unchanged
 };
 
+/// Whether the answer leaves out keys that the backend holds, so that it releases them.
+inline bool releases_keys(BackendHeartbeat const& heartbeat, HeartbeatAnswer const& answer) {
+  if (!answer.grant) return false;
+  std::vector<HeartbeatGrantedRow> const& granted = answer.grant->rows;
+  return std::any_of(heartbeat.held.begin(), heartbeat.held.end(), [&](HeartbeatHeldRow const& held) {
+    return std::none_of(granted.begin(), granted.end(),
+                        [&](HeartbeatGrantedRow const& row) { return row.from <= held.from && held.to <= row.to; });
+  });
+}
+
 }  // namespace banktide
--- a/source/state/instance_succession.cpp
+++ b/source/state/instance_succession.cpp
@@ -12,6 +12,7 @@
   if (sequence < sender.newest_sequence) return HeartbeatVerdict::ignored;
   sender.newest_sequence = sequence;
   sender.last_heard = now;
+  sender.overdue_at = now + settings_.overdue_without_reply;
   if (id == current_) {
     unreachable_ = false;
     for (auto& [other, known] : known_) known.contending_since.reset();
@@ -28,7 +29,7 @@
 }
 
 bool InstanceSuccession::may_replace_current(Known const& contender, Instant const now) const {
-  bool const overdue = unreachable_ || now - known_.at(current_).last_heard > settings_.overdue_after;
+  bool const overdue = unreachable_ || now > known_.at(current_).overdue_at;
   bool const confirmed = contender.contending_since && now - *contender.contending_since >= settings_.min_heartbeat_gap;
   return overdue || confirmed;
 }
@@ -39,6 +40,13 @@
   for (auto& [other, known] : known_) known.contending_since.reset();
 }
 
+void InstanceSuccession::on_replied(Instant const now, std::string const& id, bool const releases_keys) {
+  auto const found = known_.find(id);
+  if (found == known_.end()) return;
+  Duration const interval = releases_keys ? settings_.interval_after_release : settings_.heartbeat_interval;
+  found->second.overdue_at = now + interval + settings_.max_lateness;
+}
+
 void InstanceSuccession::on_ended(std::string const& id) {
   ended_.insert(id);
   known_.erase(id);
--- a/source/state/instance_succession.hpp
+++ b/source/state/instance_succession.hpp
@@ -16,9 +16,14 @@
 namespace banktide {
 
 struct SuccessionSettings {
-  /// The current instance is overdue when it has been silent for longer: the pause between two heartbeats, the longest
-  /// delay of a reply, and a margin.
-  Duration overdue_after = 3s;
+  /// The pause between the reply to a heartbeat and the next heartbeat.
+  Duration heartbeat_interval = 1500ms;
+  /// The same if the reply left out keys that the instance held.
+  Duration interval_after_release = 100ms;
+  /// The current instance is overdue when its next heartbeat is late by more than this.
+  Duration max_lateness = 500ms;
+  /// While its last heartbeat hasn't been replied to, it is overdue when it has been silent for longer than this.
+  Duration overdue_without_reply = 3s;
   /// Heartbeats that were delayed together arrive within this time, and count as one.
   Duration min_heartbeat_gap = 40ms;
 };
@@ -37,6 +42,9 @@
   /// Another instance replaces the current one if it sends a second heartbeat while the current one sends none, or if
   /// the current one is overdue or unreachable.
   HeartbeatVerdict on_heartbeat(Instant now, std::string const& id, std::uint64_t sequence);
+  /// The reply to the last heartbeat of an instance was sent; `releases_keys` tells that it left out keys that the
+  /// instance held.
+  void on_replied(Instant now, std::string const& id, bool releases_keys);
   /// The instance signed off, or its process is proved to have ended: its heartbeats are ignored from now on.
   void on_ended(std::string const& id);
   /// Nobody listens at the current instance's address; its next heartbeat shows that it is reachable again.
@@ -59,6 +67,7 @@
   struct Known {
     std::uint64_t newest_sequence = 0;
     Instant last_heard{};
+    Instant overdue_at{};                     // when its next heartbeat is too late
     std::optional<Instant> contending_since;  // the first heartbeat since the current instance's last one
     std::optional<Instant> leaving_since;
   };
--- a/tests/programs/backend_instances_test.cpp
+++ b/tests/programs/backend_instances_test.cpp
@@ -102,6 +102,20 @@
   EXPECT_LE(t.longest_double_hold, longest_overlap);
 }
 
+// Guards against a loss of seconds after a crash: the next instance waited until its former one, which was to send its
+// next heartbeat at once, had been silent for 3 s.
+TEST_P(BackendInstances, the_next_instance_is_taken_with_its_first_heartbeat_if_the_former_one_is_overdue) {
+  InstancesTrial t(11, GetParam());
+  t.form();
+  MeshTrial::Machine& machine = t.machine("accounts-0-a");
+  t.drain_until_keys_are_let_go(machine);
+  t.run_for(2s);
+  t.crash(machine, 1);
+  EXPECT_TRUE(t.run_until([&] { return t.is_offered(machine); }, 300ms));
+  EXPECT_TRUE(t.run_until([&] { return t.holds_keys(machine); }, 10s));
+  EXPECT_LE(machine.backend->heartbeats, 2u) << "heartbeats until it held keys";
+}
+
 // Guards against DRAIN: a node that was restarted after it had acknowledged a sign-off took a late heartbeat of that
 // instance for one of an instance in service.
 TEST_P(BackendInstances, a_restarted_node_sends_nothing_to_an_instance_that_signed_off_before) {
--- a/tests/programs/instances_trial.hpp
+++ b/tests/programs/instances_trial.hpp
@@ -81,6 +81,13 @@
     mesh.start_backend(of);
     return on_their_way;
   }
+  /// The backend drains and lets go of its keys; none of its heartbeats that would tell so is sent any more.
+  void drain_until_keys_are_let_go(MeshTrial::Machine& of) {
+    if (!holds_keys(of)) return;
+    of.backend->leaving = true;
+    EXPECT_TRUE(run_until([&] { return !holds_keys(of); }, 5s));
+    of.backend->sends_heartbeats = false;
+  }
   bool holds_keys(MeshTrial::Machine const& of) const {
     return std::any_of(of.backend->rows.begin(), of.backend->rows.end(),
                        [&](FakeBackend::Row const& row) { return row.end > mesh.sim.now; });
--- a/tests/programs/late_heartbeats_test.cpp
+++ b/tests/programs/late_heartbeats_test.cpp
@@ -96,17 +96,10 @@
   static constexpr Duration two_heartbeats = 2 * (heartbeat_period + reply_delay);
 
   void crash_instance() {
-    if (case_.former_drained) drain_until_keys_are_let_go();
+    if (case_.former_drained) drain_until_keys_are_let_go(machine_);
     std::size_t const count = std::max<std::size_t>(case_.count / case_.former_instances, 1);
     for (BackendHeartbeat const& heartbeat : crash(machine_, count)) late_.push_back(heartbeat);
   }
-  // No heartbeat that tells of the released keys arrives in time.
-  void drain_until_keys_are_let_go() {
-    if (!holds_keys(machine_)) return;
-    machine_.backend->leaving = true;
-    EXPECT_TRUE(run_until([&] { return !holds_keys(machine_); }, 5s));
-    machine_.backend->sends_heartbeats = false;
-  }
   void await_own_heartbeat() {
     std::uint64_t const sent = machine_.backend->heartbeats;
     EXPECT_TRUE(run_until([&] { return machine_.backend->heartbeats > sent; }, 5s));
