--- a/source/coordination/sign_off_recorder.hpp
+++ b/source/coordination/sign_off_recorder.hpp
@@ -1,11 +1,12 @@
-// Records at the registries which instances of a node's backend have signed off, so that a later process of the node
-// takes no late heartbeat for that of an instance in service. A sign-off is recorded once a majority of the registries
-// has it, and an instance counts as not signed off once a majority knows nothing of it, so that the two majorities
-// have a registry in common.
+// Records at the registries which instances of a node's backend drain or have signed off, so that a later process of
+// the node takes no late heartbeat for that of an instance in service. A drain or sign-off is recorded once a majority
+// of the registries has it, and an instance counts as in service once a majority knows nothing of it, so that the two
+// majorities have a registry in common.
 #pragma once
 
 #include "protocol/backend_heartbeat.hpp"
 #include "protocol/sign_off_messages.hpp"
+#include "state/recent_ids.hpp"
 #include "transport/environment.hpp"
 
 #include <algorithm>
@@ -38,6 +39,19 @@
     co_return false;
   }
 
+  /// Returns true once a majority of the registries has the drain, false at the deadline. Asks them only once.
+  Task<bool> record_drain(std::string const instance, Instant const deadline) {
+    if (recorded_drains_.contains(instance)) co_return true;
+    bool const recorded = co_await record(drain_entry(instance), deadline);
+    if (recorded) recorded_drains_.insert(instance);
+    co_return recorded;
+  }
+
+  /// Whether the instance drains, by an acknowledgement of this or a former process; none as below.
+  Task<std::optional<bool>> is_draining(std::string const instance, Instant const deadline) {
+    return has_signed_off(drain_entry(instance), deadline);
+  }
+
   /// Whether the instance has signed off at this or a former process; none if too few registries answer in time.
   Task<std::optional<bool>> has_signed_off(std::string const instance, Instant const deadline) {
     while (env_.now() < deadline) {
@@ -117,6 +131,7 @@
   Env& env_;
   std::function<SignOffRegistries()> const registries_;
   std::vector<Recent> recent_;
+  RecentIds recorded_drains_;
 };
 
 }  // namespace banktide
--- a/source/data_path/local_backend.hpp
+++ b/source/data_path/local_backend.hpp
@@ -100,6 +100,12 @@
   /** Whether a heartbeat of the instance was received here before. */
   bool knows(std::string const& id) const { return succession_.knows(id) || succession_.has_ended(id); }
 
+  /** Whether the instance has said that it leaves. */
+  bool is_leaving(std::string const& id) const { return succession_.known_leaving_since(id).has_value(); }
+
+  /** A former process of this node acknowledged the instance's drain, it isn't known when. */
+  void continue_drain(std::string const& id) { succession_.leaving_since(id, env_.now() - 2 * settings_.drain_end); }
+
   /** Whether the instance contends with the current one: it may be a former one or the next one. */
   bool contends(std::string const& id) const {
     return instance_ && succession_.knows(id) && succession_.current() != id;
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -113,9 +113,10 @@
     if (!operation) co_return http_reply(std::move(operation.error()));
     if (std::holds_alternative<ReadinessOperation>(*operation)) co_return http_reply(adapter_.readiness_reply(ready()));
     if (HeartbeatOperation const* const heartbeat_operation = std::get_if<HeartbeatOperation>(&*operation)) {
-      HeartbeatAnswer const answer = co_await heartbeat(heartbeat_operation->heartbeat);
-      local_.answered(heartbeat_operation->heartbeat, answer);
-      co_return http_reply(adapter_.heartbeat_reply(answer));
+      std::optional<HeartbeatAnswer> const answer = co_await heartbeat(heartbeat_operation->heartbeat);
+      if (!answer) co_return http_reply(adapter_.unavailable_reply("the drain can't be recorded now"));
+      local_.answered(heartbeat_operation->heartbeat, *answer);
+      co_return http_reply(adapter_.heartbeat_reply(*answer));
     }
     if (LeaveOperation const* const leave = std::get_if<LeaveOperation>(&*operation)) {
       bool const recorded = co_await sign_off(leave->id);
@@ -344,23 +345,39 @@
     co_return co_await sign_offs_.record(instance, env_.now() + sign_off_timeout);
   }
 
+  // Acknowledged only once a later process of this node would learn of it.
+  Task<bool> record_drain(std::string const instance, Instant const deadline) {
+    if (!has_control_plane()) co_return true;
+    co_return co_await sign_offs_.record_drain(instance, deadline);
+  }
+
   // A heartbeat that arrives soon after this process's start may have been sent to the previous process, and its
-  // instance may have signed off there since. False if it has, or if nobody can tell now.
-  Task<bool> is_in_service(std::string const instance, Instant const deadline) {
+  // instance may have said there since that it leaves, or signed off. False if it has signed off, or if nobody can tell
+  // now; a drain is continued.
+  Task<bool> may_be_taken_up(std::string const instance, Instant const deadline) {
     bool const sent_to_this_process = env_.now() - started_ >= max_heartbeat_delay;
     if (sent_to_this_process || local_.knows(instance) || !has_control_plane()) co_return true;
     std::optional<bool> const signed_off = co_await sign_offs_.has_signed_off(instance, deadline);
     if (!signed_off) co_return false;
-    if (!*signed_off) co_return true;
-    log_info("sign_off_kept", {{"instance", instance}});
-    local_.leave(instance);
-    co_return false;
+    if (*signed_off) {
+      log_info("sign_off_kept", {{"instance", instance}});
+      local_.leave(instance);
+      co_return false;
+    }
+    std::optional<bool> const draining = co_await sign_offs_.is_draining(instance, deadline);
+    if (!draining) co_return false;
+    if (*draining) {
+      log_info("drain_kept", {{"instance", instance}});
+      local_.continue_drain(instance);
+    }
+    co_return true;
   }
 
   // Whether the heartbeat is of the instance that is the current one afterwards. The backend's process is asked who it
   // is when another instance contends with the current one.
   Task<bool> accept_heartbeat(BackendHeartbeat const heartbeat) {
-    if (!co_await is_in_service(heartbeat.id, env_.now() + settings_.keys.answer_delay_limit)) co_return false;
+    bool const usable = co_await may_be_taken_up(heartbeat.id, env_.now() + settings_.keys.answer_delay_limit);
+    if (!usable) co_return false;
     if (local_.heartbeat(heartbeat)) co_return true;
     if (!local_.contends(heartbeat.id)) co_return false;
     bool const proved = co_await local_.identify(heartbeat.address, heartbeat.service);
@@ -378,11 +395,17 @@
     asked_about_ = std::move(in_question);
   }
 
-  Task<HeartbeatAnswer> heartbeat(BackendHeartbeat const heartbeat) {
+  // None if the heartbeat can't be acknowledged.
+  Task<std::optional<HeartbeatAnswer>> heartbeat(BackendHeartbeat heartbeat) {
     HeartbeatAnswer answer;
     Instant const arrived = env_.now();
     bool const accepted = co_await accept_heartbeat(heartbeat);
+    if (heartbeat.leaving) {
+      bool const recorded = co_await record_drain(heartbeat.id, arrived + sign_off_timeout);
+      if (!recorded) co_return std::nullopt;
+    }
     if (!accepted) co_return answer;
+    heartbeat.leaving = local_.is_leaving(heartbeat.id);  // a late heartbeat doesn't end a drain
     Instant const until = arrived + settings_.keys.answer_delay_limit;
     std::uint64_t const number = ++heartbeats_received_;
     // A node that has just started has no configuration yet and can't tell whether the service is keyed.
--- a/tests/programs/backend_instances_test.cpp
+++ b/tests/programs/backend_instances_test.cpp
@@ -137,6 +137,32 @@
   EXPECT_TRUE(t.run_until([&] { return t.executions_on(machine.backend->id, Instant{}) > 0; }, 15s));
 }
 
+// Guards against DRAIN: a node that was restarted after it had acknowledged a drain took a late heartbeat, sent before
+// the drain, for one of an instance in service.
+TEST_P(BackendInstances, a_restarted_node_sends_nothing_to_an_instance_whose_drain_was_acknowledged_before) {
+  for (std::string const name : {"payments-0-a", "accounts-0-a"}) {
+    InstancesTrial t(13, GetParam());
+    t.form();
+    MeshTrial::Machine& machine = t.machine(name);
+    std::vector<BackendHeartbeat> const late{t.mesh.next_heartbeat(machine, *machine.backend),
+                                             t.mesh.next_heartbeat(machine, *machine.backend)};
+    ASSERT_TRUE(t.drain_with_one_heartbeat(machine)) << name;
+    t.run_for(100ms);
+    t.restart_node(machine);
+    t.run_for(100ms);
+    for (BackendHeartbeat const& heartbeat : late) {
+      t.mesh.deliver(machine, heartbeat);
+      t.run_for(1500ms);
+    }
+    t.run_for(4s);
+    EXPECT_EQ(t.executions_after_drain(), 0u) << name;
+    EXPECT_LE(t.longest_double_hold, longest_overlap) << name;
+    t.end(*machine.backend);
+    t.mesh.start_backend(machine);
+    EXPECT_TRUE(t.run_until([&] { return t.is_offered(machine); }, 3500ms)) << "within two of its heartbeats";
+  }
+}
+
 // The sign-off reaches a node that has just been restarted and has heard no heartbeat of the instance yet.
 TEST_P(BackendInstances, a_sign_off_of_an_instance_not_heard_before_is_kept) {
   InstancesTrial t(5, GetParam());
@@ -314,6 +340,37 @@
   EXPECT_EQ(t.executions_after_sign_off(), 0u);
 }
 
+TEST(Drains, are_not_acknowledged_by_a_node_that_reaches_no_majority_of_the_registries) {
+  InstancesTrial t(14);
+  t.form();
+  MeshTrial::Machine& machine = t.machine("payments-0-a");
+  for (std::string const core : {"core-b", "core-c"}) {
+    t.mesh.sim.cut(machine.name, core);
+    t.mesh.sim.cut(core, machine.name);
+  }
+  EXPECT_FALSE(t.drain_with_one_heartbeat(machine));
+  t.mesh.sim.heal(machine.name);
+  t.run_for(3s);
+  EXPECT_TRUE(t.drain_with_one_heartbeat(machine)) << "it is acknowledged when it comes again";
+}
+
+TEST(Drains, are_known_after_the_registries_and_then_the_node_were_restarted) {
+  InstancesTrial t(15);
+  t.form();
+  MeshTrial::Machine& machine = t.machine("payments-0-a");
+  BackendHeartbeat const late = t.mesh.next_heartbeat(machine, *machine.backend);
+  ASSERT_TRUE(t.drain_with_one_heartbeat(machine));
+  t.mesh.kill_registries();
+  t.run_for(300ms);
+  t.mesh.start_registries();
+  t.run_for(2500ms);
+  t.restart_node(machine);
+  t.run_for(100ms);
+  t.mesh.deliver(machine, late);
+  t.run_for(4s);
+  EXPECT_EQ(t.executions_after_drain(), 0u);
+}
+
 TEST(SignOffs, are_not_acknowledged_by_a_node_that_reaches_no_majority_of_the_registries) {
   InstancesTrial t(8);
   t.form();
--- a/tests/programs/instances_trial.hpp
+++ b/tests/programs/instances_trial.hpp
@@ -51,6 +51,15 @@
     signed_off_at[instance] = mesh.sim.now;
     return true;
   }
+  /// The backend says that it leaves, once; true if that is acknowledged. It sends no heartbeat afterwards.
+  bool drain_with_one_heartbeat(MeshTrial::Machine& of) {
+    of.backend->sends_heartbeats = false;
+    of.backend->leaving = true;
+    std::shared_ptr<std::uint32_t> const status = mesh.deliver(of, mesh.next_heartbeat(of, *of.backend));
+    if (!run_until([&] { return *status != 0; }, 1s) || *status != 200) return false;
+    drained_at[of.backend->id] = mesh.sim.now;
+    return true;
+  }
   void end(FakeBackend& backend) {
     backend.up = false;
     backend.rows.clear();
@@ -109,17 +118,21 @@
     }));
   }
   /// Executions on instances later than the drain limit after their sign-off was acknowledged.
-  std::size_t executions_after_sign_off() const {
-    std::size_t all = 0;
-    for (auto const& [instance, at] : signed_off_at) all += executions_on(instance, at + drain_limit);
-    return all;
-  }
+  std::size_t executions_after_sign_off() const { return executions_after(signed_off_at); }
+  /// The same for instances whose drain was acknowledged.
+  std::size_t executions_after_drain() const { return executions_after(drained_at); }
 
   MeshTrial mesh;
   Duration longest_double_hold{};
-  std::map<std::string, Instant> signed_off_at;
+  std::map<std::string, Instant> signed_off_at, drained_at;
 
  private:
+  std::size_t executions_after(std::map<std::string, Instant> const& acknowledged) const {
+    std::size_t all = 0;
+    for (auto const& [instance, at] : acknowledged) all += executions_on(instance, at + drain_limit);
+    return all;
+  }
+
   struct HeldPart {
     std::uint32_t from, to;
     FakeBackend const* by;
--- a/tests/programs/mesh_trial.hpp
+++ b/tests/programs/mesh_trial.hpp
@@ -199,10 +199,12 @@
       spawn(*machine.process, client_loop(machine.process, machine.node, machine, std::string(service)));
   }
 
-  /** Delivers a heartbeat to a machine's node, whenever it was sent. */
-  void deliver(Machine const& machine, BackendHeartbeat const& heartbeat) {
+  /** Delivers a heartbeat to a machine's node, whenever it was sent; the status is 0 until it is answered. */
+  std::shared_ptr<std::uint32_t> deliver(Machine const& machine, BackendHeartbeat const& heartbeat) {
+    std::shared_ptr<std::uint32_t> const status = std::make_shared<std::uint32_t>(0);
     heartbeats.push_back(heartbeat);
-    spawn(*machine.process, send_to_node(machine.node, "/beat", std::to_string(heartbeats.size() - 1), nullptr));
+    spawn(*machine.process, send_to_node(machine.node, "/beat", std::to_string(heartbeats.size() - 1), status));
+    return status;
   }
   /** Sends an instance's sign-off to its node; the status is 0 until it is answered. */
   std::shared_ptr<std::uint32_t> sign_off(Machine const& machine, std::string const& instance) {
@@ -454,6 +456,10 @@
       Instant const sent = p->now();
       HttpReply const reply = co_await node->handle_interface_request(request);
       if (!backend->up) co_return;
+      if (reply.status != 200) {
+        co_await sleep_for(*p, release_duration);
+        continue;
+      }
       HeartbeatAnswer const answer = reply.body.empty() ? HeartbeatAnswer{} : answers.at(std::stoul(reply.body));
       backend->released.clear();
       bool const releases_rows = answer.grant && apply_grant(*backend, sent, *answer.grant);
