--- a/source/programs/mesh_proxy.cpp
+++ b/source/programs/mesh_proxy.cpp
@@ -98,8 +98,10 @@
     return listening;
   });
   if (!open) return start_failed(open.error());
-  log_info("started",
-           {{"address", *bound}, {"clients", settings.text("client-address")}, {"zone", settings.text("zone")}});
+  log_info("started", {{"address", *bound},
+                       {"clients", settings.text("client-address")},
+                       {"zone", settings.text("zone")},
+                       {"commit", source_commit()}});
   auto const leave = [&] {
     node.leave();
     clients.drain();
--- a/source/programs/mesh_registry.cpp
+++ b/source/programs/mesh_registry.cpp
@@ -73,8 +73,10 @@
     return operators.listen(settings.text("control-address"));
   });
   if (!open) return start_failed(open.error());
-  log_info("started",
-           {{"address", *bound}, {"operators", settings.text("control-address")}, {"zone", settings.text("zone")}});
+  log_info("started", {{"address", *bound},
+                       {"operators", settings.text("control-address")},
+                       {"zone", settings.text("zone")},
+                       {"commit", source_commit()}});
   auto const reload = [&] { reload_mesh_settings(settings, define, line); };
   auto const leave = [&] {
     registry.leave();
--- a/source/programs/proxy_main.cpp
+++ b/source/programs/proxy_main.cpp
@@ -72,7 +72,8 @@
       return 1;
     }
   }
-  log_info("started", {{"address", *bound},
+  log_info("started", {{"commit", source_commit()},
+                       {"address", *bound},
                        {"caller", s.text("caller")},
                        {"local", s.text("local")},
                        {"gateway", s.flag("gateway") ? "yes" : "no"}});
--- a/source/programs/registry_main.cpp
+++ b/source/programs/registry_main.cpp
@@ -65,7 +65,7 @@
              {{"step", open.error().step}, {"peer", open.error().peer}, {"reason", open.error().reason}});
     return 1;
   }
-  log_info("started", {{"address", *bound}, {"operator", settings.text("operator")}});
+  log_info("started", {{"commit", source_commit()}, {"address", *bound}, {"operator", settings.text("operator")}});
   process.run_until_shutdown(
       [&] { registry.leave(); }, [&] { return registry.idle(); },
       [&] { Process::reload(settings, define, argc, argv, [](std::string const&, Settings const&) { return false; }); },
--- a/source/programs/settings.hpp
+++ b/source/programs/settings.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "state/layout.hpp"
+#include "transport/build_info.hpp"
 #include "transport/socket_environment.hpp"
 
 #include <boost/program_options.hpp>
@@ -54,7 +55,7 @@
       return 0;
     }
     if (values_.count("version")) {
-      std::cout << program_ << " " << BANKTIDE_VERSION << "\n";
+      std::cout << program_ << " " << BANKTIDE_VERSION << " (commit " << source_commit() << ")\n";
       return 0;
     }
     for (std::string const& e : errors) std::cerr << program_ << ": settings: " << e << "\n";
--- a/source/programs/store_main.cpp
+++ b/source/programs/store_main.cpp
@@ -91,7 +91,7 @@
     spawn(env, fixed ? acceptor.run_until_voting() : membership.run());
     return true;
   });
-  log_info("started", {{"address", *bound}});
+  log_info("started", {{"address", *bound}, {"commit", source_commit()}});
   auto const reload = [&] {
     Process::reload(settings, define, line.count(), line.words(),
                     [](std::string const&, Settings const&) { return false; });
