SignOffRecorder: one record and one search of entries behind drains and sign-offs

Cause: a drain was looked for by has_signed_off with an entry that is no instance's id, which a reader has to decode. Change: record and find are private and speak of entries; drains and sign-offs have public functions of their own. No change of behaviour or of the wire.

--- a/source/coordination/sign_off_recorder.hpp
+++ b/source/coordination/sign_off_recorder.hpp
@@ -29,15 +29,7 @@
       : env_(env), registries_(std::move(registries)) {}
 
   /// Returns true once a majority of the registries has the sign-off, false at the deadline.
-  Task<bool> record(std::string const instance, Instant const deadline) {
-    remember(instance);
-    while (env_.now() < deadline) {
-      std::optional<bool> const recorded = co_await record_once(instance, attempt_deadline(deadline));
-      if (recorded) co_return true;
-      co_await sleep_for(env_, retry_pause);
-    }
-    co_return false;
-  }
+  Task<bool> record_sign_off(std::string const instance, Instant const deadline) { return record(instance, deadline); }
 
   /// Returns true once a majority of the registries has the drain, false at the deadline. Asks them only once.
   Task<bool> record_drain(std::string const instance, Instant const deadline) {
@@ -47,29 +39,24 @@
     co_return recorded;
   }
 
-  /// Whether the instance drains, by an acknowledgement of this or a former process; none as below.
-  Task<std::optional<bool>> is_draining(std::string const instance, Instant const deadline) {
-    return has_signed_off(drain_entry(instance), deadline);
-  }
-
   /// Whether the instance has signed off at this or a former process; none if too few registries answer in time.
   Task<std::optional<bool>> has_signed_off(std::string const instance, Instant const deadline) {
-    while (env_.now() < deadline) {
-      std::optional<bool> const known = co_await query_once(instance, attempt_deadline(deadline));
-      if (known) co_return known;
-      co_await sleep_for(env_, retry_pause);
-    }
-    co_return std::nullopt;
+    return find(instance, deadline);
   }
 
-  /// Repeats recent sign-offs to all registries: one that was restarted has forgotten them.
+  /// Whether this or a former process acknowledged that the instance drains; none if too few registries answer in time.
+  Task<std::optional<bool>> is_draining(std::string const instance, Instant const deadline) {
+    return find(drain_entry(instance), deadline);
+  }
+
+  /// Repeats recent drains and sign-offs to all registries: one that was restarted has forgotten them.
   Task<void> repeat_loop() {
     while (true) {
       co_await sleep_for(env_, repeat_period);
       std::erase_if(recent_, [&](Recent const& recent) { return env_.now() - recent.at > max_heartbeat_delay; });
       if (recent_.empty()) continue;
       SignOffRecord record;
-      for (Recent const& recent : recent_) record.instances.push_back(recent.instance);
+      for (Recent const& recent : recent_) record.instances.push_back(recent.entry);
       for (Address const& registry : registries_().addresses) tell(env_, registry, record);
     }
   }
@@ -81,23 +68,42 @@
   static constexpr std::size_t max_recent = 16;
 
   struct Recent {
-    std::string instance;
+    std::string entry;
     Instant at{};
   };
 
-  void remember(std::string const& instance) {
-    std::erase_if(recent_, [&](Recent const& recent) { return recent.instance == instance; });
-    recent_.push_back(Recent{instance, env_.now()});
+  Task<bool> record(std::string const entry, Instant const deadline) {
+    remember(entry);
+    while (env_.now() < deadline) {
+      std::optional<bool> const recorded = co_await record_once(entry, attempt_deadline(deadline));
+      if (recorded) co_return true;
+      co_await sleep_for(env_, retry_pause);
+    }
+    co_return false;
+  }
+
+  Task<std::optional<bool>> find(std::string const entry, Instant const deadline) {
+    while (env_.now() < deadline) {
+      std::optional<bool> const known = co_await query_once(entry, attempt_deadline(deadline));
+      if (known) co_return known;
+      co_await sleep_for(env_, retry_pause);
+    }
+    co_return std::nullopt;
+  }
+
+  void remember(std::string const& entry) {
+    std::erase_if(recent_, [&](Recent const& recent) { return recent.entry == entry; });
+    recent_.push_back(Recent{entry, env_.now()});
     if (recent_.size() > max_recent) recent_.erase(recent_.begin());
   }
 
   Instant attempt_deadline(Instant const deadline) const { return std::min(deadline, env_.now() + attempt_timeout); }
 
-  Task<std::optional<bool>> record_once(std::string const instance, Instant const deadline) {
+  Task<std::optional<bool>> record_once(std::string const entry, Instant const deadline) {
     SignOffRegistries const registries = registries_();
     std::size_t const majority = registries.majority();
     if (registries.addresses.size() < majority) co_return std::nullopt;
-    SignOffRecord const record{{instance}};
+    SignOffRecord const record{{entry}};
     auto const recorded = [](auto const& replies) {
       return static_cast<std::size_t>(std::count_if(
           replies.begin(), replies.end(), [](auto const& reply) { return reply.second && reply.second->recorded; }));
@@ -108,22 +114,22 @@
     co_return true;
   }
 
-  Task<std::optional<bool>> query_once(std::string const instance, Instant const deadline) {
+  Task<std::optional<bool>> query_once(std::string const entry, Instant const deadline) {
     SignOffRegistries const registries = registries_();
     std::size_t const majority = registries.majority();
     if (registries.addresses.size() < majority) co_return std::nullopt;
-    SignOffQuery const query{instance};
-    auto const says_signed_off = [](auto const& reply) { return reply.second && reply.second->signed_off; };
-    auto const signed_off = [says_signed_off](auto const& replies) {
-      return std::any_of(replies.begin(), replies.end(), says_signed_off);
+    SignOffQuery const query{entry};
+    auto const has_entry = [](auto const& reply) { return reply.second && reply.second->signed_off; };
+    auto const found = [has_entry](auto const& replies) {
+      return std::any_of(replies.begin(), replies.end(), has_entry);
     };
     auto const answered = [](auto const& replies) {
       return static_cast<std::size_t>(
           std::count_if(replies.begin(), replies.end(), [](auto const& reply) { return reply.second.has_value(); }));
     };
-    auto const enough = [&](auto const& replies) { return signed_off(replies) || answered(replies) >= majority; };
+    auto const enough = [&](auto const& replies) { return found(replies) || answered(replies) >= majority; };
     auto const replies = co_await ask_all<SignOffQuery>(env_, registries.addresses, query, deadline, enough);
-    if (signed_off(replies)) co_return true;
+    if (found(replies)) co_return true;
     if (answered(replies) < majority) co_return std::nullopt;
     co_return false;
   }
--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -342,7 +342,7 @@
   Task<bool> sign_off(std::string const instance) {
     local_.leave(instance);
     if (!has_control_plane()) co_return true;
-    co_return co_await sign_offs_.record(instance, env_.now() + sign_off_timeout);
+    co_return co_await sign_offs_.record_sign_off(instance, env_.now() + sign_off_timeout);
   }
 
   // Acknowledged only once a later process of this node would learn of it.
--- a/tests/coordination/sign_off_test.cpp
+++ b/tests/coordination/sign_off_test.cpp
@@ -72,7 +72,7 @@
   bool record(std::string const& instance) {
     std::optional<bool> recorded;
     spawn(*node, [](RecorderTrial& t, std::string id, std::optional<bool>& result) -> Task<void> {
-      result = co_await t.recorder->record(id, t.node->now() + 800ms);
+      result = co_await t.recorder->record_sign_off(id, t.node->now() + 800ms);
     }(*this, instance, recorded));
     sim.run_until(sim.now + 1500ms);
     return recorded.value_or(false);
@@ -86,6 +86,23 @@
     return known;
   }
 
+  bool record_drain(std::string const& instance) {
+    std::optional<bool> recorded;
+    spawn(*node, [](RecorderTrial& t, std::string id, std::optional<bool>& result) -> Task<void> {
+      result = co_await t.recorder->record_drain(id, t.node->now() + 800ms);
+    }(*this, instance, recorded));
+    sim.run_until(sim.now + 1500ms);
+    return recorded.value_or(false);
+  }
+  std::optional<bool> is_draining(std::string const& instance) {
+    std::optional<bool> known;
+    spawn(*node, [](RecorderTrial& t, std::string id, std::optional<bool>& result) -> Task<void> {
+      result = co_await t.recorder->is_draining(id, t.node->now() + 800ms);
+    }(*this, instance, known));
+    sim.run_until(sim.now + 1500ms);
+    return known;
+  }
+
   Sim sim{5};
   SimNet net{sim};
   std::vector<Address> addresses;
@@ -135,6 +152,19 @@
   EXPECT_EQ(t.has_signed_off("i-2"), std::optional<bool>(false));
 }
 
+// A drain is recorded by the same messages, and is not a sign-off.
+TEST(SignOffRecorder, a_recorded_drain_is_found_and_is_no_sign_off) {
+  RecorderTrial t(3);
+  EXPECT_TRUE(t.record_drain("i-1"));
+  EXPECT_EQ(t.is_draining("i-1"), std::optional<bool>(true));
+  EXPECT_EQ(t.is_draining("i-2"), std::optional<bool>(false));
+  EXPECT_EQ(t.has_signed_off("i-1"), std::optional<bool>(false));
+  t.processes[0]->kill();
+  t.processes[1]->kill();
+  EXPECT_TRUE(t.record_drain("i-1")) << "it stands already";
+  EXPECT_FALSE(t.record_drain("i-2"));
+}
+
 TEST(SignOffRecorder, repeats_a_sign_off_to_registries_that_were_restarted) {
   RecorderTrial t(3);
   EXPECT_TRUE(t.record("i-1"));
