--- a/source/programs/mesh_node.hpp
+++ b/source/programs/mesh_node.hpp
@@ -24,6 +24,8 @@
   std::uint16_t store_port = 0;
   TimingBounds bounds;
   KeySettings keys;
+  /** The pause between two heartbeats of the backend. */
+  Duration heartbeat_interval = SuccessionSettings{}.heartbeat_interval;
   /** The longest time between the signal to shut down and the exit of the process. */
   Duration shutdown_timeout = 5400ms;
 };
@@ -129,6 +131,7 @@
  private:
   static constexpr Duration tick_period = 100ms;
   static constexpr Duration shutdown_notice = 3200ms;
+  static constexpr Duration heartbeat_margin = 650ms;  // beyond the longest regular silence of a backend
 
   Task<HttpReply> refused_leaving() { co_return path_.refusal("node is leaving", tick_period); }
   static constexpr Duration isolated_after = 1500ms;
@@ -149,6 +152,9 @@
   LocalBackendSettings local_settings() const {
     LocalBackendSettings backend_settings;
     backend_settings.node = settings_.follower.id;
+    backend_settings.succession.heartbeat_interval = settings_.heartbeat_interval;
+    backend_settings.succession.overdue_without_reply =
+        settings_.heartbeat_interval + settings_.keys.answer_delay_limit + heartbeat_margin;
     backend_settings.drain_end = settings_.bounds.drain_limit * 3 / 4;
     backend_settings.drain_grace = settings_.bounds.drain_limit * 35 / 100;
     return backend_settings;
--- a/source/programs/mesh_proxy.cpp
+++ b/source/programs/mesh_proxy.cpp
@@ -18,7 +18,7 @@
   settings.text("local-address", "", "ip:port for the heartbeats of this machine's backend (HTTP)");
   settings.text("service", "", "the service of this machine's backend");
   settings.text("backend-address", "", "ip:port of this machine's backend; not used: backends tell theirs");
-  settings.text("heartbeat-interval", "", "seconds between two heartbeats of a backend; not used");
+  settings.text("heartbeat-interval", "", "seconds between two heartbeats of a backend; 1.5 if it isn't a number");
   settings.text("memory-mb", "0", "the memory that the process may use, in MB; 0: not stated");
   settings.text("cpu-share", "", "the part of a core that the process may use; not used");
   settings.list("contracts", "parts of the operators' rules in force; not used");
@@ -38,6 +38,7 @@
   n.service = settings.text("service");
   n.store_port = store_port(settings);
   n.bounds = bounds;
+  n.heartbeat_interval = seconds_of(settings, "heartbeat-interval", n.heartbeat_interval);
   n.keys = key_settings(bounds);
   n.shutdown_timeout = shutdown_timeout(bounds);
   return n;
--- a/source/programs/mesh_settings.hpp
+++ b/source/programs/mesh_settings.hpp
@@ -7,6 +7,8 @@
 #include "protocol/interface_adapter.hpp"
 #include "state/key_table.hpp"
 
+#include <charconv>
+
 namespace banktide {
 
 /** A command line in the form of the `argc` and `argv` of `main`. */
@@ -47,6 +49,17 @@
   return std::stoull(text);
 }
 
+/** A time in seconds that is set as text; `fallback` if the text is not a positive number of at most an hour. */
+inline Duration seconds_of(Settings const& settings, std::string const& name, Duration const fallback) {
+  constexpr double most = 3600;
+  std::string const text = settings.text(name);
+  double seconds = 0;
+  auto const [end, error] = std::from_chars(text.data(), text.data() + text.size(), seconds);
+  bool const is_number = error == std::errc() && end == text.data() + text.size();
+  if (!is_number || !(seconds > 0 && seconds <= most)) return fallback;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 /** The port of the stores. */
 inline std::uint16_t store_port(Settings const& settings) {
   return static_cast<std::uint16_t>(number_of(settings, "store-port", 0));
--- a/tests/programs/settings_test.cpp
+++ b/tests/programs/settings_test.cpp
@@ -1,4 +1,5 @@
 // Settings: flags take precedence over the file, all errors are reported, changes are detected.
+#include "programs/mesh_settings.hpp"
 #include "programs/settings.hpp"
 
 #include <filesystem>
@@ -32,5 +33,27 @@
   std::filesystem::remove(file);
 }
 
+// Guards against a living backend that always looks overdue where heartbeats are sent less often than by default.
+TEST(MeshSettings, a_time_in_seconds_is_read_from_text_and_falls_back_if_it_is_none) {
+  for (auto const& [text, expected] : std::vector<std::pair<std::string, Duration>>{{"1.5", 1500ms},
+                                                                                    {"3", 3s},
+                                                                                    {"0.25", 250ms},
+                                                                                    {"", 7s},
+                                                                                    {"0", 7s},
+                                                                                    {"-1", 7s},
+                                                                                    {"nan", 7s},
+                                                                                    {"inf", 7s},
+                                                                                    {"4000", 7s},
+                                                                                    {"2 s", 7s}}) {
+    Settings settings("x");
+    settings.text("heartbeat-interval", "", "");
+    std::string const flag = "--heartbeat-interval=" + text;
+    std::vector<char const*> argv{"x", flag.c_str()};
+    std::vector<std::string> const errors = settings.load(static_cast<int>(argv.size()), argv.data());
+    ASSERT_TRUE(text.empty() || errors.empty()) << text;
+    EXPECT_EQ(seconds_of(settings, "heartbeat-interval", 7s), expected) << text;
+  }
+}
+
 }  // namespace
 }  // namespace banktide
