--- a/tests/programs/late_heartbeats_test.cpp
+++ b/tests/programs/late_heartbeats_test.cpp
@@ -136,7 +136,7 @@
   std::vector<BackendHeartbeat> late_;
 };
 
-/// The range of cases to play; CI plays a sample, all of them are played by hand.
+/// A number from the environment: the range of cases to play. CI plays a sample; more are played by hand.
 std::size_t number_from(char const* const variable, std::size_t const otherwise) {
   char const* const text = std::getenv(variable);
   return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
